--- /dev/null
+++ b/internal/bramleyhatch/entryduties.go
@@ -0,0 +1,4 @@
+package bramleyhatch
+
+// addDuties adds the platform's client, duties under leases and usage.
+func (e *Entry) addDuties() {}
--- /dev/null
+++ b/internal/bramleyhatch/entrytrainers.go
@@ -0,0 +1,4 @@
+package bramleyhatch
+
+// addTrainers adds the trainers' interface.
+func (e *Entry) addTrainers() {}
--- /dev/null
+++ b/internal/bramleyhatch/sidecarmembers.go
@@ -0,0 +1,4 @@
+package bramleyhatch
+
+// addMembers adds membership.
+func (s *Sidecar) addMembers() {}
--- /dev/null
+++ b/internal/bramleyhatch/sidecarusage.go
@@ -0,0 +1,4 @@
+package bramleyhatch
+
+// addUsage adds the usage counters.
+func (s *Sidecar) addUsage() {}
--- /dev/null
+++ b/internal/cmd/cmd.go
@@ -0,0 +1,97 @@
+// Package cmd holds the command line; one file a command.
+package cmd
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes of the program.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// config carries what commands need.
+type config struct {
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// commands are the commands of the program; each type is in its own file.
+type commands struct {
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+	Entry    entryCmd         `cmd:"" help:"Run the process of an entry host."`
+	Sidecar  sidecarCmd       `cmd:"" help:"Run the process beside a backend server."`
+	Settings settingsCmd      `cmd:"" help:"Check settings files."`
+}
+
+// UsageError says that a command was called with wrong arguments.
+type UsageError struct {
+	Problem string
+}
+
+// Error names what is wrong.
+func (e *UsageError) Error() string { return e.Problem }
+
+// exited carries the exit code that kong asks for through its panics.
+type exited int
+
+// Main runs the program with its arguments and returns the exit code.
+func Main(arguments []string, stdout, stderr io.Writer) (code int) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			status, ok := fault.(exited)
+			if !ok {
+				panic(fault)
+			}
+			code = int(status)
+		}
+	}()
+	parser, err := newParser(stdout, stderr)
+	if err != nil {
+		return fail(stderr, err)
+	}
+	parsed, err := parser.Parse(arguments)
+	if err != nil {
+		fail(stderr, err)
+		return exitUsage
+	}
+	if err := parsed.Run(&config{stdout: stdout, stderr: stderr}); err != nil {
+		return fail(stderr, err)
+	}
+	return exitDone
+}
+
+func newParser(stdout, stderr io.Writer) (*kong.Kong, error) {
+	return kong.New(&commands{},
+		kong.Name("bramleyhatch"),
+		kong.Description("Serves reinforcement learning rollouts and live model requests."),
+		kong.UsageOnError(),
+		kong.Writers(stdout, stderr),
+		kong.Vars{"version": version()},
+		kong.Exit(func(code int) { panic(exited(code)) }),
+	)
+}
+
+func fail(stderr io.Writer, err error) int {
+	fmt.Fprintln(stderr, "bramleyhatch:", err)
+	var usage *UsageError
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/internal/cmd/settingscmd.go
@@ -0,0 +1,39 @@
+package cmd
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
+	"github.com/bramleyhatch/bramleyhatch/internal/settings"
+)
+
+// settingsCmd groups the commands for settings files.
+type settingsCmd struct {
+	Check settingsCheckCmd `cmd:"" help:"Check a settings file without running anything."`
+}
+
+// settingsCheckCmd checks one settings file.
+type settingsCheckCmd struct {
+	Kind string `arg:"" enum:"entry,sidecar" help:"Kind of process: entry or sidecar."`
+	File string `arg:"" type:"existingfile" help:"Settings file."`
+}
+
+// Help gives an example.
+func (settingsCheckCmd) Help() string {
+	return "Example:\n  bramleyhatch settings check entry entry.ini"
+}
+
+// Run prints each fault with file, section and key.
+func (s *settingsCheckCmd) Run(c *config) error {
+	var message proto.Message = &settingspb.Entry{}
+	if s.Kind == "sidecar" {
+		message = &settingspb.Sidecar{}
+	}
+	if err := settings.Load(s.File, message); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.stdout, "%s: no faults\n", s.File)
+	return nil
+}
--- /dev/null
+++ b/internal/cmd/sidecarcmd.go
@@ -0,0 +1,33 @@
+package cmd
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/bramleyhatch"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
+	"github.com/bramleyhatch/bramleyhatch/internal/settings"
+)
+
+// sidecarCmd runs a sidecar.
+type sidecarCmd struct {
+	Settings string `required:"" type:"existingfile" help:"Settings file of the sidecar."`
+}
+
+// Help gives an example.
+func (sidecarCmd) Help() string {
+	return "Example:\n  bramleyhatch sidecar --settings sidecar.ini"
+}
+
+// Run serves until SIGTERM or SIGINT, then drains.
+func (s *sidecarCmd) Run() error {
+	var loaded settingspb.Sidecar
+	if err := settings.Load(s.Settings, &loaded); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	sidecar := &bramleyhatch.Sidecar{Settings: &loaded}
+	return sidecar.Run(ctx)
+}
