--- a/internal/bramleyhatch/entry.go
+++ b/internal/bramleyhatch/entry.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/lists"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+	"github.com/bramleyhatch/bramleyhatch/internal/sidecar"
 )
 
 // Entry is the process on an entry host.
@@ -12,11 +16,23 @@
 	Settings *settingspb.Entry
 
 	*Process
+
+	platform *platform.Client
+	view     *lists.View
+	pool     *sidecar.Pool
 }
 
 // Run serves until the context ends and all running requests have ended.
 func (e *Entry) Run(ctx context.Context) error {
 	e.Process = newProcess(e.Settings.GetProcess(), e.Settings.GetSecure())
+	e.platform = newPlatform(e.Settings.GetPlatform())
+	e.view = &lists.View{}
+	e.addMembers(peerpb.Role_ROLE_ENTRY, nil, e.Settings.GetMember(), e.platform)
+	e.pool = &sidecar.Pool{
+		Members:   e.members,
+		Decisions: e.Decisions,
+		Silence:   e.Settings.GetCaller().GetSilence().AsDuration(),
+	}
 	e.AddRoutes(e.healthRoutes()...)
 	e.addOperators()
 	e.addDuties()
@@ -24,3 +40,7 @@
 	e.addTrainers()
 	return e.run(ctx, e.Settings.GetCaller())
 }
+
+func newPlatform(settings *settingspb.Platform) *platform.Client {
+	return platform.NewClient(settings.GetAddress(), settings.GetTimeout().AsDuration())
+}
--- a/internal/bramleyhatch/process.go
+++ b/internal/bramleyhatch/process.go
@@ -19,6 +19,7 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/decision"
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/member"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
 )
 
@@ -39,6 +40,8 @@
 	// Incarnation is the start of the process in nanoseconds since 1970 UTC.
 	Incarnation uint64
 
+	members *member.Members
+
 	routes   []rest.Route
 	services []func(grpc.ServiceRegistrar)
 	duties   []Duty
--- a/internal/bramleyhatch/sidecar.go
+++ b/internal/bramleyhatch/sidecar.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
 
 // Sidecar is the process beside a backend server.
@@ -12,12 +14,15 @@
 	Settings *settingspb.Sidecar
 
 	*Process
+
+	platform *platform.Client
 }
 
 // Run serves until the context ends and all running requests have ended.
 func (s *Sidecar) Run(ctx context.Context) error {
 	s.Process = newProcess(s.Settings.GetProcess(), s.Settings.GetSecure())
-	s.addMembers()
+	s.platform = newPlatform(s.Settings.GetPlatform())
+	s.addMembers(peerpb.Role_ROLE_SIDECAR, s.Settings.GetBackend(), s.Settings.GetMember(), s.platform)
 	s.addUsage()
 	s.addBackend()
 	return s.run(ctx, nil)
--- a/internal/bramleyhatch/sidecarmembers.go
+++ /dev/null
@@ -1,4 +0,0 @@
-package bramleyhatch
-
-// addMembers adds membership.
-func (s *Sidecar) addMembers() {}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,242 @@
+// Package platform speaks to the platform: its key-value service, the interface
+// that orders backend servers, the intake of usage reports and the host list.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+)
+
+const maxAnswerBytes = 64 << 20
+
+// ConflictError says that a compare-and-swap found another revision, or that
+// an order came with an old fencing number.
+type ConflictError struct {
+	Key string
+	// Revision is the present one.
+	Revision uint64
+}
+
+// Error names the key.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("platform: %s has changed, now at revision %d", e.Key, e.Revision)
+}
+
+// NotFoundError says that a key or lease does not exist.
+type NotFoundError struct {
+	Key string
+}
+
+// Error names the key.
+func (e *NotFoundError) Error() string { return "platform: " + e.Key + " does not exist" }
+
+// UnavailableError says that the platform gave no answer or could not do the
+// call. A change may have taken effect all the same: read back before deciding.
+type UnavailableError struct {
+	Operation string
+	// Status is the HTTP status; 0 if no answer came.
+	Status int
+	Cause  error
+}
+
+// Error names the operation.
+func (e *UnavailableError) Error() string {
+	if e.Cause != nil {
+		return "platform: " + e.Operation + ": " + e.Cause.Error()
+	}
+	return "platform: " + e.Operation + ": status " + strconv.Itoa(e.Status)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// Client speaks to the platform. Exported fields are set before the first call.
+// Calls are never repeated here: each duty decides for itself.
+type Client struct {
+	// Address is the base URL.
+	Address string
+	// Timeout bounds each call but Watch.
+	Timeout time.Duration
+	// Heard is called after each answer of the key-value service; nil is allowed.
+	Heard func()
+
+	service httpc.Service
+}
+
+// NewClient returns a client of the platform at a base URL.
+func NewClient(address string, timeout time.Duration) *Client {
+	return &Client{Address: address, Timeout: timeout, service: listen.Client("platform " + address)}
+}
+
+// Delete removes a key that has the expected revision.
+func (c *Client) Delete(ctx context.Context, key string, expect uint64) error {
+	query := url.Values{"key": {key}, "expect": {strconv.FormatUint(expect, 10)}}
+	return c.call(ctx, http.MethodDelete, PathValue, query, key, nil, &SwapReply{})
+}
+
+// Get returns the value of a key, or a NotFoundError.
+func (c *Client) Get(ctx context.Context, key string) (Value, error) {
+	var value Value
+	err := c.call(ctx, http.MethodGet, PathValue, url.Values{"key": {key}}, key, nil, &value)
+	return value, err
+}
+
+// Grant makes a lease.
+func (c *Client) Grant(ctx context.Context, length time.Duration) (uint64, error) {
+	var reply LeaseReply
+	err := c.call(ctx, http.MethodPost, PathLease, nil, "lease", LeaseRequest{Length: length.Milliseconds()}, &reply)
+	return reply.ID, err
+}
+
+// Hosts returns the platform's lagging list of hosts.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	var hosts []Host
+	err := c.call(ctx, http.MethodGet, PathHost, nil, "hosts", nil, &hosts)
+	return hosts, err
+}
+
+// List returns all values whose key has the prefix.
+func (c *Client) List(ctx context.Context, prefix string) (ListReply, error) {
+	var reply ListReply
+	err := c.call(ctx, http.MethodGet, PathValue, url.Values{"prefix": {prefix}}, prefix, nil, &reply)
+	return reply, err
+}
+
+// Order sends an order for a backend server.
+func (c *Client) Order(ctx context.Context, order Order) error {
+	return c.call(ctx, http.MethodPost, PathOrder, nil, "order "+order.ID, order, nil)
+}
+
+// Renew lengthens a lease from now on, or returns a NotFoundError if it has lapsed.
+func (c *Client) Renew(ctx context.Context, lease uint64, length time.Duration) error {
+	request := LeaseRequest{ID: lease, Length: length.Milliseconds()}
+	return c.call(ctx, http.MethodPut, PathLease, nil, "lease", request, &LeaseReply{})
+}
+
+// Report sends the figures of a usage window.
+func (c *Client) Report(ctx context.Context, usage Usage) error {
+	return c.call(ctx, http.MethodPost, PathUsage, nil, "usage", usage, nil)
+}
+
+// Servers returns the backend servers of a zone as the platform sees them.
+func (c *Client) Servers(ctx context.Context, zone string) ([]Server, error) {
+	var servers []Server
+	err := c.call(ctx, http.MethodGet, PathServer, url.Values{"zone": {zone}}, "servers", nil, &servers)
+	return servers, err
+}
+
+// Swap writes a value if the key has the expected revision; 0 means that it
+// must not exist. Lease 0 is none. It returns the new revision.
+func (c *Client) Swap(ctx context.Context, key string, expect uint64, data []byte, lease uint64) (uint64, error) {
+	var reply SwapReply
+	request := SwapRequest{Key: key, Data: data, Expect: expect, Lease: lease}
+	err := c.call(ctx, http.MethodPut, PathValue, nil, key, request, &reply)
+	return reply.Revision, err
+}
+
+// Watch waits up to wait for changes of keys with the prefix after a revision.
+// An empty reply means that none came.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (ListReply, error) {
+	var reply ListReply
+	query := url.Values{
+		"prefix": {prefix},
+		"after":  {strconv.FormatUint(after, 10)},
+		"wait":   {wait.String()},
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+c.Timeout)
+	defer cancel()
+	err := c.send(ctx, http.MethodGet, PathWatch, query, prefix, nil, &reply)
+	return reply, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, query url.Values, key string, body, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	return c.send(ctx, method, path, query, key, body, reply)
+}
+
+func (c *Client) send(ctx context.Context, method, path string, query url.Values, key string, body, reply any) error {
+	operation := method + " " + path + " " + key
+	request, err := c.request(ctx, method, path, query, body)
+	if err != nil {
+		return &UnavailableError{Operation: operation, Cause: err}
+	}
+	response, err := c.service.DoRequest(request)
+	if err != nil {
+		return &UnavailableError{Operation: operation, Cause: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return &UnavailableError{Operation: operation, Cause: err}
+	}
+	return c.read(response.StatusCode, operation, key, answer, reply)
+}
+
+func (c *Client) request(ctx context.Context, method, path string, query url.Values, body any) (*http.Request, error) {
+	address := c.Address + path
+	if len(query) > 0 {
+		address += "?" + query.Encode()
+	}
+	var reader io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		reader = bytes.NewReader(text)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, address, reader)
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody net/http never sends a change twice by itself.
+	request.GetBody = nil
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	return request, nil
+}
+
+func (c *Client) read(status int, operation, key string, answer []byte, reply any) error {
+	switch status {
+	case http.StatusOK:
+		c.heard()
+		if reply == nil {
+			return nil
+		}
+		if err := json.Unmarshal(answer, reply); err != nil {
+			return &UnavailableError{Operation: operation, Status: status, Cause: err}
+		}
+		return nil
+	case http.StatusNotFound:
+		c.heard()
+		return &NotFoundError{Key: key}
+	case http.StatusConflict:
+		c.heard()
+		var present SwapReply
+		if err := json.Unmarshal(answer, &present); err != nil {
+			return &UnavailableError{Operation: operation, Status: status, Cause: err}
+		}
+		return &ConflictError{Key: key, Revision: present.Revision}
+	default:
+		return &UnavailableError{Operation: operation, Status: status}
+	}
+}
+
+func (c *Client) heard() {
+	if c.Heard != nil {
+		c.Heard()
+	}
+}
