Serve entries on the sidecar, with a fair queue and HTTP to the backend server

Cause: the thin path needs the sidecar's side of a request. A run is known by its identity; a second send joins it by position. A process that does not know a resent posting refuses with outcome unknown.

--- /dev/null
+++ b/internal/backend/event.go
@@ -0,0 +1,124 @@
+package backend
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+)
+
+const (
+	// maxEventBytes is the largest server-sent event that is read.
+	maxEventBytes = 1 << 20
+	dataPrefix    = "data:"
+	doneMark      = "[DONE]"
+)
+
+// errDone is the engine's own mark of a whole answer.
+var errDone = errors.New("done")
+
+// event is one server-sent event of an engine.
+type event struct {
+	Choices []choice `json:"choices"`
+	Version uint64   `json:"weight_version"`
+	Usage   *usage   `json:"usage"`
+	// Error is sent by some engines in the middle of an answer.
+	Error json.RawMessage `json:"error"`
+}
+
+type choice struct {
+	Text  string `json:"text"`
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+	Tokens   []int32   `json:"token_ids"`
+	Logprobs []float32 `json:"logprobs"`
+	Finish   string    `json:"finish_reason"`
+}
+
+type usage struct {
+	Prompt uint64 `json:"prompt_tokens"`
+	Cached uint64 `json:"cached_tokens"`
+	Output uint64 `json:"completion_tokens"`
+}
+
+// chunk returns the event's part of the answer, or nil if it has none.
+func (e *event) chunk() *peerpb.Chunk {
+	if len(e.Choices) == 0 {
+		return nil
+	}
+	first := e.Choices[0]
+	text := first.Text + first.Delta.Content
+	if text == "" && len(first.Tokens) == 0 {
+		return nil
+	}
+	return peerpb.Chunk_builder{
+		Data:     []byte(text),
+		Tokens:   first.Tokens,
+		Version:  e.Version,
+		Logprobs: first.Logprobs,
+	}.Build()
+}
+
+// fill takes what the event says of the answer's end.
+func (e *event) fill(end *peerpb.End) {
+	if len(e.Choices) > 0 && e.Choices[0].Finish != "" {
+		end.SetFinish(e.Choices[0].Finish)
+	}
+	if e.Usage != nil {
+		end.SetPromptTokens(e.Usage.Prompt)
+		end.SetCachedTokens(e.Usage.Cached)
+		end.SetOutputTokens(e.Usage.Output)
+	}
+}
+
+// events reads server-sent events.
+type events struct {
+	scanner *bufio.Scanner
+}
+
+func newEvents(reader io.Reader) *events {
+	scanner := bufio.NewScanner(reader)
+	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	return &events{scanner: scanner}
+}
+
+// next returns the next event; errDone after the mark of a whole answer, and
+// io.ErrUnexpectedEOF if the answer ends without it.
+func (e *events) next() (*event, error) {
+	for e.scanner.Scan() {
+		data, isData := strings.CutPrefix(e.scanner.Text(), dataPrefix)
+		if !isData {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if data == doneMark {
+			return nil, errDone
+		}
+		return parseEvent(data)
+	}
+	if err := e.scanner.Err(); err != nil {
+		return nil, err
+	}
+	return nil, io.ErrUnexpectedEOF
+}
+
+func parseEvent(data string) (*event, error) {
+	parsed := &event{}
+	if err := json.Unmarshal([]byte(data), parsed); err != nil {
+		return nil, eris.Wrap(err, "parse event")
+	}
+	if hasError(parsed.Error) {
+		return nil, eris.Errorf("engine failed in the middle of its answer: %s", errorText(parsed.Error))
+	}
+	return parsed, nil
+}
+
+func hasError(raw json.RawMessage) bool {
+	return len(raw) > 0 && string(raw) != "null"
+}
--- /dev/null
+++ b/internal/backend/prompt.go
@@ -0,0 +1,67 @@
+package backend
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+)
+
+// promptFields are the fields of a caller's body that an engine may see.
+var promptFields = []string{
+	"model", "prompt", "messages", "max_tokens", "max_completion_tokens", "temperature", "top_p", "top_k", "min_p",
+	"stop", "seed", "presence_penalty", "frequency_penalty", "repetition_penalty", "logit_bias", "logprobs",
+	"top_logprobs", "response_format", "tools", "tool_choice", "resume_tokens",
+}
+
+// prompt is the body of a request to an engine, with the tokens produced so far.
+type prompt struct {
+	fields map[string]json.RawMessage
+	// given are the caller's own resume tokens, tokens those received since.
+	given  []int32
+	tokens []int32
+}
+
+// newPrompt takes the allowed fields of a request's body.
+func newPrompt(request *peerpb.RunRequest) (*prompt, error) {
+	var body map[string]json.RawMessage
+	if err := json.Unmarshal(request.GetBody(), &body); err != nil {
+		return nil, eris.New("body is not a JSON object")
+	}
+	p := &prompt{fields: map[string]json.RawMessage{}}
+	for _, name := range promptFields {
+		if value, given := body[name]; given {
+			p.fields[name] = value
+		}
+	}
+	if resume := p.fields["resume_tokens"]; len(resume) > 0 {
+		if err := json.Unmarshal(resume, &p.given); err != nil {
+			return nil, eris.New("resume_tokens is not a list of whole numbers")
+		}
+	}
+	p.fields["stream"] = json.RawMessage("true")
+	return p, p.set("priority", request.GetPriority())
+}
+
+// encode returns the body to send, with all tokens known so far.
+func (p *prompt) encode() ([]byte, error) {
+	if resume := append(append([]int32(nil), p.given...), p.tokens...); len(resume) > 0 {
+		if err := p.set("resume_tokens", resume); err != nil {
+			return nil, err
+		}
+	}
+	body, err := json.Marshal(p.fields)
+	return body, eris.Wrap(err, "encode body")
+}
+
+func (p *prompt) set(name string, value any) error {
+	raw, err := json.Marshal(value)
+	p.fields[name] = raw
+	return eris.Wrap(err, "encode "+name)
+}
+
+// take notes the tokens of a chunk.
+func (p *prompt) take(chunk *peerpb.Chunk) {
+	p.tokens = append(p.tokens, chunk.GetTokens()...)
+}
--- /dev/null
+++ b/internal/entry/execute.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+)
+
+// execute brings a run to its end: a whole answer or a refusal.
+func (s *Server) execute(ctx context.Context, run *run) {
+	end, err := s.perform(ctx, run)
+	if err == nil {
+		run.end(end)
+		s.Decisions.Record(run.id, "backend", "ended, %s, %d tokens", end.GetFinish(), end.GetOutputTokens())
+	} else {
+		refused := run.classify(err)
+		run.refuse(refused)
+		s.Decisions.Record(run.id, "backend", "refused, %v", refused)
+	}
+	s.registry.ended(run, time.Now())
+	s.Loads.OfferLoad(s.load())
+}
+
+// perform waits for a slot and passes the request on.
+func (s *Server) perform(ctx context.Context, run *run) (*peerpb.End, error) {
+	request := run.request
+	share := newShare(request, time.Now().Add(timeLeft(request)))
+	if refused := s.gate.enter(ctx, share); refused != nil {
+		return nil, refused
+	}
+	end, err := s.pass(ctx, run)
+	s.gate.leave(share, trueCost(share, end))
+	return end, err
+}
+
+// pass gives the request to the backend server. That it was passed is noted
+// before: a sidecar that noted it afterwards could say "not run" of a request
+// that the backend server is running.
+func (s *Server) pass(ctx context.Context, run *run) (*peerpb.End, error) {
+	run.markPassed()
+	s.Decisions.Record(run.id, "backend", "passed to %s for %s", s.Name, run.request.GetAccount())
+	end, err := s.Backend.Run(ctx, run.request, run.add)
+	if err != nil {
+		return nil, err
+	}
+	if s.Counter != nil {
+		request := run.request
+		counts := s.Counter.Add(request.GetAccount(), request.GetPool(), time.Now(), end.GetPromptTokens(), end.GetOutputTokens())
+		end.SetCounts(counts)
+	}
+	return end, nil
+}
+
+// classify turns an error into a refusal that claims no more than is proved: a
+// run whose answer has begun is never "not run".
+func (r *run) classify(err error) *refusal.Error {
+	var refused *refusal.Error
+	if !errors.As(err, &refused) {
+		refused = refusal.Unknown(http.StatusBadGateway, "failed", "%v", err)
+	}
+	if r.length() > 0 && refused.Outcome == peerpb.Outcome_OUTCOME_NOT_RUN {
+		return refusal.Unknown(refused.Status, refused.Code, "%s", refused.Message)
+	}
+	return refused
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,157 @@
+// Package entry serves entries on a sidecar: it takes their requests, queues
+// them, passes each to the backend server once and streams the answer.
+//
+// A request is known by its identity from its first send until a while after
+// its end. An entry that lost a connection sends it again under the same
+// identity and joins the run that is there; it is never passed on twice.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/backend"
+	"github.com/bramleyhatch/bramleyhatch/internal/decision"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+)
+
+const (
+	// retryElsewhere is when a request that another server can take should come back.
+	retryElsewhere = time.Second
+	// sweepInterval is the time between two looks at ended and abandoned runs.
+	sweepInterval = time.Second
+	// longestRun bounds requests that come without a time left.
+	longestRun = 10 * time.Minute
+)
+
+// Backend passes requests to the backend server.
+type Backend interface {
+	// Run passes a request once. It returns the end of a whole answer or an
+	// error, which is a *refusal.Error unless sink failed.
+	Run(ctx context.Context, request *peerpb.RunRequest, sink backend.Sink) (*peerpb.End, error)
+	// Version returns the newest weight version that the backend server showed.
+	Version() uint64
+}
+
+// Counter counts usage and returns the counters that changed.
+type Counter interface {
+	Add(account, pool string, now time.Time, prompt, output uint64) []*peerpb.Count
+}
+
+// LoadTable takes the server's own load for other processes.
+type LoadTable interface {
+	OfferLoad(load *peerpb.Load)
+}
+
+// Server is the gRPC service for entries and other sidecars.
+// Exported fields are set before Serve.
+type Server struct {
+	peerpb.UnimplementedSidecarServer
+
+	// Name is the identity of the backend server, Pool what it serves.
+	Name string
+	Pool string
+
+	Backend   Backend
+	Decisions *decision.Log
+	Loads     LoadTable
+	// Counter may be nil.
+	Counter Counter
+	// Slots are the requests passed to the backend server at the same time.
+	Slots int
+	// Queue is the most requests that wait.
+	Queue int
+	// Remember is how long a finished request stays known.
+	Remember time.Duration
+	// Beat is the longest time without a frame on a stream.
+	Beat time.Duration
+
+	gate     gate
+	registry registry
+	loads    loadSequence
+}
+
+var _ peerpb.SidecarServer = &Server{}
+
+// Cancel ends a request and stops it at the backend server.
+func (s *Server) Cancel(_ context.Context, request *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
+	run := s.registry.find(request.GetId())
+	if run == nil {
+		return &peerpb.CancelReply{}, nil
+	}
+	s.Decisions.Record(request.GetId(), "backend", "cancelled: %s", request.GetReason())
+	run.cancel()
+	return peerpb.CancelReply_builder{Known: true}.Build(), nil
+}
+
+// Run starts a request, or joins the one known under its identity, and streams
+// its frames from a position.
+func (s *Server) Run(request *peerpb.RunRequest, stream grpc.ServerStreamingServer[peerpb.Frame]) error {
+	reader := s.newReader(request, stream)
+	run, err := s.join(request)
+	if err != nil {
+		return reader.refuse(err)
+	}
+	return reader.follow(run)
+}
+
+// Maintain forgets old runs and ends abandoned ones until the context ends.
+func (s *Server) Maintain(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			s.registry.sweep(now, s.Remember)
+			s.Loads.OfferLoad(s.load())
+		}
+	}
+}
+
+// check refuses what this server can't run at all.
+func (s *Server) check(request *peerpb.RunRequest) *refusal.Error {
+	switch {
+	case request.GetId() == "":
+		return refusal.NotRun(http.StatusBadRequest, "no_id", "the request has no identity")
+	case request.GetPool() != s.Pool:
+		return refusal.NotRun(http.StatusServiceUnavailable, "wrong_pool", "%s serves %s", s.Name, s.Pool).After(retryElsewhere)
+	default:
+		return nil
+	}
+}
+
+// join returns the run of the request's identity and starts it if it is new.
+func (s *Server) join(request *peerpb.RunRequest) (*run, *refusal.Error) {
+	if refused := s.check(request); refused != nil {
+		return nil, refused
+	}
+	run, isNew, refused := s.registry.join(request)
+	if refused != nil {
+		s.Decisions.Record(request.GetId(), "backend", "refused, %v", refused)
+		return nil, refused
+	}
+	if !isNew {
+		s.Decisions.Record(request.GetId(), "backend", "joined from frame %d", request.GetFrom())
+		return run, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeLeft(request))
+	run.start(cancel)
+	go func() {
+		defer cancel()
+		s.execute(ctx, run)
+	}()
+	return run, nil
+}
+
+func timeLeft(request *peerpb.RunRequest) time.Duration {
+	if !request.HasTimeout() {
+		return longestRun
+	}
+	return min(request.GetTimeout().AsDuration(), longestRun)
+}
