Add the stand-ins and the demo

Platform, engine, plain service, weight store, scorer and trainer stand-ins live under cmd/standin, apart from the product; each takes faults over a control endpoint. The demo runs the whole path in one process and checks its own figures.

--- /dev/null
+++ b/cmd/standin/internal/engine/generate.go
@@ -0,0 +1,192 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/bramleyhatch/bramleyhatch/cmd/standin/internal/answer"
+)
+
+const defaultTokens = 16
+
+var words = []string{"hour", "ledger", "branch", "offer", "note", "match", "record", "study", "impact", "fund", "swap", "draft"}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type completionRequest struct {
+	Model        string    `json:"model"`
+	Prompt       string    `json:"prompt"`
+	Messages     []message `json:"messages"`
+	MaxTokens    int       `json:"max_tokens"`
+	Priority     int       `json:"priority"`
+	Seed         uint64    `json:"seed"`
+	ResumeTokens []int32   `json:"resume_tokens"`
+}
+
+// text returns the whole prompt.
+func (c completionRequest) text() string {
+	if len(c.Messages) == 0 {
+		return c.Prompt
+	}
+	var parts []string
+	for _, message := range c.Messages {
+		parts = append(parts, message.Role+": "+message.Content)
+	}
+	return strings.Join(parts, "\n")
+}
+
+type choice struct {
+	Index    int               `json:"index"`
+	Text     string            `json:"text,omitempty"`
+	Delta    map[string]string `json:"delta,omitempty"`
+	Tokens   []int32           `json:"token_ids"`
+	Logprobs []float32         `json:"logprobs"`
+	Finish   *string           `json:"finish_reason"`
+}
+
+type usage struct {
+	Prompt int `json:"prompt_tokens"`
+	Cached int `json:"cached_tokens"`
+	Output int `json:"completion_tokens"`
+}
+
+type event struct {
+	Choices []choice `json:"choices"`
+	Version uint64   `json:"weight_version"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
+	var request completionRequest
+	if !answer.Read(w, r, &request) {
+		return
+	}
+	faults, _ := e.now()
+	if faults.Refuse || request.Model != e.Model {
+		answer.Error(w, http.StatusServiceUnavailable, "refused")
+		return
+	}
+	if !e.enter(r.Context(), request.Priority) {
+		answer.Error(w, http.StatusServiceUnavailable, "full")
+		return
+	}
+	defer e.leave()
+	e.mutex.Lock()
+	e.requests++
+	prompt := strings.Fields(request.text())
+	cached := e.cache.use(prompt)
+	e.mutex.Unlock()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	run := &generation{engine: e, request: request, prompt: prompt, cached: cached, w: w, chat: strings.HasSuffix(r.URL.Path, "chat/completions")}
+	run.run(r.Context())
+}
+
+// generation is one request that runs.
+type generation struct {
+	engine  *Engine
+	request completionRequest
+	prompt  []string
+	cached  int
+	w       http.ResponseWriter
+	chat    bool
+}
+
+func (g *generation) run(ctx context.Context) {
+	if !g.wait(ctx, time.Duration(len(g.prompt)-g.cached)*g.engine.PrefillTime) {
+		return
+	}
+	tokens := g.request.MaxTokens
+	if tokens <= 0 {
+		tokens = defaultTokens
+	}
+	for i := len(g.request.ResumeTokens); i < tokens; i++ {
+		if !g.wait(ctx, g.engine.TokenTime) {
+			return
+		}
+		faults, version := g.engine.now()
+		if faults.Cut > 0 && i >= faults.Cut {
+			answer.Cut(g.w)
+			return
+		}
+		g.send(event{Choices: []choice{g.choice(i)}, Version: version})
+	}
+	finish := "length"
+	_, version := g.engine.now()
+	last := g.empty()
+	last.Finish = &finish
+	g.send(event{Choices: []choice{last}, Version: version, Usage: &usage{Prompt: len(g.prompt), Cached: g.cached, Output: tokens}})
+	g.write("data: [DONE]\n\n")
+}
+
+// wait waits for a step of the generation; a hanging engine waits on.
+func (g *generation) wait(ctx context.Context, length time.Duration) bool {
+	faults, _ := g.engine.now()
+	if faults.Slow > 0 {
+		length = time.Duration(float64(length) * faults.Slow)
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	}
+	for {
+		faults, _ := g.engine.now()
+		if !faults.Hang {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// choice returns token i: always the same for the same prompt, seed and place.
+func (g *generation) choice(i int) choice {
+	hash := fnv.New64a()
+	_, _ = fmt.Fprintf(hash, "%s %d %d", g.request.text(), g.request.Seed, i)
+	token := int32(hash.Sum64() % uint64(len(words)))
+	next := g.empty()
+	next.Tokens = []int32{token}
+	next.Logprobs = []float32{-1}
+	text := words[token] + " "
+	if g.chat {
+		next.Delta["content"] = text
+	} else {
+		next.Text = text
+	}
+	return next
+}
+
+func (g *generation) empty() choice {
+	next := choice{Tokens: []int32{}, Logprobs: []float32{}}
+	if g.chat {
+		next.Delta = map[string]string{}
+	}
+	return next
+}
+
+func (g *generation) send(event event) {
+	text, err := json.Marshal(event)
+	if err != nil {
+		return
+	}
+	g.write("data: " + string(text) + "\n\n")
+}
+
+func (g *generation) write(text string) {
+	_, _ = g.w.Write([]byte(text))
+	_ = http.NewResponseController(g.w).Flush()
+}
--- /dev/null
+++ b/cmd/standin/internal/ledger/ledger.go
@@ -0,0 +1,124 @@
+// Package ledger is a small stand-in for a plain service: records that can be
+// read again, and hour postings that must not be repeated.
+package ledger
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"github.com/bramleyhatch/bramleyhatch/cmd/standin/internal/answer"
+)
+
+// Faults are what the service is told to do wrong.
+type Faults struct {
+	// Hang runs requests but doesn't answer until it ends.
+	Hang bool `json:"hang"`
+	// Slow is added to each request, milliseconds.
+	Slow int64 `json:"slow"`
+}
+
+// Posting is the body of POST /postings.
+type Posting struct {
+	Member string  `json:"member"`
+	Hours  float64 `json:"hours"`
+}
+
+// Record is what the service has run, and what it has seen of its callers.
+type Record struct {
+	// Runs counts the postings of each member.
+	Runs map[string]int `json:"runs"`
+	// Headers are the names of all headers seen.
+	Headers map[string]int `json:"headers"`
+	Total   int            `json:"total"`
+}
+
+// Ledger is the stand-in.
+type Ledger struct {
+	mutex  sync.Mutex
+	faults Faults
+	record Record
+}
+
+// Routes returns the service's interface and the control endpoints of tests.
+func (l *Ledger) Routes() []rest.Route {
+	l.record = Record{Runs: map[string]int{}, Headers: map[string]int{}}
+	return []rest.Route{
+		{Method: http.MethodGet, Path: "/records/:id", Handler: l.handleRecord},
+		{Method: http.MethodPost, Path: "/postings", Handler: l.handlePosting},
+		{Method: http.MethodPost, Path: "/control/faults", Handler: l.handleFaults},
+		{Method: http.MethodGet, Path: "/control/record", Handler: l.handleControl},
+	}
+}
+
+// Record returns what the service has run.
+func (l *Ledger) Record() Record {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.record
+}
+
+func (l *Ledger) handleRecord(w http.ResponseWriter, r *http.Request) {
+	l.see(r)
+	if l.wait(r) {
+		answer.JSON(w, http.StatusOK, map[string]any{"id": pathvar.Vars(r)["id"], "hours": 1})
+	}
+}
+
+func (l *Ledger) handlePosting(w http.ResponseWriter, r *http.Request) {
+	l.see(r)
+	var posting Posting
+	if !answer.Read(w, r, &posting) {
+		return
+	}
+	l.mutex.Lock()
+	l.record.Runs[posting.Member]++
+	l.record.Total++
+	number := l.record.Total
+	l.mutex.Unlock()
+	if l.wait(r) {
+		answer.JSON(w, http.StatusCreated, map[string]any{"posting": number, "member": posting.Member})
+	}
+}
+
+func (l *Ledger) see(r *http.Request) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for name := range r.Header {
+		l.record.Headers[name]++
+	}
+}
+
+// wait delays the answer as told; it returns false if the caller left.
+func (l *Ledger) wait(r *http.Request) bool {
+	l.mutex.Lock()
+	faults := l.faults
+	l.mutex.Unlock()
+	delay := time.After(time.Duration(faults.Slow) * time.Millisecond)
+	if faults.Hang {
+		delay = nil
+	}
+	select {
+	case <-delay:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (l *Ledger) handleFaults(w http.ResponseWriter, r *http.Request) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if answer.Read(w, r, &l.faults) {
+		answer.JSON(w, http.StatusOK, l.faults)
+	}
+}
+
+func (l *Ledger) handleControl(w http.ResponseWriter, _ *http.Request) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	answer.JSON(w, http.StatusOK, l.record)
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,13 @@
-// Command standin runs small stand-ins for the systems outside of bramleyhatch.
+// Command standin runs small stand-ins for the systems outside of bramleyhatch,
+// and a demo of the whole path on loopback.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/bramleyhatch/bramleyhatch/cmd/standin/internal/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
