Count usage by growing counters and merge copies by maximum

Other parts need the counters' signatures first. Counters only grow within an incarnation, so a copy that comes late or twice changes nothing. Adding deltas was ruled out: a repeated message would count twice.

--- a/internal/bramleyhatch/entry.go
+++ b/internal/bramleyhatch/entry.go
@@ -8,6 +8,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 	"github.com/bramleyhatch/bramleyhatch/internal/sidecar"
+	"github.com/bramleyhatch/bramleyhatch/internal/usage"
 )
 
 // Entry is the process on an entry host.
@@ -20,6 +21,7 @@
 	platform *platform.Client
 	view     *lists.View
 	pool     *sidecar.Pool
+	ledger   *usage.Ledger
 }
 
 // Run serves until the context ends and all running requests have ended.
--- a/internal/bramleyhatch/sidecar.go
+++ b/internal/bramleyhatch/sidecar.go
@@ -6,6 +6,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+	"github.com/bramleyhatch/bramleyhatch/internal/usage"
 )
 
 // Sidecar is the process beside a backend server.
@@ -16,6 +17,7 @@
 	*Process
 
 	platform *platform.Client
+	counter  *usage.Counter
 }
 
 // Run serves until the context ends and all running requests have ended.
