Serve callers over HTTP, thin

Cause: no caller could reach a backend server. Ruled out: a route a depth and method for plain services; go-zero's router has no pattern for a path of any depth, so its not-found hook serves them. Passing headers and fields on less those that are known to hold keys: what reaches a backend server is built from allow lists, and passed text is searched for the key. Change: completions, chat completions (whole and as server-sent events), models and plain services; refusals over HTTP in one place, internal/refusal.

--- a/internal/bramleyhatch/process.go
+++ b/internal/bramleyhatch/process.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -47,6 +48,10 @@
 	duties   []Duty
 	drains   []func(ctx context.Context)
 
+	// notFound and notAllowed answer paths and methods without a route.
+	notFound   http.Handler
+	notAllowed http.Handler
+
 	addresses Addresses
 }
 
@@ -214,9 +219,11 @@
 	}
 	callers := make(chan string, 1)
 	callerServer := &listen.HTTP{
-		Address:   caller.GetListen(),
-		Routes:    p.routes,
-		Listening: func(address string) { callers <- address },
+		Address:    caller.GetListen(),
+		Routes:     p.routes,
+		NotFound:   p.notFound,
+		NotAllowed: p.notAllowed,
+		Listening:  func(address string) { callers <- address },
 	}
 	address, err = serve(ctx, callerServer, callers, p.Grace(), stopped)
 	if err != nil {
--- /dev/null
+++ b/internal/caller/handler_test.go
@@ -0,0 +1,289 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/caller"
+	"github.com/bramleyhatch/bramleyhatch/internal/decision"
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/lists"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+	"github.com/bramleyhatch/bramleyhatch/internal/sidecar"
+)
+
+const (
+	goodKey  = "astana-key-5b1f"
+	otherKey = "uruguay-key-77c2"
+)
+
+// runner is a Runner that plays what a test gives it.
+type runner struct {
+	play func(ctx context.Context, request *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error)
+
+	mutex sync.Mutex
+	seen  []*peerpb.RunRequest
+}
+
+func (r *runner) Run(ctx context.Context, request *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error) {
+	r.mutex.Lock()
+	r.seen = append(r.seen, request)
+	r.mutex.Unlock()
+	return r.play(ctx, request, sink)
+}
+
+func (r *runner) requests() []*peerpb.RunRequest {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.seen
+}
+
+func config(withdrawn bool) *listpb.Config {
+	return listpb.Config_builder{
+		Accounts: []*listpb.Account{
+			listpb.Account_builder{Name: "astana", Plan: "large"}.Build(),
+			listpb.Account_builder{Name: "salto", Plan: "small"}.Build(),
+		},
+		Plans: []*listpb.Plan{
+			listpb.Plan_builder{Name: "large", Models: []string{"assist", "draft"}, Services: []string{"ledger"}, Weight: 2}.Build(),
+			listpb.Plan_builder{Name: "small"}.Build(),
+		},
+		Keys: []*listpb.Key{
+			listpb.Key_builder{Hash: lists.HashKey(goodKey), Account: "astana", Withdrawn: withdrawn}.Build(),
+			listpb.Key_builder{Hash: lists.HashKey(otherKey), Account: "salto"}.Build(),
+		},
+	}.Build()
+}
+
+// served is a handler on a port of its own.
+type served struct {
+	view    *lists.View
+	runner  *runner
+	address string
+}
+
+func (s *served) force(t *testing.T, config *listpb.Config, revision uint64) {
+	t.Helper()
+	value, err := proto.Marshal(config)
+	must.NoError(t, err)
+	s.view.Take(peerpb.Fact_builder{Name: "config", Revision: revision, Value: value}.Build())
+}
+
+func serve(t *testing.T, play func(context.Context, *peerpb.RunRequest, sidecar.Sink) (*peerpb.End, error)) *served {
+	t.Helper()
+	s := &served{view: &lists.View{}, runner: &runner{play: play}}
+	s.force(t, config(false), 1)
+	handler := &caller.Handler{
+		Grants:       s.view,
+		Runner:       s.runner,
+		Decisions:    &decision.Log{},
+		Metrics:      prometheus.NewRegistry(),
+		MaxBodyBytes: 4096,
+		Timeout:      10 * time.Second,
+	}
+	handler.Open()
+	listening := make(chan string, 1)
+	server := &listen.HTTP{
+		Address:    "127.0.0.1:0",
+		Routes:     handler.Routes(),
+		NotFound:   http.HandlerFunc(handler.NotFound),
+		NotAllowed: http.HandlerFunc(handler.NotAllowed),
+		Listening:  func(address string) { listening <- address },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Run(ctx, 5*time.Second) }()
+	s.address = "http://" + <-listening
+	t.Cleanup(func() {
+		cancel()
+		<-stopped
+	})
+	return s
+}
+
+func (s *served) send(t *testing.T, method, path, key, body string, headers ...string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, s.address+path, strings.NewReader(body))
+	must.NoError(t, err)
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+func text(t *testing.T, response *http.Response) string {
+	t.Helper()
+	body, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	return string(body)
+}
+
+func mustRefuse(t *testing.T, response *http.Response, status int, code, outcome string) {
+	t.Helper()
+	var body refusal.Body
+	must.NoError(t, json.Unmarshal([]byte(text(t, response)), &body))
+	must.Eq(t, code, body.Error.Code)
+	must.Eq(t, outcome, body.Error.Outcome)
+	must.Eq(t, outcome, response.Header.Get(refusal.HeaderOutcome))
+	must.Eq(t, status, response.StatusCode)
+}
+
+func chunk(text string) *peerpb.Frame {
+	return peerpb.Frame_builder{Chunk: peerpb.Chunk_builder{Data: []byte(text)}.Build()}.Build()
+}
+
+func playText(parts ...string) func(context.Context, *peerpb.RunRequest, sidecar.Sink) (*peerpb.End, error) {
+	return func(_ context.Context, _ *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error) {
+		for _, part := range parts {
+			if err := sink(chunk(part)); err != nil {
+				return nil, err
+			}
+		}
+		return peerpb.End_builder{Finish: "stop", PromptTokens: 3, OutputTokens: uint64(len(parts))}.Build(), nil
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	completion := func(fields string) string { return `{"model":"assist","prompt":"p"` + fields + `}` }
+	tests := map[string]struct {
+		method, path, key, body string
+		status                  int
+		code                    string
+	}{
+		"no key":             {"POST", "/v1/completions", "", completion(""), 401, "missing_key"},
+		"unknown key":        {"POST", "/v1/completions", "nobody", completion(""), 401, "unknown_key"},
+		"malformed":          {"POST", "/v1/completions", goodKey, `{"model":`, 400, "invalid_request"},
+		"two values":         {"POST", "/v1/completions", goodKey, completion("") + "{}", 400, "invalid_request"},
+		"no prompt":          {"POST", "/v1/completions", goodKey, `{"model":"assist"}`, 400, "invalid_request"},
+		"no model":           {"POST", "/v1/completions", goodKey, `{"prompt":"p"}`, 400, "invalid_request"},
+		"wrong type":         {"POST", "/v1/completions", goodKey, completion(`,"max_tokens":"many"`), 400, "invalid_request"},
+		"negative tokens":    {"POST", "/v1/completions", goodKey, completion(`,"max_tokens":-1`), 400, "invalid_request"},
+		"hot":                {"POST", "/v1/completions", goodKey, completion(`,"temperature":9`), 400, "invalid_request"},
+		"several answers":    {"POST", "/v1/completions", goodKey, completion(`,"n":2`), 400, "invalid_request"},
+		"no messages":        {"POST", "/v1/chat/completions", goodKey, `{"model":"assist"}`, 400, "invalid_request"},
+		"unknown role":       {"POST", "/v1/chat/completions", goodKey, `{"model":"assist","messages":[{"role":"x"}]}`, 400, "invalid_request"},
+		"oversized":          {"POST", "/v1/completions", goodKey, completion(`,"stop":"` + strings.Repeat("x", 5000) + `"`), 413, "body_too_large"},
+		"model not in plan":  {"POST", "/v1/completions", otherKey, completion(""), 403, "not_in_plan"},
+		"service not in it":  {"GET", "/services/ledger/records/1", otherKey, "", 403, "not_in_plan"},
+		"dot segments":       {"GET", "/services/ledger/%2e%2e/x", goodKey, "", 404, "not_found"},
+		"key in query":       {"GET", "/services/ledger/records/1?key=" + goodKey, goodKey, "", 400, "key_in_request"},
+		"key in query, hid":  {"GET", "/services/ledger/records/1?key=%61" + goodKey[1:], goodKey, "", 400, "key_in_request"},
+		"key in prompt":      {"POST", "/v1/completions", goodKey, `{"model":"assist","prompt":"` + goodKey + `"}`, 400, "key_in_request"},
+		"no such path":       {"GET", "/v2", goodKey, "", 404, "not_found"},
+		"method not allowed": {"GET", "/v1/completions", goodKey, "", 405, "method_not_allowed"},
+	}
+	server := serve(t, playText("never"))
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			response := server.send(t, test.method, test.path, test.key, test.body)
+			mustRefuse(t, response, test.status, test.code, "not-run")
+		})
+	}
+	must.SliceEmpty(t, server.runner.requests())
+}
+
+func TestCompletion(t *testing.T) {
+	server := serve(t, playText("Hel", "lo"))
+	response := server.send(t, "POST", "/v1/completions", goodKey, `{"model":"assist","prompt":"p","stop":"x","user":"u","key":"secret"}`)
+	must.Eq(t, 200, response.StatusCode)
+	answer := text(t, response)
+	must.StrContains(t, answer, `"text":"Hello","finish_reason":"stop"`)
+	must.StrContains(t, answer, `"total_tokens":5`)
+	request := server.runner.requests()[0]
+	must.Eq(t, response.Header.Get(caller.HeaderRequest), request.GetId())
+	must.Eq(t, `{"prompt":"p","model":"assist","stop":["x"]}`, string(request.GetBody()))
+	must.Eq(t, "astana", request.GetAccount())
+	must.Eq(t, 2.0, request.GetWeight())
+}
+
+func TestChatStream(t *testing.T) {
+	server := serve(t, playText("Hel", "lo"))
+	response := server.send(t, "POST", "/v1/chat/completions", goodKey, `{"model":"assist","messages":[{"role":"user","content":"p"}],"stream":true}`)
+	must.Eq(t, "text/event-stream", response.Header.Get("Content-Type"))
+	answer := text(t, response)
+	must.StrContains(t, answer, `"delta":{"role":"assistant","content":"Hel"}`)
+	must.StrContains(t, answer, `"delta":{"content":"lo"}`)
+	must.StrContains(t, answer, `"finish_reason":"stop"`)
+	must.StrHasSuffix(t, "data: [DONE]\n\n", answer)
+}
+
+func TestStreamCut(t *testing.T) {
+	// A caller streams a chat. The backend server dies after the first words.
+	// The caller must not take those words for the whole answer.
+	server := serve(t, func(_ context.Context, _ *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error) {
+		_ = sink(chunk("Hel"))
+		return nil, refusal.Unknown(http.StatusBadGateway, "cut", "cut")
+	})
+	answer := text(t, server.send(t, "POST", "/v1/completions", goodKey, `{"model":"assist","prompt":"p","stream":true}`))
+	must.StrContains(t, answer, `"code":"cut","outcome":"unknown"`)
+	must.StrNotContains(t, answer, "[DONE]")
+}
+
+func TestModels(t *testing.T) {
+	server := serve(t, nil)
+	must.StrContains(t, text(t, server.send(t, "GET", "/v1/models", goodKey, "")), `"id":"assist"`)
+	must.StrNotContains(t, text(t, server.send(t, "GET", "/v1/models", otherKey, "")), "assist")
+}
+
+func playPlain(status int32, size int, cut bool) func(context.Context, *peerpb.RunRequest, sidecar.Sink) (*peerpb.End, error) {
+	return func(_ context.Context, _ *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error) {
+		head := peerpb.Head_builder{Status: status, Headers: []*peerpb.Header{
+			peerpb.Header_builder{Name: "content-type", Value: "application/json"}.Build(),
+			peerpb.Header_builder{Name: "Set-Cookie", Value: "a=b"}.Build(),
+		}}.Build()
+		err := errors.Join(sink(peerpb.Frame_builder{Head: head}.Build()), sink(chunk(strings.Repeat("x", size))), sink(chunk("y")))
+		if cut {
+			err = refusal.Unknown(http.StatusBadGateway, "cut", "cut")
+		}
+		return &peerpb.End{}, err
+	}
+}
+
+func TestPlain(t *testing.T) {
+	server := serve(t, playPlain(http.StatusCreated, 10, false))
+	response := server.send(t, "POST", "/services/ledger/postings/a%2Fb?x=1", goodKey, `{"hours":1}`,
+		"Cookie", "session="+goodKey, "X-Api-Key", goodKey, "Content-Type", "application/json")
+	must.Eq(t, "xxxxxxxxxxy", text(t, response))
+	must.Eq(t, 201, response.StatusCode)
+	must.Eq(t, "application/json", response.Header.Get("Content-Type"))
+	must.Eq(t, "", response.Header.Get("Set-Cookie"))
+	request := server.runner.requests()[0]
+	must.Eq(t, "/postings/a%2Fb?x=1", request.GetPath())
+	must.False(t, request.GetIdempotent())
+	must.StrNotContains(t, request.String(), goodKey)
+	must.Len(t, 1, request.GetHeaders())
+}
+
+func TestPlainCut(t *testing.T) {
+	// A branch pulls a long list of records. The backend server dies half way.
+	// Without the guard the body would end like a whole one, and the branch
+	// would reconcile against half of its records.
+	t.Run("before the answer began", func(t *testing.T) {
+		server := serve(t, playPlain(http.StatusOK, 10, true))
+		mustRefuse(t, server.send(t, "GET", "/services/ledger/records", goodKey, ""), 502, "cut", "unknown")
+	})
+	t.Run("after it began", func(t *testing.T) {
+		server := serve(t, playPlain(http.StatusOK, 2<<20, true))
+		_, err := io.ReadAll(server.send(t, "GET", "/services/ledger/records", goodKey, "").Body)
+		must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	})
+}
