Add the call and relay stand-ins, and the advertised address

A relay between two ends can cut connections or let the present ones go silent while new ones work. A process behind one tells others the relay's address, so process.advertise is a setting.

--- /dev/null
+++ b/cmd/standin/internal/cmd/callcmd.go
@@ -0,0 +1,71 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+)
+
+// callCmd sends one HTTP request.
+type callCmd struct {
+	Address string        `arg:"" help:"Address of the request."`
+	Method  string        `short:"X" default:"GET" help:"Method of the request."`
+	Body    string        `short:"d" help:"Body of the request."`
+	Header  []string      `short:"H" sep:"none" help:"Header as NAME: VALUE; may be repeated."`
+	Key     string        `help:"Key of a client account."`
+	Timeout time.Duration `default:"20s" help:"Longest wait."`
+	Quiet   bool          `help:"Leave the headers out."`
+}
+
+// Help gives an example.
+func (callCmd) Help() string {
+	return "Example:\n  standin call http://127.0.0.1:8000/v1/models --key K"
+}
+
+// Run prints status, headers and body as they come; an answer that is cut is an error.
+func (r *callCmd) Run(c *config) error {
+	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, r.Method, r.Address, strings.NewReader(r.Body))
+	if err != nil {
+		return err
+	}
+	for _, header := range r.Header {
+		name, value, _ := strings.Cut(header, ":")
+		request.Header.Add(strings.TrimSpace(name), strings.TrimSpace(value))
+	}
+	if r.Key != "" {
+		request.Header.Set("Authorization", "Bearer "+r.Key)
+	}
+	response, err := listen.Client("call").DoRequest(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	fmt.Fprintln(c.stdout, "status", response.StatusCode)
+	if !r.Quiet {
+		r.printHeaders(c.stdout, response.Header)
+	}
+	if _, err := io.Copy(c.stdout, response.Body); err != nil {
+		return err
+	}
+	fmt.Fprintln(c.stdout)
+	return nil
+}
+
+func (r *callCmd) printHeaders(w io.Writer, headers http.Header) {
+	names := make([]string, 0, len(headers))
+	for name := range headers {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(w, "%s: %s\n", name, strings.Join(headers[name], ", "))
+	}
+}
--- a/cmd/standin/internal/cmd/cmd.go
+++ b/cmd/standin/internal/cmd/cmd.go
@@ -31,6 +31,8 @@
 	Weights  weightsCmd  `cmd:"" help:"Run a weight store."`
 	Scorer   scorerCmd   `cmd:"" help:"Run a service that scores samples."`
 	Trainer  trainerCmd  `cmd:"" help:"Run a trainer through steps."`
+	Call     callCmd     `cmd:"" help:"Send one HTTP request and print the answer."`
+	Relay    relayCmd    `cmd:"" help:"Run a relay of TCP connections that can be cut or silenced."`
 	Demo     demoCmd     `cmd:"" help:"Run the whole path on loopback and print what happened."`
 }
 
@@ -72,6 +74,11 @@
 	Ready  string `help:"File to which the chosen address is written."`
 }
 
+// Help gives an example.
+func (server) Help() string {
+	return "Example:\n  standin platform --listen 127.0.0.1:7000"
+}
+
 // run serves routes until SIGTERM.
 func (s *server) run(routes []rest.Route) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/internal/bramleyhatch/members.go
+++ b/internal/bramleyhatch/members.go
@@ -35,8 +35,16 @@
 	}
 	p.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterMemberServer(registrar, exchanger) })
 	p.AddDuty("member", func(ctx context.Context) error {
-		p.members.SetAddress(p.Addresses().Peer)
+		p.members.SetAddress(p.advertised())
 		return exchanger.Run(ctx)
 	})
 	p.AddDrain(func(context.Context) { p.members.SetState(peerpb.State_STATE_DRAINING) })
 }
+
+// advertised returns the address under which other processes reach this one.
+func (p *Process) advertised() string {
+	if address := p.Settings.GetAdvertise(); address != "" {
+		return address
+	}
+	return p.Addresses().Peer
+}
