--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -5,7 +5,7 @@
 import (
 	"os"
 
-	"github.com/bramleyhatch/bramleyhatch/cmd/standin/internal/cmd"
+	"github.com/bramleyhatch/bramleyhatch/cmd/standin/cmd"
 )
 
 func main() {
--- /dev/null
+++ b/internal/measure/experiments.go
@@ -0,0 +1,6 @@
+package measure
+
+// Experiments returns all experiments in the order of docs/MEASUREMENTS.md.
+func Experiments() []Experiment {
+	return []Experiment{}
+}
