--- /dev/null
+++ b/pkg/client/client.go
@@ -0,0 +1,168 @@
+// Package client speaks to bramleyhatch for callers and trainers.
+//
+// It never repeats a request by itself: a *RefusedError says whether the request
+// ran, and a caller decides. A posting that carries an idempotency key may be
+// sent again with the same key.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxAnswerBytes bounds an answer that is read whole.
+const maxAnswerBytes = 64 << 20
+
+// Outcome is what is known of a request that was not answered.
+type Outcome string
+
+// Outcomes that a refusal names.
+const (
+	// NotRun is proved: the request may be sent again.
+	NotRun Outcome = "not-run"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+)
+
+// RefusedError says that a request was not answered.
+type RefusedError struct {
+	// Status is the HTTP status.
+	Status int
+	// Code is a short name of the reason, such as "rate_limited".
+	Code    string
+	Message string
+	Outcome Outcome
+	// Retry is when to come back; 0 if the system didn't say.
+	Retry time.Duration
+}
+
+// Error gives the reason and the outcome.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("refused with status %d, %s: %s (%s)", e.Status, e.Code, e.Message, e.Outcome)
+}
+
+// Client speaks to one entry, or to the balancer before several.
+// Exported fields are set before the first call.
+type Client struct {
+	// Address is the base URL.
+	Address string
+	// Key is the client account's key.
+	Key string
+	// HTTP sends the requests; nil takes http.DefaultClient.
+	HTTP *http.Client
+}
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Chat asks a model to go on with a chat and returns its whole answer.
+// Tokens bounds the answer; 0 leaves it to the model engine.
+func (c *Client) Chat(ctx context.Context, model string, messages []Message, tokens int) (string, error) {
+	request := map[string]any{"model": model, "messages": messages}
+	if tokens > 0 {
+		request["max_tokens"] = tokens
+	}
+	var reply struct {
+		Choices []struct {
+			Message Message `json:"message"`
+		} `json:"choices"`
+	}
+	if err := c.call(ctx, http.MethodPost, "/v1/chat/completions", "", request, &reply); err != nil {
+		return "", err
+	}
+	if len(reply.Choices) == 0 {
+		return "", eris.New("chat: the answer has no choice")
+	}
+	return reply.Choices[0].Message.Content, nil
+}
+
+// Get reads from a plain service; path is below the service's own prefix.
+func (c *Client) Get(ctx context.Context, service, path string, reply any) error {
+	return c.call(ctx, http.MethodGet, "/services/"+service+path, "", nil, reply)
+}
+
+// Post sends a request to a plain service. It runs at most once for an
+// idempotency key, however often it is sent; an empty key runs at most once for
+// each call.
+func (c *Client) Post(ctx context.Context, service, path, idempotencyKey string, body, reply any) error {
+	return c.call(ctx, http.MethodPost, "/services/"+service+path, idempotencyKey, body, reply)
+}
+
+func (c *Client) call(ctx context.Context, method, path, idempotencyKey string, body, reply any) error {
+	request, err := c.request(ctx, method, path, idempotencyKey, body)
+	if err != nil {
+		return err
+	}
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return eris.Wrapf(err, "%s %s", method, path)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return eris.Wrapf(err, "read answer of %s %s", method, path)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return refused(response, text)
+	}
+	if reply == nil {
+		return nil
+	}
+	return eris.Wrapf(json.Unmarshal(text, reply), "answer of %s %s", method, path)
+}
+
+func (c *Client) request(ctx context.Context, method, path, idempotencyKey string, body any) (*http.Request, error) {
+	var reader io.Reader = http.NoBody
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return nil, eris.Wrapf(err, "encode body of %s %s", method, path)
+		}
+		reader = bytes.NewReader(text)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.Address+path, reader)
+	if err != nil {
+		return nil, eris.Wrapf(err, "%s %s", method, path)
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Key)
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	if idempotencyKey != "" {
+		request.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	return request, nil
+}
+
+func refused(response *http.Response, text []byte) error {
+	var body struct {
+		Error struct {
+			Code    string  `json:"code"`
+			Message string  `json:"message"`
+			Outcome Outcome `json:"outcome"`
+		} `json:"error"`
+	}
+	refusal := &RefusedError{Status: response.StatusCode, Outcome: Unknown}
+	if err := json.Unmarshal(text, &body); err == nil && body.Error.Outcome != "" {
+		refusal.Code, refusal.Message, refusal.Outcome = body.Error.Code, body.Error.Message, body.Error.Outcome
+	}
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		refusal.Retry = time.Duration(seconds) * time.Second
+	}
+	return refusal
+}
--- /dev/null
+++ b/pkg/client/trainer.go
@@ -0,0 +1,101 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// Trainer speaks for one trainer of the client account.
+// Exported fields are set before the first call. Each call may be repeated: a
+// step is opened once, and a pull of the same place gets the same samples.
+type Trainer struct {
+	Client
+	// Name of the trainer, as in the plan.
+	Name string
+}
+
+// Group is the samples wanted of one prompt.
+type Group struct {
+	Prompt  string `json:"prompt"`
+	Samples int    `json:"samples"`
+}
+
+// Step is what a trainer wants generated.
+type Step struct {
+	Number uint64 `json:"step"`
+	Model  string `json:"model"`
+	// Staleness is how many versions a sample may lag behind the newest announced.
+	Staleness   uint64  `json:"staleness"`
+	MaxTokens   int     `json:"max_tokens"`
+	Temperature float64 `json:"temperature"`
+	Groups      []Group `json:"groups"`
+}
+
+// Sample is one finished rollout.
+type Sample struct {
+	// Place in the trainer's stream.
+	Place    uint64    `json:"place"`
+	Step     uint64    `json:"step"`
+	Slot     uint32    `json:"slot"`
+	Group    uint32    `json:"group"`
+	Prompt   string    `json:"prompt"`
+	Text     string    `json:"text"`
+	Tokens   []int32   `json:"tokens"`
+	Logprobs []float32 `json:"logprobs"`
+	// Versions cover all tokens, in order.
+	Versions []Range `json:"versions"`
+	Finish   string  `json:"finish"`
+	Score    float64 `json:"score"`
+}
+
+// Range names the weight version that produced the tokens from From up to Until.
+type Range struct {
+	From    uint32 `json:"from"`
+	Until   uint32 `json:"until"`
+	Version uint64 `json:"version"`
+}
+
+// Pulled is the answer of a pull.
+type Pulled struct {
+	Samples []Sample `json:"samples"`
+	// Next is the place to pull from next, which acknowledges all before it.
+	Next uint64 `json:"next"`
+	// Done is true once all samples of the step were handed over.
+	Done bool `json:"done"`
+}
+
+// Announce tells that a weight version is in the weight store.
+func (t *Trainer) Announce(ctx context.Context, model string, version uint64) error {
+	body := map[string]any{"model": model, "version": version}
+	return t.call(ctx, http.MethodPost, t.path("weights"), "", body, nil)
+}
+
+// Open opens a step and returns its first place in the trainer's stream.
+func (t *Trainer) Open(ctx context.Context, step Step) (uint64, error) {
+	var reply struct {
+		Place uint64 `json:"place"`
+	}
+	err := t.call(ctx, http.MethodPost, t.path("steps"), "", step, &reply)
+	return reply.Place, err
+}
+
+// Pull returns up to most samples from a place on, waiting up to wait for the
+// first. It acknowledges all samples before the place.
+func (t *Trainer) Pull(ctx context.Context, place uint64, most int, wait time.Duration) (Pulled, error) {
+	query := url.Values{
+		"place": {strconv.FormatUint(place, 10)},
+		"max":   {strconv.Itoa(most)},
+		"wait":  {wait.String()},
+	}
+	var pulled Pulled
+	err := t.call(ctx, http.MethodGet, t.path("samples")+"?"+query.Encode(), "", nil, &pulled)
+	return pulled, err
+}
+
+func (t *Trainer) path(part string) string {
+	return fmt.Sprintf("/v1/trainers/%s/%s", url.PathEscape(t.Name), part)
+}
