Add the two lists as files, their editing in the store and the operators' interface

Cause: operators could neither write the lists nor grant a key. Weighed: a base by store revision (a key grant would refuse a lists edit) or by the number of the lists (chosen); the key made by the entry (it would cross the wire) or by the command (chosen, only its hash is sent). Change: accounts.ini and plans.ini read and checked against the schema; lists.Editor changes the store's value by compare-and-swap, reads back after a lost answer and recognises its own change by its identity; HTTP under /operator/v1/ with tokens compared as hashes in constant time; commands config, key, status, explain and drain. Proved by taking each guard out, test seen to fail, guard put back: recognition of the own change (TestLostAnswerIsRecognised), base of the edit (TestSecondOperatorIsTold), retry after a conflict (TestGrantDoesNotConflictWithEdit), withdrawn hash (TestWithdrawnKeyIsNeverGranted), withdrawal before the store (TestWithdrawDuringOutage), token (TestOnlyOperatorsAreServed).

--- a/internal/bramleyhatch/entry.go
+++ b/internal/bramleyhatch/entry.go
@@ -34,7 +34,9 @@
 		Silence:   e.Settings.GetCaller().GetSilence().AsDuration(),
 	}
 	e.AddRoutes(e.healthRoutes()...)
-	e.addOperators()
+	if err := e.addOperators(); err != nil {
+		return err
+	}
 	e.addDuties()
 	e.addCallers()
 	e.addTrainers()
--- a/internal/bramleyhatch/members.go
+++ b/internal/bramleyhatch/members.go
@@ -28,10 +28,11 @@
 	p.members = member.NewMembers(self)
 	client.Heard = func() { p.members.StoreHeard(time.Now()) }
 	exchanger := &member.Exchanger{
-		Members:  p.members,
-		Seeds:    settings.GetSeeds(),
-		Interval: settings.GetInterval().AsDuration(),
-		Hosts:    client.Hosts,
+		Members:   p.members,
+		Seeds:     settings.GetSeeds(),
+		Interval:  settings.GetInterval().AsDuration(),
+		Hosts:     client.Hosts,
+		Decisions: p.Decisions,
 	}
 	p.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterMemberServer(registrar, exchanger) })
 	p.AddDuty("member", func(ctx context.Context) error {
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -29,6 +29,11 @@
 	Entry    entryCmd         `cmd:"" help:"Run the process of an entry host."`
 	Sidecar  sidecarCmd       `cmd:"" help:"Run the process beside a backend server."`
 	Settings settingsCmd      `cmd:"" help:"Check settings files."`
+	Config   configCmd        `cmd:"" help:"Check, compare, apply and show the two lists."`
+	Key      keyCmd           `cmd:"" help:"Grant, withdraw and list keys."`
+	Status   statusCmd        `cmd:"" help:"Show processes, revisions in force and holders of duties."`
+	Explain  explainCmd       `cmd:"" help:"Show the decisions taken for a request, sample, order or usage window."`
+	Drain    drainCmd         `cmd:"" help:"Drain a backend server or an entry."`
 }
 
 // UsageError says that a command was called with wrong arguments.
--- /dev/null
+++ b/internal/cmd/explaincmd.go
@@ -0,0 +1,40 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// explainCmd shows the decisions taken for an identity.
+type explainCmd struct {
+	entryFlags
+	outputFlag
+	Request string `arg:"" help:"Identity of a request, sample, order or usage window."`
+}
+
+// Help gives an example.
+func (explainCmd) Help() string {
+	return "Example:\n  bramleyhatch explain req-7f3a"
+}
+
+// Run prints the decisions, oldest first, and the processes that did not answer.
+func (e *explainCmd) Run(c *config) error {
+	reply, err := e.client().Explain(context.Background(), e.Request)
+	if err != nil {
+		return err
+	}
+	if e.isJSON() {
+		return printMessage(c.stdout, reply)
+	}
+	var rows []row
+	for _, decision := range reply.GetDecisions() {
+		at := time.Unix(0, decision.GetTime()).UTC().Format(time.RFC3339Nano)
+		rows = append(rows, row{at, decision.GetProcess(), decision.GetPart(), decision.GetText()})
+	}
+	if len(reply.GetSilent()) > 0 {
+		fmt.Fprintf(c.stderr, "no answer from %s\n", strings.Join(reply.GetSilent(), ", "))
+	}
+	return printTable(c.stdout, row{"TIME", "PROCESS", "PART", "DECISION"}, rows)
+}
--- /dev/null
+++ b/internal/cmd/statuscmd.go
@@ -0,0 +1,85 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/operatorpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+)
+
+// statusCmd shows what an entry knows of the system.
+type statusCmd struct {
+	entryFlags
+	outputFlag
+}
+
+// Help gives an example.
+func (statusCmd) Help() string {
+	return "Example:\n  bramleyhatch status --entry 10.0.0.1:8080 --output json"
+}
+
+// Run prints processes, revisions in force and holders of duties.
+func (s *statusCmd) Run(c *config) error {
+	reply, err := s.client().Status(context.Background())
+	if err != nil {
+		return err
+	}
+	if s.isJSON() {
+		return printMessage(c.stdout, reply)
+	}
+	return printStatus(c.stdout, reply)
+}
+
+func printStatus(w io.Writer, reply *operatorpb.StatusReply) error {
+	var processes []row
+	for _, process := range reply.GetProcesses() {
+		processes = append(processes, processRow(process))
+	}
+	if err := printTable(w, row{"PROCESS", "ROLE", "REGION", "ZONE", "STATE", "SERVER", "POOL", "ADDRESS"}, processes); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	if err := printForce(w, reply.GetForce(), newest(reply.GetForce())); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	if reply.GetProblem() != "" {
+		fmt.Fprintf(w, "holders of duties are not known: %s\n", reply.GetProblem())
+		return nil
+	}
+	var holders []row
+	for _, holder := range reply.GetHolders() {
+		fence := strconv.FormatUint(holder.GetFence(), 10)
+		holders = append(holders, row{holder.GetDuty(), holder.GetProcess(), fence, formatTime(holder.GetSince())})
+	}
+	return printTable(w, row{"DUTY", "HOLDER", "FENCE", "SINCE"}, holders)
+}
+
+func processRow(process *peerpb.Process) row {
+	return row{
+		process.GetName(),
+		plainName(process.GetRole().String(), "ROLE_"),
+		process.GetRegion(),
+		process.GetZone(),
+		plainName(process.GetState().String(), "STATE_"),
+		process.GetServer(),
+		process.GetPool(),
+		process.GetAddress(),
+	}
+}
+
+func plainName(name, prefix string) string {
+	return strings.ToLower(strings.TrimPrefix(name, prefix))
+}
+
+func newest(force []*operatorpb.Force) uint64 {
+	var revision uint64
+	for _, one := range force {
+		revision = max(revision, one.GetRevision())
+	}
+	return revision
+}
--- /dev/null
+++ b/internal/lists/editor_test.go
@@ -0,0 +1,170 @@
+package lists_test
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/lists"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform/platformtest"
+)
+
+var ctx = context.Background()
+
+func listsWith(weight float64) *listpb.Config {
+	return listpb.Config_builder{
+		Accounts: []*listpb.Account{listpb.Account_builder{Name: "a", Plan: "gold"}.Build()},
+		Plans:    []*listpb.Plan{listpb.Plan_builder{Name: "gold", Weight: weight}.Build()},
+	}.Build()
+}
+
+func mustPut(t *testing.T, editor *lists.Editor, base uint64, weight float64) {
+	t.Helper()
+	id := strconv.FormatUint(base, 10) + strconv.FormatFloat(weight, 'g', -1, 64)
+	_, _, err := editor.Put(ctx, lists.Edit{Base: base, Lists: listsWith(weight), Operator: "ann", ID: id})
+	must.NoError(t, err)
+}
+
+func mustHave(t *testing.T, editor *lists.Editor, number uint64, weight float64, keys int) {
+	t.Helper()
+	config, _, err := editor.Config(ctx)
+	must.NoError(t, err)
+	must.Eq(t, number, config.GetLists())
+	must.Eq(t, weight, config.GetPlans()[0].GetWeight())
+	must.Len(t, keys, config.GetKeys())
+}
+
+// Two operators edit the same lists at the same time. The first is accepted.
+// The second would wipe out the first's edit without anyone noticing.
+// It must be told, with the present lists, and nothing of it may be applied.
+func TestSecondOperatorIsTold(t *testing.T) {
+	editor := &lists.Editor{Store: &platformtest.Store{}}
+	mustPut(t, editor, 0, 1)
+	mustPut(t, editor, 1, 2)
+	_, _, err := editor.Put(ctx, lists.Edit{Base: 1, Lists: listsWith(3), Operator: "bob", ID: "x"})
+	var stale *lists.StaleError
+	must.True(t, errors.As(err, &stale))
+	must.Eq(t, 2, stale.Present.GetLists())
+	must.Eq(t, 2, stale.Revision)
+	must.Eq(t, "~ plan gold: weight = 2 -> 3", lists.Diff(stale.Present, listsWith(3))[0].String())
+	mustHave(t, editor, 2, 2, 0)
+}
+
+// The store takes an edit, but its answer is lost on the way. Without reading
+// back, the retry finds its own edit in its way and the operator is told that
+// someone else was first, though the edit is in force.
+func TestLostAnswerIsRecognised(t *testing.T) {
+	store := &platformtest.Store{}
+	editor := &lists.Editor{Store: store}
+	store.LoseAnswers(1)
+	mustPut(t, editor, 0, 1)
+	mustHave(t, editor, 1, 1, 0)
+	store.LoseAnswers(1)
+	_, err := editor.Grant(ctx, lists.HashKey("k"), "a", "ann")
+	must.NoError(t, err)
+	mustHave(t, editor, 1, 1, 1)
+	must.Eq(t, 2, store.Swaps())
+}
+
+// While one operator edits the lists, another grants a key: both change the
+// same value of the store. Neither is lost and neither is told of a conflict.
+func TestGrantDoesNotConflictWithEdit(t *testing.T) {
+	store := &platformtest.Store{}
+	editor := &lists.Editor{Store: store}
+	mustPut(t, editor, 0, 1)
+	store.Before(func() {
+		_, err := editor.Grant(ctx, lists.HashKey("k"), "a", "bob")
+		must.NoError(t, err)
+	})
+	mustPut(t, editor, 1, 2)
+	mustHave(t, editor, 2, 2, 1)
+}
+
+// Twenty operators grant at once: every key is there afterwards.
+func TestManyGrantsAtOnce(t *testing.T) {
+	editor := &lists.Editor{Store: &platformtest.Store{}}
+	mustPut(t, editor, 0, 1)
+	var group sync.WaitGroup
+	for i := range 5 {
+		group.Go(func() {
+			_, err := editor.Grant(ctx, lists.HashKey(strconv.Itoa(i)), "a", "ann")
+			must.NoError(t, err)
+		})
+	}
+	group.Wait()
+	mustHave(t, editor, 1, 1, 5)
+}
+
+// The store goes away in the middle of an edit. The operator must not read
+// "refused" or "done", since neither is known.
+func TestOutageIsUncertain(t *testing.T) {
+	store := &platformtest.Store{}
+	editor := &lists.Editor{Store: store}
+	store.SetAway(true)
+	_, _, err := editor.Put(ctx, lists.Edit{Lists: listsWith(1), Operator: "ann", ID: "x"})
+	var uncertain *lists.UncertainError
+	must.True(t, errors.As(err, &uncertain))
+}
+
+// A grant's answer is lost and the operator tries it again. Meanwhile the key
+// has leaked and was withdrawn, before or after the first try reached the
+// store: the late grant must not bring it back.
+func TestWithdrawnKeyIsNeverGranted(t *testing.T) {
+	for name, grantedBefore := range map[string]bool{"granted before": true, "never granted": false} {
+		t.Run(name, func(t *testing.T) {
+			editor := &lists.Editor{Store: &platformtest.Store{}}
+			mustPut(t, editor, 0, 1)
+			hash := lists.HashKey("k")
+			if grantedBefore {
+				_, err := editor.Grant(ctx, hash, "a", "ann")
+				must.NoError(t, err)
+			}
+			withdrawal := peerpb.Withdrawal_builder{Key: hash, Operator: "ann"}.Build()
+			_, err := editor.Withdraw(ctx, []*peerpb.Withdrawal{withdrawal})
+			must.NoError(t, err)
+			_, err = editor.Grant(ctx, hash, "a", "ann")
+			var invalid *lists.InvalidError
+			must.True(t, errors.As(err, &invalid))
+		})
+	}
+}
+
+func TestInvalidChanges(t *testing.T) {
+	editor := &lists.Editor{Store: &platformtest.Store{}}
+	mustPut(t, editor, 0, 1)
+	tests := map[string]func() error{
+		"unknown account": func() error {
+			_, err := editor.Grant(ctx, lists.HashKey("k"), "nobody", "ann")
+			return err
+		},
+		"no hash": func() error {
+			_, err := editor.Grant(ctx, "k", "a", "ann")
+			return err
+		},
+		"unknown plan": func() error {
+			bad := listpb.Config_builder{Accounts: []*listpb.Account{listpb.Account_builder{Name: "a", Plan: "x"}.Build()}}.Build()
+			_, _, err := editor.Put(ctx, lists.Edit{Base: 1, Lists: bad})
+			return err
+		},
+		"too large": func() error {
+			large := listsWith(1)
+			large.GetPlans()[0].SetTrainers([]string{strings.Repeat("t", 1<<20)})
+			_, _, err := editor.Put(ctx, lists.Edit{Base: 1, Lists: large})
+			return err
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			var invalid *lists.InvalidError
+			must.True(t, errors.As(change(), &invalid))
+			mustHave(t, editor, 1, 1, 0)
+		})
+	}
+}
--- a/internal/lists/watch.go
+++ b/internal/lists/watch.go
@@ -59,11 +59,14 @@
 	}
 }
 
-func pause(ctx context.Context, length time.Duration) {
+// pause waits and reports whether the context is still open.
+func pause(ctx context.Context, length time.Duration) bool {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+		return false
 	case <-timer.C:
+		return true
 	}
 }
--- /dev/null
+++ b/internal/member/answer.go
@@ -0,0 +1,55 @@
+package member
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+)
+
+// Drain makes this entry drain, or take work again, on an operator's word.
+func (e *Exchanger) Drain(_ context.Context, request *peerpb.DrainRequest) (*peerpb.DrainReply, error) {
+	state := peerpb.State_STATE_DRAINING
+	if request.GetResume() {
+		state = peerpb.State_STATE_LIVE
+	}
+	klog.Infof("member: %s sets the state to %s", request.GetOperator(), state)
+	e.Members.SetState(state)
+	return &peerpb.DrainReply{}, nil
+}
+
+// Explain returns the decisions that this process took for an identity.
+func (e *Exchanger) Explain(_ context.Context, request *peerpb.ExplainRequest) (*peerpb.ExplainReply, error) {
+	reply := &peerpb.ExplainReply{}
+	if e.Decisions == nil {
+		return reply, nil
+	}
+	name := e.Members.Self().GetName()
+	for _, entry := range e.Decisions.Find(request.GetId()) {
+		decision := peerpb.Decision_builder{
+			Process: name,
+			Time:    entry.Time().UnixNano(),
+			Part:    entry.Part(),
+			Text:    entry.Text(),
+		}.Build()
+		reply.SetDecisions(append(reply.GetDecisions(), decision))
+	}
+	return reply, nil
+}
+
+// Status returns this process's record and the revisions of the facts in force here.
+func (e *Exchanger) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
+	return peerpb.StatusReply_builder{Process: e.Members.Self(), Facts: e.Members.Digest()}.Build(), nil
+}
+
+// Digest returns the names and revisions of the facts known here, without values.
+func (m *Members) Digest() []*peerpb.Fact {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var digest []*peerpb.Fact
+	for name, fact := range m.facts {
+		digest = append(digest, peerpb.Fact_builder{Name: name, Revision: fact.GetRevision()}.Build())
+	}
+	return digest
+}
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/decision"
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
@@ -28,6 +29,8 @@
 	Credentials credentials.TransportCredentials
 	// Hosts returns the platform's lagging host list; nil uses the seeds alone.
 	Hosts func(ctx context.Context) ([]platform.Host, error)
+	// Decisions are shown to operators who ask; nil shows none.
+	Decisions *decision.Log
 
 	connections map[string]*grpc.ClientConn
 	hosts       []string
--- /dev/null
+++ b/internal/operator/commands.go
@@ -0,0 +1,206 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/lists"
+	"github.com/bramleyhatch/bramleyhatch/internal/member"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/operatorpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+)
+
+const (
+	// leastPrefix keeps a short start of a hash from naming a key by accident.
+	leastPrefix = 8
+	dutyPrefix  = "duty/"
+)
+
+// NotFoundError says that nothing has the name that an operator gave.
+type NotFoundError struct {
+	Name string
+}
+
+// Error names it.
+func (e *NotFoundError) Error() string { return "nothing is known as " + strconv.Quote(e.Name) }
+
+// config answers with the store's configuration; while the store is away,
+// with the one in force here.
+func (s *Server) config(ctx context.Context, _ string, _ *http.Request) (proto.Message, error) {
+	config, revision, err := s.Editor.Config(ctx)
+	if err == nil {
+		return operatorpb.ConfigReply_builder{Config: config, Revision: revision}.Build(), nil
+	}
+	config, revision = s.View.Config()
+	if config == nil {
+		return nil, err
+	}
+	klog.Warningf("operator: the store is away, the lists shown are those in force here: %v", err)
+	return operatorpb.ConfigReply_builder{Config: config, Revision: revision}.Build(), nil
+}
+
+func (s *Server) put(ctx context.Context, operator string, r *http.Request) (proto.Message, error) {
+	request := &operatorpb.PutRequest{}
+	if err := read(r, request); err != nil {
+		return nil, err
+	}
+	wanted := listpb.Config_builder{
+		Accounts: request.GetAccounts(),
+		Plans:    request.GetPlans(),
+		Pools:    request.GetPools(),
+	}.Build()
+	edit := lists.Edit{Base: request.GetBase(), Lists: wanted, Operator: operator, ID: request.GetId()}
+	config, revision, err := s.Editor.Put(ctx, edit)
+	if err != nil {
+		return nil, err
+	}
+	return operatorpb.ChangeReply_builder{Revision: revision, Lists: config.GetLists(), Stored: true}.Build(), nil
+}
+
+func (s *Server) force(ctx context.Context, _ string, _ *http.Request) (proto.Message, error) {
+	return operatorpb.ForceReply_builder{Processes: s.Peers.Force(ctx, peerpb.Role_ROLE_ENTRY)}.Build(), nil
+}
+
+func (s *Server) grant(ctx context.Context, operator string, r *http.Request) (proto.Message, error) {
+	request := &operatorpb.GrantRequest{}
+	if err := read(r, request); err != nil {
+		return nil, err
+	}
+	revision, err := s.Editor.Grant(ctx, request.GetHash(), request.GetAccount(), operator)
+	if err != nil {
+		return nil, err
+	}
+	return operatorpb.ChangeReply_builder{Revision: revision, Stored: true}.Build(), nil
+}
+
+// withdraw ends the key here and, by the exchanges between processes,
+// everywhere before it asks the store: an outage of the store must not keep a
+// leaked key alive.
+func (s *Server) withdraw(ctx context.Context, operator string, r *http.Request) (proto.Message, error) {
+	request := &operatorpb.WithdrawRequest{}
+	if err := read(r, request); err != nil {
+		return nil, err
+	}
+	hash, err := s.fullHash(request.GetHash())
+	if err != nil {
+		return nil, err
+	}
+	withdrawal := peerpb.Withdrawal_builder{Key: hash, Operator: operator, Time: time.Now().Unix()}.Build()
+	s.Members.Withdraw(withdrawal)
+	revision, err := s.Editor.Withdraw(ctx, []*peerpb.Withdrawal{withdrawal})
+	if err != nil {
+		klog.Warningf("operator: the withdrawal is in force but not stored yet: %v", err)
+		return operatorpb.ChangeReply_builder{}.Build(), nil
+	}
+	return operatorpb.ChangeReply_builder{Revision: revision, Stored: true}.Build(), nil
+}
+
+// fullHash completes the start of a hash from the keys known here.
+func (s *Server) fullHash(start string) (string, error) {
+	start = strings.ToLower(start)
+	if len(start) == hashLength && strings.Trim(start, "0123456789abcdef") == "" {
+		return start, nil
+	}
+	if len(start) < leastPrefix {
+		return "", &lists.InvalidError{Problem: "give at least 8 digits of the key's hash"}
+	}
+	config, _ := s.View.Config()
+	var found []string
+	for _, key := range config.GetKeys() {
+		if strings.HasPrefix(key.GetHash(), start) {
+			found = append(found, key.GetHash())
+		}
+	}
+	switch len(found) {
+	case 0:
+		return "", &NotFoundError{Name: start}
+	case 1:
+		return found[0], nil
+	default:
+		return "", &lists.InvalidError{Problem: "several keys start with " + start}
+	}
+}
+
+func (s *Server) status(ctx context.Context, _ string, _ *http.Request) (proto.Message, error) {
+	reply := &operatorpb.StatusReply{}
+	for _, role := range []peerpb.Role{peerpb.Role_ROLE_ENTRY, peerpb.Role_ROLE_SIDECAR} {
+		reply.SetProcesses(append(reply.GetProcesses(), s.Members.Processes(role)...))
+	}
+	reply.SetForce(s.Peers.Force(ctx, peerpb.Role_ROLE_ENTRY))
+	holders, err := s.holders(ctx)
+	if err != nil {
+		reply.SetProblem(err.Error())
+	}
+	reply.SetHolders(holders)
+	return reply, nil
+}
+
+func (s *Server) holders(ctx context.Context) ([]*operatorpb.Holder, error) {
+	listed, err := s.Store.List(ctx, dutyPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var found []*operatorpb.Holder
+	for _, value := range listed.Values {
+		holder := &statepb.Holder{}
+		if err := proto.Unmarshal(value.Data, holder); err != nil {
+			klog.Warningf("operator: %s can't be read: %v", value.Key, err)
+			continue
+		}
+		found = append(found, operatorpb.Holder_builder{
+			Duty:    strings.TrimPrefix(value.Key, dutyPrefix),
+			Process: holder.GetProcess(),
+			Fence:   holder.GetFence(),
+			Since:   holder.GetSince(),
+		}.Build())
+	}
+	return found, nil
+}
+
+func (s *Server) explain(ctx context.Context, _ string, r *http.Request) (proto.Message, error) {
+	id := r.URL.Query().Get("id")
+	if id == "" {
+		return nil, &lists.InvalidError{Problem: "no identity given"}
+	}
+	decisions, silent := s.Peers.Explain(ctx, id)
+	slices.SortStableFunc(decisions, func(a, b *peerpb.Decision) int { return cmp.Compare(a.GetTime(), b.GetTime()) })
+	return operatorpb.ExplainReply_builder{Decisions: decisions, Silent: silent}.Build(), nil
+}
+
+func (s *Server) drain(ctx context.Context, operator string, r *http.Request) (proto.Message, error) {
+	request := &operatorpb.DrainRequest{}
+	if err := read(r, request); err != nil {
+		return nil, err
+	}
+	process := find(s.Members, request.GetName())
+	if process == nil {
+		return nil, &NotFoundError{Name: request.GetName()}
+	}
+	refusal, err := s.Peers.Drain(ctx, process, operator, request.GetResume())
+	if err != nil {
+		return nil, err
+	}
+	return operatorpb.DrainReply_builder{Process: process.GetName(), Refusal: refusal}.Build(), nil
+}
+
+// find returns the process with the name, or beside the backend server with it.
+func find(members *member.Members, name string) *peerpb.Process {
+	for _, role := range []peerpb.Role{peerpb.Role_ROLE_ENTRY, peerpb.Role_ROLE_SIDECAR} {
+		for _, process := range members.Processes(role) {
+			if process.GetName() == name || (name != "" && process.GetServer() == name) {
+				return process
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,163 @@
+// Package operator speaks to operators: the HTTP interface under /operator/v1/
+// that an entry serves, and its client for the command line.
+package operator
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/lists"
+	"github.com/bramleyhatch/bramleyhatch/internal/member"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/operatorpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+// Paths of the interface.
+const (
+	PathConfig   = "/operator/v1/config"
+	PathForce    = "/operator/v1/force"
+	PathGrant    = "/operator/v1/keys/grant"
+	PathWithdraw = "/operator/v1/keys/withdraw"
+	PathStatus   = "/operator/v1/status"
+	PathExplain  = "/operator/v1/explain"
+	PathDrain    = "/operator/v1/drain"
+)
+
+// maxBodyBytes fits the largest lists that the store takes, as JSON.
+const maxBodyBytes = 4 << 20
+
+// Editor changes the configuration in the store.
+type Editor interface {
+	Config(ctx context.Context) (*listpb.Config, uint64, error)
+	Grant(ctx context.Context, hash, account, operator string) (uint64, error)
+	Put(ctx context.Context, edit lists.Edit) (*listpb.Config, uint64, error)
+	Withdraw(ctx context.Context, withdrawals []*peerpb.Withdrawal) (uint64, error)
+}
+
+// Store is what the status reads of the platform's store.
+type Store interface {
+	List(ctx context.Context, prefix string) (platform.ListReply, error)
+}
+
+var _ Editor = &lists.Editor{}
+
+// Server serves operators. Exported fields are set before the first request.
+type Server struct {
+	Editor  Editor
+	Store   Store
+	Members *member.Members
+	View    *lists.View
+	Peers   *Peers
+	Tokens  *Tokens
+	// Timeout bounds each command.
+	Timeout time.Duration
+}
+
+// command answers one request of an authorised operator.
+type command func(ctx context.Context, operator string, r *http.Request) (proto.Message, error)
+
+// Routes returns the routes of the interface.
+func (s *Server) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodGet, Path: PathConfig, Handler: s.handle(s.config)},
+		{Method: http.MethodPut, Path: PathConfig, Handler: s.handle(s.put)},
+		{Method: http.MethodGet, Path: PathForce, Handler: s.handle(s.force)},
+		{Method: http.MethodPost, Path: PathGrant, Handler: s.handle(s.grant)},
+		{Method: http.MethodPost, Path: PathWithdraw, Handler: s.handle(s.withdraw)},
+		{Method: http.MethodGet, Path: PathStatus, Handler: s.handle(s.status)},
+		{Method: http.MethodGet, Path: PathExplain, Handler: s.handle(s.explain)},
+		{Method: http.MethodPost, Path: PathDrain, Handler: s.handle(s.drain)},
+	}
+}
+
+func (s *Server) handle(run command) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		name := s.Tokens.Name(r)
+		if name == "" {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			answer(w, http.StatusUnauthorized, operatorpb.Problem_builder{Message: "no operator has this token"}.Build())
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), s.Timeout)
+		defer cancel()
+		reply, err := run(ctx, name, r)
+		klog.Infof("operator: %s: %s %s: %s", name, r.Method, r.URL.Path, result(err))
+		if err != nil {
+			status, problem := describe(err)
+			answer(w, status, problem)
+			return
+		}
+		answer(w, http.StatusOK, reply)
+	}
+}
+
+func result(err error) string {
+	if err == nil {
+		return "done"
+	}
+	return err.Error()
+}
+
+// describe maps an error to the HTTP status and body for the operator.
+func describe(err error) (int, *operatorpb.Problem) {
+	problem := operatorpb.Problem_builder{Message: err.Error()}.Build()
+	var stale *lists.StaleError
+	var invalid *lists.InvalidError
+	var uncertain *lists.UncertainError
+	var missing *NotFoundError
+	switch {
+	case errors.As(err, &stale):
+		problem.SetPresent(withoutKeys(stale.Present))
+		problem.SetRevision(stale.Revision)
+		return http.StatusConflict, problem
+	case errors.As(err, &invalid):
+		return http.StatusUnprocessableEntity, problem
+	case errors.As(err, &uncertain):
+		return http.StatusGatewayTimeout, problem
+	case errors.As(err, &missing):
+		return http.StatusNotFound, problem
+	default:
+		return http.StatusServiceUnavailable, problem
+	}
+}
+
+func answer(w http.ResponseWriter, status int, message proto.Message) {
+	text, err := protojson.Marshal(message)
+	if err != nil {
+		klog.Errorf("operator: encode answer: %v", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if _, err := w.Write(text); err != nil {
+		klog.V(1).Infof("operator: answer: %v", err)
+	}
+}
+
+func read(r *http.Request, message proto.Message) error {
+	text, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
+	if err != nil {
+		return &lists.InvalidError{Problem: "read body: " + err.Error()}
+	}
+	if err := protojson.Unmarshal(text, message); err != nil {
+		return &lists.InvalidError{Problem: "read body: " + err.Error()}
+	}
+	return nil
+}
+
+func withoutKeys(config *listpb.Config) *listpb.Config {
+	shown := proto.CloneOf(config)
+	shown.SetKeys(nil)
+	return shown
+}
--- /dev/null
+++ b/internal/platform/platformtest/store.go
@@ -0,0 +1,186 @@
+// Package platformtest holds a small key-value service in memory for tests of
+// the parts that use the platform's.
+package platformtest
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+// Store is a key-value service in memory. Its zero value is empty.
+// It is safe for concurrent use.
+type Store struct {
+	mutex    sync.Mutex
+	values   map[string]platform.Value
+	revision uint64
+	changed  chan struct{}
+	away     bool
+	silent   bool
+	lose     int
+	before   func()
+	calls    int
+	swaps    int
+}
+
+// Before calls do once, just before the next swap: the place of a racing writer.
+func (s *Store) Before(do func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.before = do
+}
+
+// Calls returns the number of calls so far; a watch counts as one.
+func (s *Store) Calls() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
+// Get returns the value of a key.
+func (s *Store) Get(_ context.Context, key string) (platform.Value, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.call("get"); err != nil {
+		return platform.Value{}, err
+	}
+	value, found := s.values[key]
+	if !found {
+		return platform.Value{}, &platform.NotFoundError{Key: key}
+	}
+	return value, nil
+}
+
+// List returns the values whose key has the prefix.
+func (s *Store) List(_ context.Context, prefix string) (platform.ListReply, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.call("list"); err != nil {
+		return platform.ListReply{}, err
+	}
+	return s.list(prefix, 0), nil
+}
+
+// LoseAnswers makes the next swaps take effect and fail without an answer.
+func (s *Store) LoseAnswers(number int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lose = number
+}
+
+// SetAway begins or ends an outage.
+func (s *Store) SetAway(away bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.away = away
+	s.wake()
+}
+
+// SetSilent makes watches show nothing although values change.
+func (s *Store) SetSilent(silent bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silent = silent
+}
+
+// Swap writes a value if its key has the expected revision.
+func (s *Store) Swap(_ context.Context, key string, expect uint64, data []byte, lease uint64) (uint64, error) {
+	s.mutex.Lock()
+	before := s.before
+	s.before = nil
+	s.mutex.Unlock()
+	if before != nil {
+		before()
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.call("swap"); err != nil {
+		return 0, err
+	}
+	if present := s.values[key].Revision; present != expect {
+		return 0, &platform.ConflictError{Key: key, Revision: present}
+	}
+	s.write(key, data, lease)
+	if s.lose > 0 {
+		s.lose--
+		return 0, &platform.UnavailableError{Operation: "swap"}
+	}
+	return s.revision, nil
+}
+
+// Swaps returns the number of swaps that took effect.
+func (s *Store) Swaps() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.swaps
+}
+
+// Watch waits for a change after the revision.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.ListReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		reply, changed, err := s.look(prefix, after)
+		if err != nil || len(reply.Values) > 0 {
+			return reply, err
+		}
+		select {
+		case <-ctx.Done():
+			return reply, nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *Store) look(prefix string, after uint64) (platform.ListReply, <-chan struct{}, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.call("watch"); err != nil {
+		return platform.ListReply{}, nil, err
+	}
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	if s.silent {
+		return platform.ListReply{Revision: after}, s.changed, nil
+	}
+	return s.list(prefix, after), s.changed, nil
+}
+
+func (s *Store) list(prefix string, after uint64) platform.ListReply {
+	reply := platform.ListReply{Revision: s.revision}
+	for key, value := range s.values {
+		if strings.HasPrefix(key, prefix) && value.Revision > after {
+			reply.Values = append(reply.Values, value)
+		}
+	}
+	return reply
+}
+
+func (s *Store) call(operation string) error {
+	s.calls++
+	if s.away {
+		return &platform.UnavailableError{Operation: operation}
+	}
+	return nil
+}
+
+func (s *Store) write(key string, data []byte, lease uint64) {
+	if s.values == nil {
+		s.values = map[string]platform.Value{}
+	}
+	s.revision++
+	s.swaps++
+	s.values[key] = platform.Value{Key: key, Data: data, Revision: s.revision, Lease: lease}
+	s.wake()
+}
+
+func (s *Store) wake() {
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+}
