--- a/cmd/standin/cmd/callcmd.go
+++ b/cmd/standin/cmd/callcmd.go
@@ -14,7 +14,7 @@
 
 // callCmd sends one HTTP request.
 type callCmd struct {
-	Address string        `arg:"" help:"Address of the request."`
+	Address []string      `arg:"" help:"Address of the request; several are called in turn."`
 	Method  string        `short:"X" default:"GET" help:"Method of the request."`
 	Body    string        `short:"d" help:"Body of the request."`
 	Header  []string      `short:"H" sep:"none" help:"Header as NAME: VALUE; may be repeated."`
@@ -32,7 +32,16 @@
 func (r *callCmd) Run(c *config) error {
 	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, r.Method, r.Address, strings.NewReader(r.Body))
+	for _, address := range r.Address {
+		if err := r.call(ctx, c, address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *callCmd) call(ctx context.Context, c *config, address string) error {
+	request, err := http.NewRequestWithContext(ctx, r.Method, address, strings.NewReader(r.Body))
 	if err != nil {
 		return err
 	}
--- a/cmd/standin/cmd/relaycmd.go
+++ b/cmd/standin/cmd/relaycmd.go
@@ -8,7 +8,7 @@
 type relayCmd struct {
 	server
 	From string `default:"127.0.0.1:0" help:"IP address and port to relay from."`
-	To   string `required:"" help:"IP address and port to relay to."`
+	To   string `help:"IP address and port to relay to; may be set later by the control endpoint."`
 }
 
 // Run relays until SIGTERM; the control endpoint tells where it listens.
--- a/cmd/standin/internal/relay/relay.go
+++ b/cmd/standin/internal/relay/relay.go
@@ -18,7 +18,8 @@
 // Relay is the stand-in. Exported fields are set before Start.
 type Relay struct {
 	From string
-	To   string
+	// To is where it relays to; the control endpoint "to" changes it.
+	To string
 
 	listener net.Listener
 
@@ -44,6 +45,7 @@
 		// silence drops all bytes of the present connections for good; new ones work.
 		{Method: http.MethodPost, Path: "/control/silence", Handler: r.handleSilence},
 		{Method: http.MethodPost, Path: "/control/heal", Handler: r.handleHeal},
+		{Method: http.MethodPost, Path: "/control/to", Handler: r.handleTo},
 	}
 }
 
@@ -71,13 +73,13 @@
 
 func (r *Relay) relay(near net.Conn) {
 	r.mutex.Lock()
-	refuse := r.refuse
+	refuse, to := r.refuse, r.To
 	r.mutex.Unlock()
 	if refuse {
 		_ = near.Close()
 		return
 	}
-	far, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", r.To)
+	far, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", to)
 	if err != nil {
 		_ = near.Close()
 		return
@@ -156,3 +158,16 @@
 	r.refuse = false
 	answer.JSON(w, http.StatusOK, struct{}{})
 }
+
+func (r *Relay) handleTo(w http.ResponseWriter, request *http.Request) {
+	var target struct {
+		To string `json:"to"`
+	}
+	if !answer.Read(w, request, &target) {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.To = target.To
+	answer.JSON(w, http.StatusOK, target)
+}
--- /dev/null
+++ b/test/scenario/process_test.go
@@ -0,0 +1,173 @@
+package scenario_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	startBound = 20 * time.Second
+	stopBound  = 30 * time.Second
+	pollPause  = 25 * time.Millisecond
+	logTail    = 25
+)
+
+// process is one program that a scenario started.
+type process struct {
+	name    string
+	program string
+	args    []string
+	ready   string
+	log     string
+	command *exec.Cmd
+	done    chan struct{}
+	code    int
+}
+
+// fleet holds the processes of one scenario.
+type fleet struct {
+	mutex     sync.Mutex
+	processes map[string]*process
+	order     []string
+}
+
+type fleetKey struct{}
+
+func setup(env *testscript.Env) error {
+	all := &fleet{processes: map[string]*process{}}
+	env.Values[fleetKey{}] = all
+	env.Setenv("HOME", env.WorkDir)
+	env.Setenv("CHAT", `{"model":"assistant","messages":[{"role":"user","content":"a note"}],"max_tokens":8}`)
+	env.Setenv("STREAM", `{"model":"assistant","messages":[{"role":"user","content":"a note"}],"max_tokens":8,"stream":true}`)
+	env.Setenv("LONG", `{"model":"assistant","messages":[{"role":"user","content":"a long note"}],"max_tokens":400,"stream":true}`)
+	env.Setenv("POSTING", `{"member":"ana","hours":1}`)
+	env.Defer(func() { all.end(env.T()) })
+	return nil
+}
+
+func fleetOf(ts *testscript.TestScript) *fleet {
+	all, _ := ts.Value(fleetKey{}).(*fleet)
+	return all
+}
+
+// end kills all processes, prints the last lines of their logs and fails on a data race.
+func (f *fleet) end(t testscript.T) {
+	for _, name := range f.order {
+		p := f.processes[name]
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.done
+		text, _ := os.ReadFile(p.log)
+		t.Log(fmt.Sprintf("[%s] %s", name, lastLines(text, logTail)))
+		if bytes.Contains(text, []byte("DATA RACE")) {
+			t.Log(string(text))
+			t.FailNow()
+		}
+	}
+}
+
+func lastLines(text []byte, most int) string {
+	var lines []string
+	scanner := bufio.NewScanner(bytes.NewReader(text))
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		lines = append(lines, scanner.Text())
+	}
+	if len(lines) > most {
+		lines = lines[len(lines)-most:]
+	}
+	return strings.Join(lines, "\n    ")
+}
+
+func (p *process) signal(signal syscall.Signal) {
+	select {
+	case <-p.done:
+	default:
+		_ = p.command.Process.Signal(signal)
+	}
+}
+
+// start runs the program and waits for its ready file.
+func (f *fleet) start(ts *testscript.TestScript, p *process) map[string]string {
+	_ = os.Remove(p.ready)
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	ts.Check(err)
+	p.command = exec.Command(programPath(ts, p.program), p.args...)
+	p.command.Stdout = log
+	p.command.Stderr = log
+	p.command.Dir = ts.MkAbs(".")
+	p.command.Env = append(os.Environ(), "GORACE=halt_on_error=0")
+	p.done = make(chan struct{})
+	ts.Check(p.command.Start())
+	go func() {
+		_ = p.command.Wait()
+		p.code = p.command.ProcessState.ExitCode()
+		_ = log.Close()
+		close(p.done)
+	}()
+	f.mutex.Lock()
+	if f.processes[p.name] == nil {
+		f.order = append(f.order, p.name)
+	}
+	f.processes[p.name] = p
+	f.mutex.Unlock()
+	return awaitReady(ts, p)
+}
+
+// programPath finds a program of testscript.Main in the script's PATH.
+func programPath(ts *testscript.TestScript, program string) string {
+	for folder := range strings.SplitSeq(ts.Getenv("PATH"), string(os.PathListSeparator)) {
+		path := filepath.Join(folder, program)
+		if _, err := os.Stat(path); err == nil {
+			return path
+		}
+	}
+	ts.Fatalf("no program %s", program)
+	return ""
+}
+
+func awaitReady(ts *testscript.TestScript, p *process) map[string]string {
+	deadline := time.After(startBound)
+	for {
+		text, err := os.ReadFile(p.ready)
+		if err == nil {
+			addresses := map[string]string{}
+			ts.Check(json.Unmarshal(text, &addresses))
+			return addresses
+		}
+		select {
+		case <-p.done:
+			text, _ := os.ReadFile(p.log)
+			ts.Fatalf("%s ended with code %d before it was ready:\n%s", p.name, p.code, lastLines(text, logTail))
+		case <-deadline:
+			ts.Fatalf("%s was not ready within %v", p.name, startBound)
+		case <-time.After(pollPause):
+		}
+	}
+}
+
+// find returns the processes named by the arguments.
+func (f *fleet) find(ts *testscript.TestScript, names []string) []*process {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var found []*process
+	for _, name := range names {
+		p := f.processes[name]
+		if p == nil {
+			ts.Fatalf("no process %s", name)
+		}
+		found = append(found, p)
+	}
+	return found
+}
