--- a/cmd/standin/cmd/cmd.go
+++ b/cmd/standin/cmd/cmd.go
@@ -31,6 +31,8 @@
 	Weights  weightsCmd  `cmd:"" help:"Run a weight store."`
 	Scorer   scorerCmd   `cmd:"" help:"Run a service that scores samples."`
 	Trainer  trainerCmd  `cmd:"" help:"Run a trainer through steps."`
+	Orders   ordersCmd   `cmd:"" help:"Check the orders that a platform got."`
+	Windows  windowsCmd  `cmd:"" help:"Check the usage reports that a platform got."`
 	Call     callCmd     `cmd:"" help:"Send one HTTP request and print the answer."`
 	Relay    relayCmd    `cmd:"" help:"Run a relay of TCP connections that can be cut or silenced."`
 	Demo     demoCmd     `cmd:"" help:"Run the whole path on loopback and print what happened."`
--- a/cmd/standin/internal/engine/engine.go
+++ b/cmd/standin/internal/engine/engine.go
@@ -164,11 +164,13 @@
 }
 
 func (e *Engine) handleFaults(w http.ResponseWriter, r *http.Request) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if !answer.Read(w, r, &e.faults) {
+	var faults Faults
+	if !answer.Read(w, r, &faults) {
 		return
 	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.faults = faults
 	if e.faults.Version != 0 {
 		e.version = e.faults.Version
 		e.faults.Version = 0
--- a/cmd/standin/internal/ledger/ledger.go
+++ b/cmd/standin/internal/ledger/ledger.go
@@ -110,11 +110,14 @@
 }
 
 func (l *Ledger) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if !answer.Read(w, r, &faults) {
+		return
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if answer.Read(w, r, &l.faults) {
-		answer.JSON(w, http.StatusOK, l.faults)
-	}
+	l.faults = faults
+	answer.JSON(w, http.StatusOK, faults)
 }
 
 func (l *Ledger) handleControl(w http.ResponseWriter, _ *http.Request) {
--- a/cmd/standin/internal/platform/control.go
+++ b/cmd/standin/internal/platform/control.go
@@ -108,11 +108,14 @@
 }
 
 func (c *control) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if !answer.Read(w, r, &faults) {
+		return
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if answer.Read(w, r, &c.faults) {
-		answer.JSON(w, http.StatusOK, c.faults)
-	}
+	c.faults = faults
+	answer.JSON(w, http.StatusOK, faults)
 }
 
 func (c *control) handleRecord(w http.ResponseWriter, _ *http.Request) {
--- a/internal/listen/http.go
+++ b/internal/listen/http.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -161,9 +162,19 @@
 func (klogWriter) Alert(v any)                     { klog.Error("rest: ", v) }
 func (klogWriter) Close() error                    { return nil }
 func (klogWriter) Debug(v any, _ ...logx.LogField) { klog.V(2).Info("rest: ", v) }
-func (klogWriter) Error(v any, _ ...logx.LogField) { klog.Error("rest: ", v) }
-func (klogWriter) Info(v any, _ ...logx.LogField)  { klog.V(1).Info("rest: ", v) }
-func (klogWriter) Severe(v any)                    { klog.Error("rest: ", v) }
-func (klogWriter) Slow(v any, _ ...logx.LogField)  { klog.V(1).Info("rest: ", v) }
-func (klogWriter) Stack(v any)                     { klog.Error("rest: ", v) }
-func (klogWriter) Stat(v any, _ ...logx.LogField)  { klog.V(2).Info("rest: ", v) }
+
+// Error keeps httpc's own lines on failed calls out of the normal log: who
+// makes a call handles its error and logs that once.
+func (klogWriter) Error(v any, _ ...logx.LogField) {
+	if text, ok := v.(string); ok && strings.HasPrefix(text, "[HTTP]") {
+		klog.V(1).Info("rest: ", text)
+		return
+	}
+	klog.Error("rest: ", v)
+}
+
+func (klogWriter) Info(v any, _ ...logx.LogField) { klog.V(1).Info("rest: ", v) }
+func (klogWriter) Severe(v any)                   { klog.Error("rest: ", v) }
+func (klogWriter) Slow(v any, _ ...logx.LogField) { klog.V(1).Info("rest: ", v) }
+func (klogWriter) Stack(v any)                    { klog.Error("rest: ", v) }
+func (klogWriter) Stat(v any, _ ...logx.LogField) { klog.V(2).Info("rest: ", v) }
--- a/test/scenario/verbs_test.go
+++ b/test/scenario/verbs_test.go
@@ -21,8 +21,11 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
 
-// awaitBound is how long await waits for a state.
-const awaitBound = 30 * time.Second
+// awaitBound is how long await waits for a state, awaitPause the time between two looks.
+const (
+	awaitBound = 30 * time.Second
+	awaitPause = 100 * time.Millisecond
+)
 
 // verbs are the words of the test language beside those of testscript.
 var verbs = map[string]func(*testscript.TestScript, bool, []string){
@@ -215,7 +218,7 @@
 			_, _ = ts.Stdout().Write(output)
 			return
 		}
-		time.Sleep(pollPause)
+		time.Sleep(awaitPause)
 	}
 	ts.Fatalf("not reached within %v: %v; last output:\n%s", awaitBound, args, output)
 }
