Keep the claims of idempotency keys at a home and a witness

Cause: a posting retried with its key after the sidecar or its host was lost would run twice, since only that sidecar knew the key. Weighed: a record in the platform's store for each posting (calls grow with requests), one home alone (its loss loses the claim), home and witness by rendezvous hashing (chosen).

--- a/internal/bramleyhatch/sidecarbackend.go
+++ b/internal/bramleyhatch/sidecarbackend.go
@@ -1,19 +1,30 @@
 package bramleyhatch
 
 import (
+	"time"
+
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
 	"github.com/bramleyhatch/bramleyhatch/internal/entry"
+	"github.com/bramleyhatch/bramleyhatch/internal/member"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 )
 
-const kindEngine = "engine"
+// Values of settings.
+const (
+	kindEngine = "engine"
+	aloneRun   = "run"
+)
 
 // addBackend adds the service for entries and the client of the backend server.
 func (s *Sidecar) addBackend() {
 	settings := s.Settings.GetBackend()
 	server := &entry.Server{
+		Claims:    s.newClaims(),
 		Name:      settings.GetServer(),
 		Pool:      settings.GetPool(),
 		Backend:   s.newBackend(),
@@ -43,3 +54,49 @@
 	plain.Address, plain.Name, plain.Silence = address, name, silence
 	return plain
 }
+
+// newClaims returns what keeps the claims of idempotency keys.
+func (s *Sidecar) newClaims() *entry.Claims {
+	settings := s.Settings.GetBackend()
+	return &entry.Claims{
+		Server:   settings.GetServer(),
+		Pool:     settings.GetPool(),
+		Members:  &membership{Members: s.members},
+		Peers:    &entry.Sidecars{Members: s.members},
+		Remember: settings.GetRemember().AsDuration(),
+		Started:  time.Now(),
+		RunAlone: settings.GetAlone() == aloneRun,
+	}
+}
+
+// membership is what claims need to know of the pool.
+type membership struct {
+	*member.Members
+}
+
+var _ entry.Membership = &membership{}
+
+// Fleet returns a pool's servers, or nil if they are not known.
+func (m *membership) Fleet(pool string) *statepb.Fleet {
+	fact := m.Fact(member.FactFleet + pool)
+	if fact == nil {
+		return nil
+	}
+	fleet := &statepb.Fleet{}
+	if err := proto.Unmarshal(fact.GetValue(), fleet); err != nil {
+		klog.Errorf("backend: fact %s can't be read: %v", fact.GetName(), err)
+		return nil
+	}
+	return fleet
+}
+
+// Others returns the number of other known sidecars of a pool.
+func (m *membership) Others(pool string) int {
+	others := 0
+	for _, process := range m.Processes(peerpb.Role_ROLE_SIDECAR) {
+		if process.GetPool() == pool && process.GetName() != m.Self().GetName() {
+			others++
+		}
+	}
+	return others
+}
--- /dev/null
+++ b/internal/claim/claim_property_test.go
@@ -0,0 +1,254 @@
+package claim_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/claim"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+)
+
+const remember = 10 * time.Minute
+
+// node is a sidecar of the model.
+type node struct {
+	journal *claim.Journal
+	started time.Time
+	isFirst bool
+	isDown  bool
+}
+
+// world is a model of a pool: sidecars with memory, fleets seen late, and
+// requests under one claim that count their runs.
+type world struct {
+	*rapid.T
+
+	now    time.Time
+	fleets []seen
+	nodes  map[string]*node
+	next   int
+	claim  string
+	since  time.Time
+	runs   int
+	sent   int
+}
+
+// seen is a fleet and when it came into force.
+type seen struct {
+	fleet *statepb.Fleet
+	time  time.Time
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{T: t, now: time.Unix(1_000_000, 0), nodes: map[string]*node{}}
+	w.fleets = []seen{{fleet: &statepb.Fleet{}, time: w.now}}
+	for range rapid.IntRange(1, 4).Draw(t, "servers") {
+		w.Add(t)
+	}
+	w.now = w.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "age")) * time.Second)
+	w.renewClaim()
+	return w
+}
+
+func (w *world) renewClaim() {
+	w.claim = fmt.Sprintf("claim-%d", w.next)
+	w.next++
+	w.since = w.now
+	w.runs = 0
+}
+
+// change puts a changed fleet into force. The fleet's times are whole seconds,
+// so two changes are at least one second apart.
+func (w *world) change(change func(*statepb.Fleet)) {
+	w.now = w.now.Add(time.Second)
+	fleet := proto.CloneOf(w.fleets[len(w.fleets)-1].fleet)
+	change(fleet)
+	fleet.SetEpoch(fleet.GetEpoch() + 1)
+	w.fleets = append(w.fleets, seen{fleet: fleet, time: w.now})
+}
+
+// view is the fleet as a process sees it, up to some seconds late.
+func (w *world) view(label string) *statepb.Fleet {
+	at := w.now.Add(-time.Duration(rapid.IntRange(0, 8).Draw(w.T, label)) * time.Second)
+	found := w.fleets[0].fleet
+	for _, fleet := range w.fleets {
+		if !fleet.time.After(at) {
+			found = fleet.fleet
+		}
+	}
+	return found
+}
+
+// Add adds a server.
+func (w *world) Add(t *rapid.T) {
+	id := fmt.Sprintf("s%d", w.next)
+	w.next++
+	zone := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone")
+	w.change(func(fleet *statepb.Fleet) {
+		w.nodes[id] = newNode(w.now, true)
+		server := statepb.Server_builder{Id: id, Zone: zone, State: "live", Since: w.now.Unix(), Born: w.now.Unix()}.Build()
+		fleet.SetServers(append(fleet.GetServers(), server))
+	})
+}
+
+// Advance lets time pass.
+func (w *world) Advance(t *rapid.T) {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "seconds")) * time.Second)
+	if w.now.Sub(w.since) > remember {
+		w.renewClaim()
+	}
+}
+
+// Crash kills a sidecar, or starts it again without its memory.
+func (w *world) Crash(t *rapid.T) {
+	id := w.draw(t)
+	if id == "" {
+		return
+	}
+	if w.nodes[id].isDown {
+		w.nodes[id] = newNode(w.now, false)
+		return
+	}
+	w.nodes[id].isDown = true
+}
+
+// Restart starts a sidecar again without its memory.
+func (w *world) Restart(t *rapid.T) {
+	if id := w.draw(t); id != "" {
+		w.nodes[id] = newNode(w.now, false)
+	}
+}
+
+// Remove drains a server or removes it with its sidecar's memory.
+func (w *world) Remove(t *rapid.T) {
+	id := w.draw(t)
+	if id == "" {
+		return
+	}
+	state := rapid.SampledFrom([]string{"draining", "removed"}).Draw(t, "state")
+	if state == "removed" {
+		w.nodes[id].isDown = true
+	}
+	w.change(func(fleet *statepb.Fleet) {
+		for _, server := range fleet.GetServers() {
+			if server.GetId() == id {
+				server.SetState(state)
+				server.SetSince(w.now.Unix())
+			}
+		}
+	})
+}
+
+// Send sends the request, with another between its first and second half.
+func (w *world) Send(t *rapid.T) {
+	first, second := w.begin(), w.begin()
+	if rapid.Bool().Draw(t, "crossed") {
+		first, second = second, first
+	}
+	second.finish()
+	first.finish()
+	if w.runs > 1 {
+		t.Fatalf("%s ran %d times", w.claim, w.runs)
+	}
+}
+
+func (w *world) draw(t *rapid.T) string {
+	var present []string
+	for _, server := range w.fleets[len(w.fleets)-1].fleet.GetServers() {
+		if server.GetState() != "removed" {
+			present = append(present, server.GetId())
+		}
+	}
+	if len(present) == 0 {
+		return ""
+	}
+	return rapid.SampledFrom(present).Draw(t, "server")
+}
+
+func newNode(now time.Time, isFirst bool) *node {
+	return &node{journal: &claim.Journal{Keep: claim.Window(remember)}, started: now, isFirst: isFirst}
+}
+
+func (n *node) isFirm(now time.Time) bool {
+	return n.isFirst || now.Sub(n.started) >= claim.Window(remember)
+}
+
+// isReady reports whether the sidecar runs claims.
+func (n *node) isReady(now time.Time) bool {
+	return !n.isDown && (n.isFirst || now.Sub(n.started) > claim.Slack)
+}
+
+// attempt is one send of the request to the home that an entry sees.
+type attempt struct {
+	*world
+
+	id    string
+	home  string
+	fleet *statepb.Fleet
+}
+
+func (w *world) begin() *attempt {
+	w.sent++
+	a := &attempt{world: w, id: fmt.Sprintf("request-%d", w.sent), fleet: w.view("home's view")}
+	home := claim.Home(w.claim, w.view("entry's view"))
+	if home == "" || home != claim.Home(w.claim, a.fleet) || !w.nodes[home].isReady(w.now) {
+		return a
+	}
+	if _, isNew, _ := w.nodes[home].journal.Hold(w.claim, claim.NewRecord(a.id, home, ""), w.now); isNew {
+		a.home = home
+	}
+	return a
+}
+
+func (a *attempt) finish() {
+	if a.home == "" {
+		return
+	}
+	switch claim.NewPlan(a.claim, a.fleet, a.now, remember).Check(a.ask) {
+	case claim.Pass, claim.Alone:
+		a.runs++
+	default:
+	}
+}
+
+func (a *attempt) ask(server string) claim.Answer {
+	node := a.nodes[server]
+	if node.isDown || a.fleet.GetEpoch() < a.view("witness's view").GetEpoch() && server != a.home {
+		return claim.Silent
+	}
+	if server != a.home {
+		if _, isNew, _ := node.journal.Hold(a.claim, claim.NewRecord(a.id, a.home, ""), a.now); !isNew {
+			return claim.KnownThere
+		}
+		if rapid.IntRange(0, 9).Draw(a.T, "lost reply") == 0 {
+			return claim.Silent
+		}
+	}
+	if !node.isFirm(a.now) {
+		return claim.KeptUnsure
+	}
+	return claim.Kept
+}
+
+// A volunteer's hours are posted twice: the retry of a posting reaches another
+// sidecar than the first send, since servers joined, left or lost their memory
+// in between, and that sidecar does not find the claim. Whatever the order of
+// such changes, a claim runs at most once within the time that retries may come.
+func TestClaimRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"add":     w.Add,
+			"advance": w.Advance,
+			"crash":   w.Crash,
+			"remove":  w.Remove,
+			"send":    w.Send,
+			"resend":  w.Send,
+			"restart": w.Restart,
+		})
+	})
+}
--- /dev/null
+++ b/internal/entry/claims.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/claim"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+)
+
+// Peers reaches the sidecars of other backend servers.
+type Peers interface {
+	// Claim asks a server's sidecar to keep a claim.
+	Claim(ctx context.Context, server string, request *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
+}
+
+// Membership is what is known of the pool's servers and of earlier processes.
+type Membership interface {
+	// Fleet returns the pool's servers, or nil if they are not known.
+	Fleet(pool string) *statepb.Fleet
+	// IsFirst reports whether no earlier process stood beside this backend server.
+	IsFirst() bool
+	// Others returns the number of other sidecars of the pool that are known.
+	Others(pool string) int
+}
+
+// Claims keeps the claims of idempotency keys, as a home and as a witness.
+// Exported fields are set before the first request.
+type Claims struct {
+	// Server is the identity of the backend server, Pool what it serves.
+	Server string
+	Pool   string
+
+	Members Membership
+	Peers   Peers
+	// Remember is how long after a request its retries may come.
+	Remember time.Duration
+	// Started is when this process began to keep claims.
+	Started time.Time
+	// RunAlone says whether a claim runs while no other server can witness it.
+	RunAlone bool
+
+	mutex   sync.Mutex
+	journal claim.Journal
+}
+
+// hold keeps a request's claim or finds out which run has it. It returns nil
+// and no refusal if the request itself has the claim.
+func (c *Claims) hold(request *peerpb.RunRequest, find func(id string) *run) (*run, *refusal.Error) {
+	if refused := c.checkNew(request); refused != nil {
+		return nil, refused
+	}
+	record, isNew, err := c.keep(request.GetClaim(), claim.NewRecord(request.GetId(), c.Server, digest(request)))
+	if err != nil {
+		return nil, refusal.NotRun(http.StatusServiceUnavailable, "memory_full", "%v", err).After(retryElsewhere)
+	}
+	known := find(record.ID())
+	switch {
+	case isNew:
+		return nil, nil
+	case record.Server() != c.Server:
+		return nil, refusal.Unknown(http.StatusConflict, "claimed_elsewhere", "the idempotency key was used for a request to %s", record.Server())
+	case record.Digest() != digest(request):
+		return nil, refusal.NotRun(http.StatusUnprocessableEntity, "key_reused", "the idempotency key was used for another request")
+	case known == nil:
+		return nil, refusal.Unknown(http.StatusBadGateway, "not_known", "the idempotency key was used and its answer is not known any more")
+	case known.isNotRun():
+		c.journal.Renew(request.GetClaim(), request.GetId(), time.Now())
+		return nil, nil
+	default:
+		return known, nil
+	}
+}
+
+// checkNew refuses a new claim whose home is elsewhere before it waits in the queue.
+func (c *Claims) checkNew(request *peerpb.RunRequest) *refusal.Error {
+	fleet := c.Members.Fleet(c.Pool)
+	if _, known := c.journal.Find(request.GetClaim()); known || fleet == nil {
+		return nil
+	}
+	return c.checkHome(request, fleet)
+}
+
+// confirm asks the other sidecars that may know the claim, and its witness to
+// keep it. It is called just before the request is passed on.
+func (c *Claims) confirm(ctx context.Context, request *peerpb.RunRequest) *refusal.Error {
+	now := time.Now()
+	if !c.isFirm(now) && now.Sub(c.Started) < claim.Slack {
+		return refusal.NotRun(http.StatusServiceUnavailable, "restarted", "the sidecar of %s has just started and learns what ran before", c.Server).After(retryElsewhere)
+	}
+	fleet := c.Members.Fleet(c.Pool)
+	if fleet == nil {
+		return c.confirmWithoutFleet(now)
+	}
+	if refused := c.checkHome(request, fleet); refused != nil {
+		return refused
+	}
+	plan := claim.NewPlan(request.GetClaim(), fleet, now, c.Remember)
+	verdict := plan.Check(func(server string) claim.Answer { return c.ask(ctx, request, server, fleet.GetEpoch()) })
+	return c.refuse(verdict)
+}
+
+// checkHome refuses a claim whose home is another server by this process's view.
+func (c *Claims) checkHome(request *peerpb.RunRequest, fleet *statepb.Fleet) *refusal.Error {
+	if home := claim.Home(request.GetClaim(), fleet); home != c.Server {
+		return refusal.NotRun(http.StatusServiceUnavailable, "wrong_home", "requests with this idempotency key go to %q by epoch %d", home, fleet.GetEpoch()).After(retryElsewhere)
+	}
+	if request.GetEpoch() != fleet.GetEpoch() {
+		return refusal.NotRun(http.StatusServiceUnavailable, "wrong_epoch", "sent by epoch %d, now is %d", request.GetEpoch(), fleet.GetEpoch()).After(retryElsewhere)
+	}
+	return nil
+}
+
+// confirmWithoutFleet decides while the pool's servers are not known.
+func (c *Claims) confirmWithoutFleet(now time.Time) *refusal.Error {
+	switch {
+	case c.Members.Others(c.Pool) > 0:
+		return refusal.NotRun(http.StatusServiceUnavailable, "no_fleet", "the servers of %s are not known yet", c.Pool).After(retryElsewhere)
+	case !c.isFirm(now):
+		return c.refuse(claim.Lost)
+	default:
+		return c.refuse(claim.Alone)
+	}
+}
+
+func (c *Claims) refuse(verdict claim.Verdict) *refusal.Error {
+	switch {
+	case verdict == claim.Pass, verdict == claim.Alone && c.RunAlone:
+		return nil
+	case verdict == claim.Known:
+		return refusal.Unknown(http.StatusConflict, "claimed_elsewhere", "the idempotency key was used for a request to another server")
+	case verdict == claim.Lost:
+		return refusal.Unknown(http.StatusServiceUnavailable, "claim_lost", "the servers that may have run a request with this idempotency key are gone")
+	default:
+		return refusal.NotRun(http.StatusServiceUnavailable, "no_witness", "no other server can witness the request").After(retryElsewhere)
+	}
+}
+
+// ask asks a server's sidecar, which may be this one, to keep the claim.
+func (c *Claims) ask(ctx context.Context, request *peerpb.RunRequest, server string, epoch uint64) claim.Answer {
+	if server == c.Server {
+		return firmness(c.isFirm(time.Now()))
+	}
+	reply, err := c.Peers.Claim(ctx, server, peerpb.ClaimRequest_builder{
+		Claim: request.GetClaim(), Server: c.Server, Pool: c.Pool, Epoch: epoch, Id: request.GetId(),
+	}.Build())
+	switch {
+	case err != nil || reply.HasRefusal():
+		return claim.Silent
+	case !reply.GetRecorded() && !c.isOwnVoid(request.GetClaim(), reply):
+		return claim.KnownThere
+	default:
+		return firmness(c.hasAllMemory(reply.GetSince()))
+	}
+}
+
+// isOwnVoid reports whether a witness knows the claim from a request of this
+// process that was proved not to have run.
+func (c *Claims) isOwnVoid(key string, reply *peerpb.ClaimReply) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	record, known := c.journal.Find(key)
+	return known && reply.GetServer() == c.Server && record.IsVoid(reply.GetId())
+}
+
+// witness keeps a claim for another server's request. A claim that a request
+// here has given up without having run is taken over.
+func (c *Claims) witness(request *peerpb.ClaimRequest, find func(id string) *run) *peerpb.ClaimReply {
+	if request.GetPool() != c.Pool {
+		return refuseClaim("wrong_pool", "%s serves %s", c.Server, c.Pool)
+	}
+	if epoch := c.Members.Fleet(c.Pool).GetEpoch(); request.GetEpoch() < epoch {
+		return refuseClaim("wrong_epoch", "sent by epoch %d, now is %d", request.GetEpoch(), epoch)
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	record, isNew, err := c.keep(request.GetClaim(), claim.NewRecord(request.GetId(), request.GetServer(), ""))
+	if err != nil {
+		return refuseClaim("memory_full", "%v", err)
+	}
+	if known := find(record.ID()); !isNew && record.Server() == c.Server && known != nil && known.isNotRun() {
+		record, isNew = c.journal.Replace(request.GetClaim(), claim.NewRecord(request.GetId(), request.GetServer(), ""), time.Now()), true
+	}
+	reply := peerpb.ClaimReply_builder{Recorded: isNew, Id: record.ID(), Server: record.Server()}.Build()
+	if !c.isFirm(time.Now()) {
+		reply.SetSince(uint64(c.Started.UnixNano()))
+	}
+	return reply
+}
+
+func (c *Claims) keep(key string, record claim.Record) (claim.Record, bool, error) {
+	c.journal.Keep = claim.Window(c.Remember)
+	return c.journal.Hold(key, record, time.Now())
+}
+
+// isFirm reports whether this process knows every claim that its backend
+// server may have run within the window. One that was started again has lost
+// those of the process before it until their time is over.
+func (c *Claims) isFirm(now time.Time) bool {
+	return now.Sub(c.Started) >= claim.Window(c.Remember) || c.Members.IsFirst()
+}
+
+// hasAllMemory reads the start of a witness's memory; 0 is that of its server.
+func (c *Claims) hasAllMemory(since uint64) bool {
+	return since == 0 || time.Since(time.Unix(0, int64(since))) >= claim.Window(c.Remember)
+}
+
+func firmness(isFirm bool) claim.Answer {
+	if isFirm {
+		return claim.Kept
+	}
+	return claim.KeptUnsure
+}
+
+func refuseClaim(code, format string, arguments ...any) *peerpb.ClaimReply {
+	refused := refusal.NotRun(http.StatusServiceUnavailable, code, format, arguments...)
+	return peerpb.ClaimReply_builder{Refusal: refused.ToMessage()}.Build()
+}
+
+// digest tells requests under one idempotency key apart.
+func digest(request *peerpb.RunRequest) string {
+	sum := sha256.New()
+	for _, part := range [][]byte{[]byte(request.GetMethod()), []byte(request.GetPath()), request.GetBody()} {
+		length := sha256.Sum256(part)
+		_, _ = sum.Write(length[:])
+	}
+	return hex.EncodeToString(sum.Sum(nil))
+}
+
+func isClaimed(request *peerpb.RunRequest) bool {
+	return request.GetClaim() != "" && !request.GetIdempotent()
+}
--- /dev/null
+++ b/internal/entry/claims_test.go
@@ -0,0 +1,139 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const postingAnswer = `{"posting":1}`
+
+// A member's phone sends the same posting twice at once through two entries.
+// Both reach the key's home while the ledger works on the first. The ledger
+// must post once and both phones must see its answer.
+func TestSameKeyAtOnce(t *testing.T) {
+	p := newPool(t, newService(t, true, answerPosting), bound)
+	home, _ := p.home()
+	first := sendAsync(p.clients[home], p.posting("r1"))
+	receive(t, p.arrived)
+	second := sendAsync(p.clients[home], p.posting("r2"))
+	close(p.release)
+	mustBeWhole(t, postingAnswer, receive(t, first))
+	mustBeWhole(t, postingAnswer, receive(t, second))
+	must.Eq(t, 1, p.runs.Load())
+}
+
+// The home's sidecar is killed after the posting was passed on and comes back
+// without memory. The clerk tries again with the same key. Only the witness
+// still knows, and must keep the home from posting again.
+func TestRetryAtRestartedHome(t *testing.T) {
+	p := newPool(t, newService(t, false, answerPosting), bound)
+	home, _ := p.home()
+	mustBeWhole(t, postingAnswer, p.send(home, "r1"))
+	p.start(home, false)
+	mustBeRefused(t, unknown, "claimed_elsewhere", p.send(home, "r2"))
+	must.Eq(t, 1, p.runs.Load())
+}
+
+// The home's host is replaced after the posting ran. The witness becomes the
+// home and must recognise the key that it witnessed.
+func TestRetryAfterHomeRemoved(t *testing.T) {
+	p := newPool(t, newService(t, false, answerPosting), bound)
+	home, witness := p.home()
+	mustBeWhole(t, postingAnswer, p.send(home, "r1"))
+	p.remove(home)
+	mustBeRefused(t, unknown, "claimed_elsewhere", p.send(witness, "r2"))
+	must.Eq(t, 1, p.runs.Load())
+}
+
+// Home and witness lose their memory within minutes. Nobody knows whether the
+// key was used, so it must not run, and the refusal must not say "not run".
+func TestRetryAfterBothRestarted(t *testing.T) {
+	p := newPool(t, newService(t, false, answerPosting), bound)
+	home, witness := p.home()
+	mustBeWhole(t, postingAnswer, p.send(home, "r1"))
+	p.start(home, false)
+	p.start(witness, false)
+	mustBeRefused(t, unknown, "claim_lost", p.send(home, "r2"))
+	must.Eq(t, 1, p.runs.Load())
+}
+
+// The witness doesn't answer. A posting that ran now could not be told from a
+// new one after the loss of its home, so it waits; once the witness is back the
+// same key runs.
+func TestNoWitness(t *testing.T) {
+	p := newPool(t, newService(t, false, answerPosting), bound)
+	home, witness := p.home()
+	known := p.address[witness]
+	p.setAddress(witness, "127.0.0.1:1")
+	mustBeRefused(t, notRun, "no_witness", p.send(home, "r1"))
+	must.Eq(t, 0, p.runs.Load())
+	p.setAddress(witness, known)
+	mustBeWhole(t, postingAnswer, p.send(home, "r2"))
+}
+
+// An entry with an old view sends a posting to a server that isn't its home.
+// The refusal must leave no trace that keeps the true home from running it.
+func TestWrongHome(t *testing.T) {
+	p := newPool(t, newService(t, false, answerPosting), bound)
+	home, witness := p.home()
+	mustBeRefused(t, notRun, "wrong_home", p.send(witness, "r1"))
+	old := p.posting("r1")
+	old.SetEpoch(0)
+	mustBeRefused(t, notRun, "wrong_epoch", send(p.clients[home], old))
+	mustBeWhole(t, postingAnswer, p.send(home, "r1"))
+	must.Eq(t, 1, p.runs.Load())
+}
+
+// The ledger goes silent after it was sent the posting. Whether it posted can't
+// be known, and a retry with the same key must say so again without a second run.
+func TestSilentAfterSend(t *testing.T) {
+	p := newPool(t, newService(t, true, answerPosting), 200*time.Millisecond)
+	home, _ := p.home()
+	mustBeRefused(t, unknown, "backend_silent", p.send(home, "r1"))
+	mustBeRefused(t, unknown, "backend_silent", p.send(home, "r2"))
+	must.Eq(t, 1, p.runs.Load())
+}
+
+// A posting is given up while it waits in the queue, and says "not run". The
+// retry with the same key must then run.
+func TestRetryAfterNotRun(t *testing.T) {
+	p := newPool(t, newService(t, true, answerPosting), bound)
+	home, _ := p.home()
+	running := sendAsync(p.clients[home], posting("running"))
+	receive(t, p.arrived)
+	mustCancelled(t, p, home)
+	close(p.release)
+	receive(t, running)
+	mustBeWhole(t, postingAnswer, p.send(home, "r2"))
+	must.Eq(t, 2, p.runs.Load())
+}
+
+// mustCancelled sends a posting with the key that waits, and cancels it.
+func mustCancelled(t *testing.T, p *pool, home string) {
+	t.Helper()
+	waiting := sendAsync(p.clients[home], p.posting("r1"))
+	mustCancel(t, p.clients[home], "r1")
+	mustBeRefused(t, notRun, "cancelled", receive(t, waiting))
+}
+
+func TestKeyReused(t *testing.T) {
+	p := newPool(t, newService(t, false, answerPosting), bound)
+	home, _ := p.home()
+	mustBeWhole(t, postingAnswer, p.send(home, "r1"))
+	other := p.posting("r2")
+	other.SetBody([]byte(`{"member":"m","hours":2}`))
+	mustBeRefused(t, notRun, "key_reused", send(p.clients[home], other))
+}
+
+func TestAlone(t *testing.T) {
+	p := newPool(t, newService(t, false, answerPosting), bound)
+	p.setFleet("live")
+	mustBeWhole(t, postingAnswer, p.send("s1", "r1"))
+}
+
+func (p *pool) remove(server string) {
+	states := map[string][]string{"s1": {"removed", "live"}, "s2": {"live", "removed"}}
+	p.setFleet(states[server]...)
+}
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -32,11 +32,22 @@
 	if refused := s.gate.enter(ctx, share); refused != nil {
 		return nil, refused
 	}
-	end, err := s.pass(ctx, run)
+	end, err := s.confirmAndPass(ctx, run)
 	s.gate.leave(share, trueCost(share, end))
 	return end, err
 }
 
+// confirmAndPass passes the request on once its claim, if it has one, is kept
+// by its witness.
+func (s *Server) confirmAndPass(ctx context.Context, run *run) (*peerpb.End, error) {
+	if isClaimed(run.request) {
+		if refused := s.Claims.confirm(ctx, run.request); refused != nil {
+			return nil, refused
+		}
+	}
+	return s.pass(ctx, run)
+}
+
 // pass gives the request to the backend server. That it was passed is noted
 // before: a sidecar that noted it afterwards could say "not run" of a request
 // that the backend server is running.
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+)
+
+// claimTimeout is the longest wait for a witness.
+const claimTimeout = time.Second
+
+// ProcessTable knows the processes of the system.
+type ProcessTable interface {
+	Processes(role peerpb.Role) []*peerpb.Process
+}
+
+// Sidecars reaches the sidecars of other backend servers over gRPC.
+// Exported fields are set before the first call.
+type Sidecars struct {
+	Members     ProcessTable
+	Credentials credentials.TransportCredentials
+
+	mutex       sync.Mutex
+	connections map[string]*peer
+}
+
+// peer is a connection to a server's sidecar.
+type peer struct {
+	address    string
+	connection *grpc.ClientConn
+}
+
+var _ Peers = &Sidecars{}
+
+// Claim asks a server's sidecar to keep a claim. It is asked once: a lost
+// answer leaves the claim kept there, which is safe.
+func (s *Sidecars) Claim(ctx context.Context, server string, request *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	connection, err := s.connect(server)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	reply, err := peerpb.NewSidecarClient(connection).Claim(ctx, request)
+	return reply, eris.Wrapf(err, "claim at %s", server)
+}
+
+func (s *Sidecars) connect(server string) (*grpc.ClientConn, error) {
+	address := s.address(server)
+	if address == "" {
+		return nil, eris.Errorf("the sidecar of %s is not known", server)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known := s.connections[server]
+	if known != nil && known.address == address {
+		return known.connection, nil
+	}
+	connection, err := listen.Dial(address, s.Credentials)
+	if err != nil {
+		return nil, err
+	}
+	if known != nil {
+		_ = known.connection.Close()
+	}
+	if s.connections == nil {
+		s.connections = map[string]*peer{}
+	}
+	s.connections[server] = &peer{address: address, connection: connection}
+	return connection, nil
+}
+
+func (s *Sidecars) address(server string) string {
+	for _, process := range s.Members.Processes(peerpb.Role_ROLE_SIDECAR) {
+		if process.GetServer() == server {
+			return process.GetAddress()
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/entry/pool_test.go
@@ -0,0 +1,142 @@
+package entry_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/backend"
+	"github.com/bramleyhatch/bramleyhatch/internal/claim"
+	"github.com/bramleyhatch/bramleyhatch/internal/entry"
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+)
+
+const key = "key-1"
+
+// pool is two sidecars in two zones beside one fake ledger.
+type pool struct {
+	*service
+
+	t       *testing.T
+	silence time.Duration
+	fleet   atomic.Pointer[statepb.Fleet]
+	mutex   sync.Mutex
+	address map[string]string
+	clients map[string]peerpb.SidecarClient
+}
+
+func newPool(t *testing.T, service *service, silence time.Duration) *pool {
+	t.Helper()
+	p := &pool{service: service, t: t, silence: silence, address: map[string]string{}, clients: map[string]peerpb.SidecarClient{}}
+	p.setFleet("live", "live")
+	p.start("s1", true)
+	p.start("s2", true)
+	return p
+}
+
+// setFleet sets the states of the two servers since long ago, and raises the epoch.
+func (p *pool) setFleet(states ...string) {
+	fleet := &statepb.Fleet{}
+	for i, state := range states {
+		id, zone := []string{"s1", "s2"}[i], []string{"a", "b"}[i]
+		server := statepb.Server_builder{Id: id, Zone: zone, State: state, Born: 1, Since: 1}.Build()
+		if state == "removed" {
+			server.SetSince(time.Now().Unix())
+		}
+		fleet.SetServers(append(fleet.GetServers(), server))
+	}
+	fleet.SetEpoch(p.fleet.Load().GetEpoch() + 1)
+	p.fleet.Store(fleet)
+}
+
+// start starts a sidecar; one that isn't the first has lost its memory.
+func (p *pool) start(id string, isFirst bool) {
+	plain := &backend.Plain{}
+	plain.Address, plain.Name, plain.Silence = p.URL, id, p.silence
+	server := &entry.Server{
+		Name: id, Pool: "ledger", Backend: plain, Loads: loads{},
+		Slots: 1, Queue: 1, Remember: time.Minute, Beat: 20 * time.Millisecond,
+	}
+	server.Claims = &entry.Claims{
+		Server: id, Pool: "ledger", Members: &members{pool: p, isFirst: isFirst}, Peers: &entry.Sidecars{Members: p},
+		Remember: time.Minute, Started: time.Now().Add(-claim.Slack), RunAlone: true,
+	}
+	p.serve(id, server)
+}
+
+func (p *pool) serve(id string, server *entry.Server) {
+	server.Open()
+	ctx, cancel := context.WithCancel(context.Background())
+	address := make(chan string, 1)
+	stopped := make(chan error, 1)
+	listener := &listen.GRPC{
+		Address:   "127.0.0.1:0",
+		Register:  func(registrar grpc.ServiceRegistrar) { peerpb.RegisterSidecarServer(registrar, server) },
+		Listening: func(chosen string) { address <- chosen },
+	}
+	go func() { stopped <- listener.Run(ctx, time.Millisecond) }()
+	p.setAddress(id, <-address)
+	connection, err := listen.Dial(p.address[id], nil)
+	must.NoError(p.t, err)
+	p.clients[id] = peerpb.NewSidecarClient(connection)
+	p.t.Cleanup(func() {
+		cancel()
+		must.NoError(p.t, <-stopped)
+		must.NoError(p.t, connection.Close())
+	})
+}
+
+func (p *pool) setAddress(id, address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.address[id] = address
+}
+
+// Processes returns the sidecars with their addresses.
+func (p *pool) Processes(peerpb.Role) []*peerpb.Process {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var found []*peerpb.Process
+	for id, address := range p.address {
+		found = append(found, peerpb.Process_builder{Server: id, Address: address}.Build())
+	}
+	return found
+}
+
+// home returns the claim's home and its witness by the present fleet.
+func (p *pool) home() (home, witness string) {
+	return claim.Home(key, p.fleet.Load()), claim.Witness(key, p.fleet.Load())
+}
+
+// send sends a posting with the key to a server, as an entry with the present fleet does.
+func (p *pool) send(server, id string) answer {
+	return send(p.clients[server], p.posting(id))
+}
+
+func (p *pool) posting(id string) *peerpb.RunRequest {
+	request := posting(id)
+	request.SetClaim(key)
+	request.SetEpoch(p.fleet.Load().GetEpoch())
+	return request
+}
+
+// members is what one sidecar of the pool knows.
+type members struct {
+	*pool
+
+	isFirst bool
+}
+
+var _ entry.Membership = &members{}
+
+func (m *members) Fleet(string) *statepb.Fleet { return m.fleet.Load() }
+func (m *members) IsFirst() bool               { return m.isFirst }
+func (m *members) Others(string) int           { return 1 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -59,6 +59,9 @@
 	Backend   Backend
 	Decisions *decision.Log
 	Loads     LoadTable
+	// Claims keeps the claims of idempotency keys; without it requests that come
+	// with one are refused.
+	Claims *Claims
 	// Counter may be nil.
 	Counter Counter
 	// Slots are the requests passed to the backend server at the same time.
@@ -88,6 +91,16 @@
 	return peerpb.CancelReply_builder{Known: true}.Build(), nil
 }
 
+// Claim keeps a claim as the witness of another server's request.
+func (s *Server) Claim(_ context.Context, request *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	if s.Claims == nil {
+		return refuseClaim("no_claims", "%s keeps no claims", s.Name), nil
+	}
+	reply := s.Claims.witness(request, s.registry.find)
+	s.Decisions.Record(request.GetId(), "backend", "claim for %s witnessed here: new %t, held by %s", request.GetServer(), reply.GetRecorded(), reply.GetId())
+	return reply, nil
+}
+
 // Run starts a request, or joins the one known under its identity, and streams
 // its frames from a position.
 func (s *Server) Run(request *peerpb.RunRequest, stream grpc.ServerStreamingServer[peerpb.Frame]) error {
@@ -119,6 +132,8 @@
 	switch {
 	case request.GetId() == "":
 		return refusal.NotRun(http.StatusBadRequest, "no_id", "the request has no identity")
+	case isClaimed(request) && s.Claims == nil:
+		return refusal.NotRun(http.StatusServiceUnavailable, "no_claims", "%s keeps no claims", s.Name)
 	case request.GetPool() != s.Pool:
 		return refusal.NotRun(http.StatusServiceUnavailable, "wrong_pool", "%s serves %s", s.Name, s.Pool).After(retryElsewhere)
 	default:
@@ -126,11 +141,39 @@
 	}
 }
 
-// join returns the run of the request's identity and starts it if it is new.
+// join returns the run of the request's identity or claim and starts it if it is new.
 func (s *Server) join(request *peerpb.RunRequest) (*run, *refusal.Error) {
 	if refused := s.check(request); refused != nil {
 		return nil, refused
 	}
+	if !isClaimed(request) {
+		return s.joinIdentity(request)
+	}
+	s.Claims.mutex.Lock()
+	defer s.Claims.mutex.Unlock()
+	return s.joinClaim(request)
+}
+
+// joinClaim returns the run that has the request's claim. The same key sent
+// twice at once finds the first run here, whichever entry it came through.
+func (s *Server) joinClaim(request *peerpb.RunRequest) (*run, *refusal.Error) {
+	if known := s.registry.find(request.GetId()); known != nil && !known.isNotRun() {
+		return s.joinIdentity(request)
+	}
+	run, refused := s.Claims.hold(request, s.registry.find)
+	switch {
+	case refused != nil:
+		s.Decisions.Record(request.GetId(), "backend", "refused, %v", refused)
+		return nil, refused
+	case run != nil:
+		s.Decisions.Record(request.GetId(), "backend", "joined %s by its claim", run.id)
+		return run, nil
+	default:
+		return s.joinIdentity(request)
+	}
+}
+
+func (s *Server) joinIdentity(request *peerpb.RunRequest) (*run, *refusal.Error) {
 	run, isNew, refused := s.registry.join(request)
 	if refused != nil {
 		s.Decisions.Record(request.GetId(), "backend", "refused, %v", refused)
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -161,6 +161,7 @@
 }
 
 func (m *Members) mergeProcess(process *peerpb.Process) {
+	m.ancestry.note(m.self, process)
 	known := m.processes[process.GetName()]
 	if known != nil && !isNewer(process, known) {
 		return
