--- a/internal/entry/claims_test.go
+++ b/internal/entry/claims_test.go
@@ -73,6 +73,19 @@
 	mustBeWhole(t, postingAnswer, p.send(home, "r2"))
 }
 
+// The witness keeps the claim and its answer gets lost. The posting does not
+// run; the retry meets the claim at the witness and must still run, since its
+// home knows that the first send was given up.
+func TestWitnessAnswerLost(t *testing.T) {
+	p := newPool(t, newService(t, false, answerPosting), bound)
+	home, _ := p.home()
+	p.losing.Store(true)
+	mustBeRefused(t, notRun, "no_witness", p.send(home, "r1"))
+	p.losing.Store(false)
+	mustBeWhole(t, postingAnswer, p.send(home, "r2"))
+	must.Eq(t, 1, p.runs.Load())
+}
+
 // An entry with an old view sends a posting to a server that isn't its home.
 // The refusal must leave no trace that keeps the true home from running it.
 func TestWrongHome(t *testing.T) {
--- a/internal/entry/pool_test.go
+++ b/internal/entry/pool_test.go
@@ -27,6 +27,8 @@
 
 	t       *testing.T
 	silence time.Duration
+	// losing makes the answers of witnesses get lost.
+	losing  atomic.Bool
 	fleet   atomic.Pointer[statepb.Fleet]
 	mutex   sync.Mutex
 	address map[string]string
@@ -66,7 +68,7 @@
 		Slots: 1, Queue: 1, Remember: time.Minute, Beat: 20 * time.Millisecond,
 	}
 	server.Claims = &entry.Claims{
-		Server: id, Pool: "ledger", Members: &members{pool: p, isFirst: isFirst}, Peers: &entry.Sidecars{Members: p},
+		Server: id, Pool: "ledger", Members: &members{pool: p, isFirst: isFirst}, Peers: &lossy{Sidecars: &entry.Sidecars{Members: p}, pool: p},
 		Remember: time.Minute, Started: time.Now().Add(-claim.Slack), RunAlone: true,
 	}
 	p.serve(id, server)
@@ -140,3 +142,18 @@
 func (m *members) Fleet(string) *statepb.Fleet { return m.fleet.Load() }
 func (m *members) IsFirst() bool               { return m.isFirst }
 func (m *members) Others(string) int           { return 1 }
+
+// lossy reaches the other sidecar; the answer gets lost while the pool says so.
+type lossy struct {
+	*entry.Sidecars
+
+	pool *pool
+}
+
+func (l *lossy) Claim(ctx context.Context, server string, request *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	reply, err := l.Sidecars.Claim(ctx, server, request)
+	if l.pool.losing.Load() {
+		return nil, context.DeadlineExceeded
+	}
+	return reply, err
+}
