Follow an answer over several connections, and say truly what ran

Cause: a stream that broke, fell silent or mixed with another one gave a part of an answer, or nothing until gRPC's own pings ended it after 13 s; a request that never left was answered with outcome unknown. Ruled out: gRPC's keepalive alone (least 10 s, and it can't tell a frozen sidecar); the generated client's Run, whose one error hides whether the request was written; retries without a budget. Change: frames are checked against identity and number; silence, a gap, a cut or a false end resume on a new connection from the position, under the same identity and marked as a resend. A dead sidecar's request runs elsewhere only if it is idempotent, nothing of it was seen and the retry budget allows it. Cancellations go through a bounded queue. The choice of a server is pure, in internal/route.

--- a/internal/bramleyhatch/entrycallers.go
+++ b/internal/bramleyhatch/entrycallers.go
@@ -8,6 +8,8 @@
 
 // addCallers adds the callers' interface and the connections to sidecars.
 func (e *Entry) addCallers() {
+	e.pool.Metrics = e.Metrics
+	e.AddDuty("route", e.pool.Serve)
 	settings := e.Settings.GetCaller()
 	handler := &caller.Handler{
 		Grants:       e.view,
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -24,6 +24,8 @@
 type answer interface {
 	// take writes a frame or keeps it.
 	take(frame *peerpb.Frame) error
+	// restart forgets what was taken; it reports false if a part was written.
+	restart() bool
 	// end writes what closes the answer.
 	end(end *peerpb.End) error
 	// fail closes an answer that has begun; it reports false if nothing of it was written.
@@ -95,7 +97,7 @@
 	request.SetPriority(c.grant.Plan().GetPriority())
 	request.SetTimeout(durationpb.New(c.handler.Timeout))
 	c.handler.Decisions.Record(c.id, "caller", "%s of account %s for %s is taken", request.GetKind(), c.grant.Account(), c.pool)
-	end, err := c.handler.Runner.Run(c.ctx, request, answer.take)
+	end, err := c.handler.Runner.RunRestartable(c.ctx, request, answer.take, answer.restart)
 	if err != nil {
 		return c.explain(err)
 	}
--- a/internal/caller/eventanswer.go
+++ b/internal/caller/eventanswer.go
@@ -51,6 +51,10 @@
 	return true
 }
 
+func (a *eventAnswer) restart() bool {
+	return !a.begun
+}
+
 func (a *eventAnswer) take(frame *peerpb.Frame) error {
 	return a.part(string(frame.GetChunk().GetData()), nil)
 }
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -35,7 +35,7 @@
 
 // Runner runs requests at backend servers.
 type Runner interface {
-	Run(ctx context.Context, request *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error)
+	RunRestartable(ctx context.Context, request *peerpb.RunRequest, sink sidecar.Sink, restart sidecar.Restart) (*peerpb.End, error)
 }
 
 var _ Runner = &sidecar.Pool{}
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -38,7 +38,7 @@
 	seen  []*peerpb.RunRequest
 }
 
-func (r *runner) Run(ctx context.Context, request *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error) {
+func (r *runner) RunRestartable(ctx context.Context, request *peerpb.RunRequest, sink sidecar.Sink, _ sidecar.Restart) (*peerpb.End, error) {
 	r.mutex.Lock()
 	r.seen = append(r.seen, request)
 	r.mutex.Unlock()
--- a/internal/caller/jsonanswer.go
+++ b/internal/caller/jsonanswer.go
@@ -30,6 +30,11 @@
 
 func (a *jsonAnswer) fail(*refusal.Error) bool { return false }
 
+func (a *jsonAnswer) restart() bool {
+	a.text.Reset()
+	return true
+}
+
 func (a *jsonAnswer) take(frame *peerpb.Frame) error {
 	if a.text.Len()+len(frame.GetChunk().GetData()) > maxAnswerBytes {
 		return refusal.Unknown(http.StatusBadGateway, "answer_too_large", "the answer is larger than %d bytes", maxAnswerBytes)
--- a/internal/caller/plainanswer.go
+++ b/internal/caller/plainanswer.go
@@ -50,6 +50,14 @@
 	return false
 }
 
+func (a *plainAnswer) restart() bool {
+	if a.begun {
+		return false
+	}
+	a.head, a.held = nil, nil
+	return true
+}
+
 func (a *plainAnswer) take(frame *peerpb.Frame) error {
 	if frame.WhichPart() == peerpb.Frame_Head_case {
 		a.head = frame.GetHead()
--- /dev/null
+++ b/internal/route/chooser.go
@@ -0,0 +1,211 @@
+package route
+
+import (
+	"math/rand/v2"
+)
+
+const (
+	// DefaultPrefixBytes of a prompt decide its server; requests of one
+	// assistant share their first bytes and so the engine's cache.
+	DefaultPrefixBytes = 256
+	// DefaultBound is how much above the mean utilization a server of a prefix may be.
+	DefaultBound = 1.25
+	// ranks is the number of servers that a prefix may spill over to.
+	ranks = 3
+	// draws is the number of random servers compared.
+	draws = 2
+	// zoneMargin is the utilization by which another zone must be better.
+	zoneMargin = 0.25
+)
+
+// Reason names why a server was chosen.
+type Reason string
+
+// Reasons.
+const (
+	ReasonNone    Reason = "none gets new work"
+	ReasonPrefix  Reason = "first for the prefix"
+	ReasonSpill   Reason = "next for the prefix, the first is above the bound"
+	ReasonDraws   Reason = "less loaded of two random ones"
+	ReasonZone    Reason = "less loaded of two random ones of the zone"
+	ReasonAway    Reason = "of another zone, this one is loaded"
+	ReasonSuspect Reason = "suspected, no open one is left"
+)
+
+// Choice is the server chosen and why.
+type Choice struct {
+	// Server is nil if none gets new work.
+	Server *Server
+	Reason Reason
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	// Prefix is the hash of the prompt's first bytes; 0 if there is none.
+	Prefix uint64
+	// Version is the oldest weight version wanted; 0 takes any.
+	Version uint64
+	// Tried holds the servers that are not to be chosen; nil for none.
+	Tried map[string]bool
+}
+
+// Chooser chooses servers. Exported fields are set before the first choice.
+// It is not safe for concurrent use.
+type Chooser struct {
+	// Region and Zone of this entry.
+	Region string
+	Zone   string
+	// Bound is how much above the mean utilization a prefix's server may be;
+	// 0 takes DefaultBound.
+	Bound float64
+	// Random draws; nil takes the process's own.
+	Random *rand.Rand
+
+	eligible []*Server
+	near     []*Server
+}
+
+// Choose returns the server for a request. With a prefix it prefers the servers
+// that rank first for it, which all entries agree on without a word; with none,
+// or where those are loaded, it takes the less loaded of two random servers,
+// of this zone first.
+func (c *Chooser) Choose(servers []*Server, request Request) Choice {
+	c.gather(servers, request, Open)
+	if len(c.eligible) == 0 {
+		return c.chooseSuspect(servers, request)
+	}
+	if request.Prefix != 0 {
+		if choice := c.byPrefix(request.Prefix); choice.Server != nil {
+			return choice
+		}
+		return Choice{Server: c.draw(c.eligible), Reason: ReasonDraws}
+	}
+	return c.byZone()
+}
+
+// gather keeps the servers that may be chosen, those of this region if there are any.
+func (c *Chooser) gather(servers []*Server, request Request, worst Standing) {
+	c.eligible = c.eligible[:0]
+	c.near = c.near[:0]
+	for _, server := range servers {
+		if !mayRun(server, request, worst) {
+			continue
+		}
+		if server.region == c.Region {
+			c.near = append(c.near, server)
+		} else {
+			c.eligible = append(c.eligible, server)
+		}
+	}
+	if len(c.near) > 0 {
+		c.eligible = append(c.eligible[:0], c.near...)
+	}
+	c.near = c.near[:0]
+	for _, server := range c.eligible {
+		if server.zone == c.Zone {
+			c.near = append(c.near, server)
+		}
+	}
+}
+
+func mayRun(server *Server, request Request, worst Standing) bool {
+	if server.standing > worst || request.Tried[server.name] {
+		return false
+	}
+	return request.Version == 0 || server.report.Version == 0 || server.report.Version >= request.Version
+}
+
+func (c *Chooser) chooseSuspect(servers []*Server, request Request) Choice {
+	c.gather(servers, request, Suspect)
+	if len(c.eligible) == 0 {
+		return Choice{Reason: ReasonNone}
+	}
+	return Choice{Server: c.draw(c.eligible), Reason: ReasonSuspect}
+}
+
+// byPrefix returns the first server by rank that is within the bound, or none.
+func (c *Chooser) byPrefix(prefix uint64) Choice {
+	ranked := rank(c.eligible, prefix)
+	limit := c.limit()
+	for i, server := range ranked {
+		if server == nil {
+			break
+		}
+		if server.Load() < server.Slots() && i == 0 || server.Utilization() <= limit {
+			return Choice{Server: server, Reason: prefixReason(i)}
+		}
+	}
+	return Choice{}
+}
+
+func prefixReason(rank int) Reason {
+	if rank == 0 {
+		return ReasonPrefix
+	}
+	return ReasonSpill
+}
+
+// limit returns the utilization up to which a prefix keeps its server.
+func (c *Chooser) limit() float64 {
+	bound := c.Bound
+	if bound == 0 {
+		bound = DefaultBound
+	}
+	var load, slots int64
+	for _, server := range c.eligible {
+		load += server.Load()
+		slots += server.Slots()
+	}
+	return bound * float64(load+1) / float64(slots)
+}
+
+// rank returns the servers that score highest with a prefix. When a server
+// comes or goes, only the prefixes that it ranks first for move.
+func rank(servers []*Server, prefix uint64) [ranks]*Server {
+	var best [ranks]*Server
+	var scores [ranks]uint64
+	for _, server := range servers {
+		score := mix(server.hash, prefix)
+		for at := range best {
+			if best[at] == nil || score > scores[at] {
+				copy(best[at+1:], best[at:])
+				copy(scores[at+1:], scores[at:])
+				best[at], scores[at] = server, score
+				break
+			}
+		}
+	}
+	return best
+}
+
+// byZone draws in this zone, and elsewhere if that is clearly less loaded.
+func (c *Chooser) byZone() Choice {
+	if len(c.near) == 0 {
+		return Choice{Server: c.draw(c.eligible), Reason: ReasonDraws}
+	}
+	near := c.draw(c.near)
+	away := c.draw(c.eligible)
+	if near.Load() >= near.Slots() && away.Utilization()+zoneMargin < near.Utilization() {
+		return Choice{Server: away, Reason: ReasonAway}
+	}
+	return Choice{Server: near, Reason: ReasonZone}
+}
+
+// draw returns the less loaded of two random servers.
+func (c *Chooser) draw(servers []*Server) *Server {
+	best := servers[c.random(len(servers))]
+	for range draws - 1 {
+		other := servers[c.random(len(servers))]
+		if other.Utilization() < best.Utilization() {
+			best = other
+		}
+	}
+	return best
+}
+
+func (c *Chooser) random(n int) int {
+	if c.Random == nil {
+		return rand.IntN(n)
+	}
+	return c.Random.IntN(n)
+}
--- /dev/null
+++ b/internal/route/server.go
@@ -0,0 +1,125 @@
+// Package route chooses the backend server for a request. It holds the pure
+// decision: what it knows is handed in, and nothing is sent from here.
+package route
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// assumedSlots stands for the slots of a server that has not told them yet.
+const assumedSlots = 8
+
+// Standing says whether a server gets new work.
+type Standing int
+
+// Standings, the better ones first.
+const (
+	// Open servers get new work.
+	Open Standing = iota
+	// Suspect servers get new work only where no open one is left.
+	Suspect
+	// Closed servers are draining, have left or have failed, and get nothing.
+	Closed
+)
+
+// Report is a load report of a server, which lags.
+type Report struct {
+	Seq     uint64
+	Running int64
+	Queued  int64
+	Slots   int64
+	// Version of the weights; 0 for plain services.
+	Version uint64
+}
+
+// Server is what one entry knows of a backend server.
+// It is not safe for concurrent use.
+type Server struct {
+	name     string
+	region   string
+	zone     string
+	hash     uint64
+	standing Standing
+	report   Report
+	// own counts this entry's running requests; sent and ended count since the report.
+	own   int64
+	sent  int64
+	ended int64
+}
+
+// NewServer returns an open server of which no load is known.
+func NewServer(name, region, zone string) *Server {
+	return &Server{name: name, region: region, zone: zone, hash: Hash([]byte(name))}
+}
+
+// Begin counts a request sent to the server.
+func (s *Server) Begin() {
+	s.own++
+	s.sent++
+}
+
+// Finish counts the end of a request.
+func (s *Server) Finish() {
+	s.own--
+	s.ended++
+}
+
+// Load estimates the requests that run or wait at the server now: those of the
+// last report with this entry's own since then, and never fewer than its own.
+//
+// Without the own ones, all requests between two reports would go to the server
+// that was the emptiest at the first of them.
+func (s *Server) Load() int64 {
+	return max(s.own, s.report.Running+s.report.Queued+s.sent-s.ended)
+}
+
+// Name returns the identity of the server.
+func (s *Server) Name() string { return s.name }
+
+// Own returns the number of this entry's running requests.
+func (s *Server) Own() int64 { return s.own }
+
+// SetStanding sets whether the server gets new work.
+func (s *Server) SetStanding(standing Standing) { s.standing = standing }
+
+// Slots returns the requests that the server runs at the same time.
+func (s *Server) Slots() int64 {
+	if s.report.Slots <= 0 {
+		return assumedSlots
+	}
+	return s.report.Slots
+}
+
+// Standing returns whether the server gets new work.
+func (s *Server) Standing() Standing { return s.standing }
+
+// TakeReport takes a report if it is newer than the last one.
+func (s *Server) TakeReport(report Report) {
+	if report.Seq == s.report.Seq {
+		return
+	}
+	s.report = report
+	s.sent, s.ended = 0, 0
+}
+
+// Utilization returns the load as a share of the slots; above 1 requests wait.
+func (s *Server) Utilization() float64 {
+	return float64(s.Load()) / float64(s.Slots())
+}
+
+// Zone returns the availability zone of the server.
+func (s *Server) Zone() string { return s.zone }
+
+// Hash returns the hash by which servers and prefixes are matched; it is the
+// same in every process.
+func Hash(text []byte) uint64 {
+	return xxhash.Sum64(text)
+}
+
+// mix combines two hashes into one (the finalizer of splitmix64).
+func mix(a, b uint64) uint64 {
+	x := a ^ (b * 0x9e3779b97f4a7c15)
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/internal/sidecar/budget.go
@@ -0,0 +1,26 @@
+package sidecar
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/route"
+)
+
+// lockedBudget is a retry budget shared by all requests.
+type lockedBudget struct {
+	mutex  sync.Mutex
+	budget route.Budget
+}
+
+func (b *lockedBudget) request(now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.budget.Request(now)
+}
+
+func (b *lockedBudget) retry(now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.budget.Retry(now)
+}
--- /dev/null
+++ b/internal/sidecar/cancel.go
@@ -0,0 +1,59 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+)
+
+const (
+	cancelWorkers = 4
+	cancelQueue   = 1024
+	cancelTimeout = time.Second
+)
+
+// cancellation asks a sidecar to stop a request.
+type cancellation struct {
+	address string
+	id      string
+	reason  string
+}
+
+// cancel queues a cancellation and never waits: the caller's answer goes first.
+// One that finds the queue full is dropped; the request then ends at its time limit.
+func (p *Pool) cancel(address, id, reason string) {
+	select {
+	case p.cancels <- cancellation{address: address, id: id, reason: reason}:
+	default:
+		p.metrics.dropped.WithLabelValues("cancel").Inc()
+		klog.Warningf("route: %s: cancellation dropped, the queue is full", id)
+	}
+}
+
+func (p *Pool) sendCancels(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case next := <-p.cancels:
+			p.sendCancel(ctx, next)
+		}
+	}
+}
+
+func (p *Pool) sendCancel(ctx context.Context, next cancellation) {
+	used, err := p.connections.get(next.address)
+	if err != nil {
+		return
+	}
+	defer p.connections.release(used)
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	request := peerpb.CancelRequest_builder{Id: next.id, Reason: next.reason}.Build()
+	if _, err := peerpb.NewSidecarClient(used).Cancel(ctx, request); err != nil {
+		klog.V(1).Infof("route: %s: not cancelled: %v", next.id, err)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/place.go
@@ -0,0 +1,58 @@
+package sidecar
+
+import (
+	"encoding/json"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/route"
+)
+
+// choose returns the server for a request and the reason, or nil.
+func (p *Pool) choose(request *peerpb.RunRequest, prefix uint64, tried map[string]bool) (*server, route.Reason) {
+	if request.GetClaim() != "" {
+		return p.home(request)
+	}
+	wanted := route.Request{Prefix: prefix, Version: request.GetVersion(), Tried: tried}
+	return p.directory.choose(request.GetPool(), wanted)
+}
+
+// home returns the one server at which a claim may run, whatever its load.
+func (p *Pool) home(request *peerpb.RunRequest) (*server, route.Reason) {
+	if p.Homes == nil {
+		return nil, "claims have no home here"
+	}
+	name, epoch := p.Homes.Home(request.GetPool(), request.GetClaim())
+	if name == "" {
+		return nil, "the claim's home is not known"
+	}
+	request.SetEpoch(epoch)
+	return p.directory.find(name), "home of the claim"
+}
+
+// prompt holds the parts of an engine's request that its prefix is read from.
+type prompt struct {
+	Prompt   string `json:"prompt"`
+	Messages []struct {
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+// prefixOf returns the hash of the first bytes of a prompt; 0 for plain services.
+func prefixOf(request *peerpb.RunRequest) uint64 {
+	if request.GetKind() != peerpb.Kind_KIND_COMPLETION && request.GetKind() != peerpb.Kind_KIND_CHAT {
+		return 0
+	}
+	var body prompt
+	if err := json.Unmarshal(request.GetBody(), &body); err != nil {
+		return 0
+	}
+	text := []byte(body.Prompt)
+	for _, message := range body.Messages {
+		if len(text) >= route.DefaultPrefixBytes {
+			break
+		}
+		text = append(text, message.Content...)
+		text = append(text, 0)
+	}
+	return route.Hash(text[:min(len(text), route.DefaultPrefixBytes)])
+}
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -1,128 +1,104 @@
-// Package sidecar speaks to sidecars on behalf of an entry.
+// Package sidecar speaks to sidecars on behalf of an entry: it places a request
+// on a backend server, and follows its answer over as many connections as that takes.
 package sidecar
 
 import (
 	"context"
-	"errors"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
-	"google.golang.org/grpc"
+	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/grpc/credentials"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/decision"
-	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/member"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+	"github.com/bramleyhatch/bramleyhatch/internal/route"
 )
 
 // Sink takes the frames of one answer in order, each once; beats are left out.
 type Sink func(*peerpb.Frame) error
 
+// Restart makes a sink forget what it took, so that the request can run again
+// elsewhere. It reports false where that can't be.
+type Restart func() bool
+
 // Pool holds the connections to sidecars and sends requests to them.
-// Exported fields are set before Run.
+// Exported fields are set before the first request.
 type Pool struct {
 	Members     *member.Members
 	Decisions   *decision.Log
 	Credentials credentials.TransportCredentials
 	// Silence is how long a sidecar may send nothing.
 	Silence time.Duration
+	// Homes places requests that carry a claim; nil refuses them.
+	Homes Homes
+	// Counted takes the counters that end an answer; nil drops them.
+	Counted func([]*peerpb.Count)
+	// Metrics takes the pool's metrics; nil keeps them to itself.
+	Metrics prometheus.Registerer
+
+	once        sync.Once
+	connections connections
+	directory   directory
+	cancels     chan cancellation
+	budget      *lockedBudget
+	metrics     *metrics
+}
 
-	mutex       sync.Mutex
-	connections map[string]*grpc.ClientConn
-	running     map[string]int
+// Homes finds the one backend server at which a claim may run.
+type Homes interface {
+	// Home returns the server of a pool for a claim, and the epoch of the
+	// pool's servers by which it was chosen; no server if none is known.
+	Home(pool, claim string) (server string, epoch uint64)
 }
 
 // Run sends a request to a server of its pool and gives the answer's frames to
 // sink. It returns the end frame once the answer is whole, else an error, which
 // is a *refusal.Error unless sink failed or the context ended.
 func (p *Pool) Run(ctx context.Context, request *peerpb.RunRequest, sink Sink) (*peerpb.End, error) {
-	process := p.pick(request)
-	if process == nil {
-		return nil, refusal.NotRun(http.StatusServiceUnavailable, "no_server", "no backend server of %s is live", request.GetPool()).After(time.Second)
-	}
-	connection, err := p.connect(process.GetAddress())
-	if err != nil {
-		return nil, refusal.NotRun(http.StatusServiceUnavailable, "no_connection", "%s can't be reached", process.GetServer()).After(time.Second)
-	}
-	p.count(process.GetServer(), 1)
-	defer p.count(process.GetServer(), -1)
-	stream, err := peerpb.NewSidecarClient(connection).Run(ctx, request)
-	if err != nil {
-		return nil, refusal.Unknown(http.StatusBadGateway, "connection_lost", "%s: %v", process.GetServer(), err)
-	}
-	return receive(stream, sink)
+	return p.RunRestartable(ctx, request, sink, nil)
 }
 
-func receive(stream grpc.ServerStreamingClient[peerpb.Frame], sink Sink) (*peerpb.End, error) {
-	for {
-		frame, err := stream.Recv()
-		if errors.Is(err, io.EOF) {
-			return nil, refusal.Unknown(http.StatusBadGateway, "cut", "the answer ended without its end frame")
-		}
-		if err != nil {
-			return nil, refusal.Unknown(http.StatusBadGateway, "connection_lost", "%v", err)
-		}
-		switch frame.WhichPart() {
-		case peerpb.Frame_Beat_case:
-			continue
-		case peerpb.Frame_Refusal_case:
-			return nil, refusal.FromMessage(frame.GetRefusal())
-		case peerpb.Frame_End_case:
-			return frame.GetEnd(), nil
-		default:
-			if err := sink(frame); err != nil {
-				return nil, err
-			}
-		}
-	}
+// RunRestartable is Run for a sink that can forget what it took: an idempotent
+// request then runs again elsewhere also after a part of its answer has come.
+func (p *Pool) RunRestartable(ctx context.Context, request *peerpb.RunRequest, sink Sink, restart Restart) (*peerpb.End, error) {
+	p.once.Do(p.open)
+	p.budget.request(time.Now())
+	r := &run{pool: p, ctx: ctx, request: request, sink: sink, restart: restart, prefix: prefixOf(request), tried: map[string]bool{}}
+	return r.follow()
 }
 
-func (p *Pool) pick(request *peerpb.RunRequest) *peerpb.Process {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	var best *peerpb.Process
-	least := 0
-	for _, process := range p.Members.Processes(peerpb.Role_ROLE_SIDECAR) {
-		if process.GetPool() != request.GetPool() || process.GetState() != peerpb.State_STATE_LIVE {
-			continue
-		}
-		running := p.running[process.GetServer()]
-		if best == nil || running < least {
-			best, least = process, running
-		}
+// Serve tells sidecars of callers who left, until the context ends.
+func (p *Pool) Serve(ctx context.Context) error {
+	p.once.Do(p.open)
+	var group sync.WaitGroup
+	for range cancelWorkers {
+		group.Go(func() { p.sendCancels(ctx) })
 	}
-	if best != nil {
-		p.Decisions.Record(request.GetId(), "route", "%s, fewest running here (%d)", best.GetServer(), least)
-	}
-	return best
+	group.Wait()
+	return nil
 }
 
-func (p *Pool) count(server string, by int) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.running == nil {
-		p.running = map[string]int{}
-	}
-	p.running[server] += by
+func (p *Pool) open() {
+	p.connections.credentials = p.Credentials
+	p.cancels = make(chan cancellation, cancelQueue)
+	p.budget = &lockedBudget{}
+	p.metrics = newMetrics(p.Metrics)
+	self := p.Members.Self()
+	p.directory.chooser = &route.Chooser{Region: self.GetRegion(), Zone: self.GetZone()}
+	p.directory.members = p.Members
+	p.directory.retain = p.connections.retain
 }
 
-func (p *Pool) connect(address string) (*grpc.ClientConn, error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if connection := p.connections[address]; connection != nil {
-		return connection, nil
-	}
-	connection, err := listen.Dial(address, p.Credentials)
-	if err != nil {
-		return nil, err
+func (p *Pool) counted(end *peerpb.End) {
+	if p.Counted != nil && len(end.GetCounts()) > 0 {
+		p.Counted(end.GetCounts())
 	}
-	if p.connections == nil {
-		p.connections = map[string]*grpc.ClientConn{}
-	}
-	p.connections[address] = connection
-	return connection, nil
+}
+
+func (p *Pool) refuse(refused *refusal.Error) *refusal.Error {
+	p.metrics.refusals.WithLabelValues(refused.Code).Inc()
+	return refused
 }
--- /dev/null
+++ b/internal/sidecar/run.go
@@ -0,0 +1,213 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+)
+
+const (
+	// maxStrikes is the number of streams in a row that may break at once and
+	// without a frame before a sidecar is taken for dead.
+	maxStrikes = 2
+	// maxServers is the number of servers that one request tries.
+	maxServers = 3
+	retryAfter = time.Second
+)
+
+// run is one request on its way.
+type run struct {
+	pool    *Pool
+	ctx     context.Context
+	request *peerpb.RunRequest
+	sink    Sink
+	restart Restart
+	// prefix is the hash of the prompt's first bytes; 0 if there is none.
+	prefix uint64
+	// next is the number of the first frame that sink has not taken.
+	next uint64
+	// sent is true once the request may have reached the present server.
+	sent bool
+	// alive is true once the present stream has shown life.
+	alive bool
+	// tried holds the servers that have had the request.
+	tried map[string]bool
+}
+
+// follow places the request on servers until one has answered it whole.
+func (r *run) follow() (*peerpb.End, error) {
+	var last error
+	for {
+		server, err := r.place(last)
+		if err != nil {
+			return nil, err
+		}
+		end, err := r.at(server)
+		if err == nil {
+			r.pool.counted(end)
+			return end, nil
+		}
+		if left := r.left(server, err); left != nil {
+			return nil, left
+		}
+		if !r.mayMove(err) {
+			return nil, r.pool.refuse(refusal.Of(err))
+		}
+		last = err
+	}
+}
+
+// place chooses a server. Where none is left, the refusal of the last one holds.
+func (r *run) place(last error) (*server, error) {
+	chosen, reason := r.pool.choose(r.request, r.prefix, r.tried)
+	if chosen != nil {
+		r.pool.Decisions.Record(r.request.GetId(), "route", "%s, %s", chosen.Name(), reason)
+		return chosen, nil
+	}
+	if last != nil {
+		return nil, r.pool.refuse(refusal.Of(last))
+	}
+	return nil, r.pool.refuse(refusal.NotRun(http.StatusServiceUnavailable, "no_server", "no backend server of %s: %s", r.request.GetPool(), reason).After(retryAfter))
+}
+
+// at follows the answer of one server over as many connections as needed.
+func (r *run) at(server *server) (*peerpb.End, error) {
+	r.tried[server.Name()] = true
+	r.sent = false
+	r.pool.directory.begin(server)
+	defer r.pool.directory.finish(server)
+	for strikes := 0; strikes < maxStrikes; {
+		began, next := time.Now(), r.next
+		end, err := r.once(server)
+		if err == nil || !isLost(err) || r.ctx.Err() != nil {
+			return end, r.meaning(server, err)
+		}
+		strikes++
+		if r.next > next || r.alive && time.Since(began) >= r.pool.Silence {
+			strikes = 0
+		}
+		r.pool.metrics.resumes.Inc()
+		r.pool.Decisions.Record(r.request.GetId(), "route", "%s, again from frame %d: %v", server.Name(), r.next, err)
+	}
+	return nil, r.meaning(server, &lostError{cause: errSilent})
+}
+
+// once sends the request over the server's connection.
+func (r *run) once(server *server) (*peerpb.End, error) {
+	r.alive = false
+	used, err := r.pool.connections.get(server.address)
+	if err != nil {
+		return nil, &notSentError{cause: err}
+	}
+	defer r.pool.connections.release(used)
+	r.prepare()
+	end, err := r.stream(used.ClientConn)
+	if r.ctx.Err() != nil || !isConnectionFault(err) {
+		return end, err
+	}
+	if !r.pool.connections.discard(server.address, used) {
+		// Another stream closed this connection; that says nothing of the server.
+		return nil, &lostError{cause: err}
+	}
+	return nil, err
+}
+
+// prepare sets what differs from send to send.
+func (r *run) prepare() {
+	r.request.SetFrom(r.next)
+	r.request.SetResend(r.sent)
+	if deadline, ok := r.ctx.Deadline(); ok {
+		r.request.SetTimeout(durationpb.New(time.Until(deadline)))
+	}
+}
+
+// meaning turns a fault of a stream into a refusal that says what is known.
+func (r *run) meaning(server *server, err error) error {
+	var unsent *notSentError
+	switch {
+	case !r.sent && (errors.As(err, &unsent) || isLost(err)):
+		return refusal.NotRun(http.StatusServiceUnavailable, "no_connection", "%s can't be reached", server.Name()).After(retryAfter)
+	case errors.As(err, &unsent), isLost(err):
+		return refusal.Unknown(http.StatusBadGateway, "server_lost", "%s no longer answers", server.Name()).After(retryAfter)
+	default:
+		return err
+	}
+}
+
+// left ends a request whose caller is gone or whose sink failed, and stops it
+// at the sidecar. It returns nil if neither is so.
+func (r *run) left(server *server, err error) error {
+	var failed *sinkError
+	switch {
+	case errors.As(err, &failed):
+		err = failed.cause
+	case r.ctx.Err() != nil:
+		err = r.ctx.Err()
+	default:
+		return nil
+	}
+	if r.sent {
+		r.pool.cancel(server.address, r.request.GetId(), err.Error())
+	}
+	return err
+}
+
+// mayMove decides whether the request may go to another server.
+//
+// One that was proved not to run may always go. One that may have run goes only
+// if it is idempotent and the caller has seen nothing of it. Both need the
+// budget: without it a fleet that is too slow for its load would get each
+// request several times and be slower still.
+func (r *run) mayMove(err error) bool {
+	refused := refusal.Of(err)
+	if r.request.GetClaim() != "" || len(r.tried) >= maxServers || !isServerFault(refused.Status) {
+		return false
+	}
+	if !refusal.IsNotRun(err) && !r.request.GetIdempotent() {
+		return false
+	}
+	if !r.pool.budget.retry(time.Now()) {
+		r.pool.Decisions.Record(r.request.GetId(), "route", "not tried elsewhere, the retry budget is spent")
+		return false
+	}
+	if !r.forget() {
+		return false
+	}
+	r.pool.metrics.retries.Inc()
+	r.pool.Decisions.Record(r.request.GetId(), "route", "tried elsewhere: %s", refused.Error())
+	return true
+}
+
+// forget starts the answer anew.
+func (r *run) forget() bool {
+	if r.next == 0 {
+		return true
+	}
+	if r.restart == nil || !r.restart() {
+		return false
+	}
+	r.next = 0
+	return true
+}
+
+func isLost(err error) bool {
+	var broken *lostError
+	return errors.As(err, &broken)
+}
+
+// isServerFault tells faults of one server from those of the request.
+func isServerFault(status int) bool {
+	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusInternalServerError
+}
+
+// isConnectionFault reports whether a stream's end speaks against its connection.
+func isConnectionFault(err error) bool {
+	var unsent *notSentError
+	return errors.As(err, &unsent) || isLost(err) && !errors.Is(err, errCut)
+}
--- /dev/null
+++ b/internal/sidecar/stream.go
@@ -0,0 +1,180 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+)
+
+// notSentError says that a request can't have reached a sidecar.
+type notSentError struct {
+	cause error
+}
+
+// Error gives the cause.
+func (e *notSentError) Error() string { return "not sent: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *notSentError) Unwrap() error { return e.cause }
+
+// lostError says that a stream broke or went silent after the request was sent.
+type lostError struct {
+	cause error
+}
+
+// Error gives the cause.
+func (e *lostError) Error() string { return "stream lost: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *lostError) Unwrap() error { return e.cause }
+
+// sinkError says that the sink failed.
+type sinkError struct {
+	cause error
+}
+
+// Error gives the cause.
+func (e *sinkError) Error() string { return "sink: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *sinkError) Unwrap() error { return e.cause }
+
+var (
+	errSilent = errors.New("silent for too long")
+	errCut    = errors.New("ended without its end frame")
+	errGap    = errors.New("a frame is missing")
+	errFrames = errors.New("the end frame counts other frames")
+)
+
+// stream follows an answer over one connection.
+type stream struct {
+	run    *run
+	frames *grpc.GenericClientStream[peerpb.RunRequest, peerpb.Frame]
+	// watchdog ends the stream's context after silence.
+	watchdog *time.Timer
+}
+
+// stream opens a stream on a connection and takes frames until the answer ends.
+func (r *run) stream(connection *grpc.ClientConn) (*peerpb.End, error) {
+	ctx, cancel := context.WithCancelCause(r.ctx)
+	defer cancel(nil)
+	s := &stream{run: r, watchdog: time.AfterFunc(r.pool.Silence, func() { cancel(errSilent) })}
+	defer s.watchdog.Stop()
+	if err := s.open(ctx, connection); err != nil {
+		return nil, err
+	}
+	for {
+		frame, err := s.receive(ctx)
+		if err != nil {
+			return nil, err
+		}
+		end, err := s.take(frame)
+		if end != nil || err != nil {
+			return end, err
+		}
+	}
+}
+
+// open sends the request.
+//
+// The generated client makes the stream and sends the request in one call, so
+// that its error doesn't tell whether the request left. Here the two are apart:
+// without a stream no byte of the request was written, and "not run" is true.
+func (s *stream) open(ctx context.Context, connection *grpc.ClientConn) error {
+	description := &peerpb.Sidecar_ServiceDesc.Streams[0]
+	opened, err := connection.NewStream(ctx, description, peerpb.Sidecar_Run_FullMethodName)
+	if err != nil {
+		return &notSentError{cause: causeOf(ctx, err)}
+	}
+	s.run.sent = true
+	s.frames = &grpc.GenericClientStream[peerpb.RunRequest, peerpb.Frame]{ClientStream: opened}
+	if err := s.frames.Send(s.run.request); err != nil && !errors.Is(err, io.EOF) {
+		return &lostError{cause: causeOf(ctx, err)}
+	}
+	if err := s.frames.CloseSend(); err != nil {
+		return &lostError{cause: causeOf(ctx, err)}
+	}
+	return nil
+}
+
+func (s *stream) receive(ctx context.Context) (*peerpb.Frame, error) {
+	frame, err := s.frames.Recv()
+	if errors.Is(err, io.EOF) {
+		return nil, &lostError{cause: errCut}
+	}
+	if err != nil {
+		return nil, &lostError{cause: causeOf(ctx, err)}
+	}
+	return frame, nil
+}
+
+// take checks a frame and gives it to the sink.
+//
+// A frame of another request is dropped, and so is one that came already: a
+// crossed or late answer never mixes into this one. A gap ends the stream, and
+// the answer is asked for again from the position before it.
+func (s *stream) take(frame *peerpb.Frame) (*peerpb.End, error) {
+	if load := frame.GetLoad(); load != nil {
+		s.run.pool.Members.OfferLoad(load)
+	}
+	if frame.GetId() != s.run.request.GetId() {
+		s.run.pool.metrics.dropped.WithLabelValues("other_request").Inc()
+		return nil, nil
+	}
+	s.run.alive = true
+	s.watchdog.Reset(s.run.pool.Silence)
+	switch frame.WhichPart() {
+	case peerpb.Frame_Beat_case, peerpb.Frame_Part_not_set_case:
+		return nil, nil
+	case peerpb.Frame_Refusal_case:
+		return nil, refusal.FromMessage(frame.GetRefusal())
+	default:
+		return s.takeNumbered(frame)
+	}
+}
+
+func (s *stream) takeNumbered(frame *peerpb.Frame) (*peerpb.End, error) {
+	if frame.GetSeq() < s.run.next {
+		s.run.pool.metrics.dropped.WithLabelValues("duplicate").Inc()
+		return nil, nil
+	}
+	if frame.GetSeq() > s.run.next {
+		return nil, &lostError{cause: errGap}
+	}
+	if frame.WhichPart() == peerpb.Frame_End_case {
+		return s.end(frame.GetEnd())
+	}
+	return nil, s.give(frame)
+}
+
+func (s *stream) end(end *peerpb.End) (*peerpb.End, error) {
+	if end.GetFrames() != s.run.next {
+		return nil, &lostError{cause: errFrames}
+	}
+	return end, nil
+}
+
+// give hands a frame on. The sink waits for a slow caller, which is no silence
+// of the sidecar.
+func (s *stream) give(frame *peerpb.Frame) error {
+	s.watchdog.Stop()
+	defer s.watchdog.Reset(s.run.pool.Silence)
+	if err := s.run.sink(frame); err != nil {
+		return &sinkError{cause: err}
+	}
+	s.run.next++
+	return nil
+}
+
+func causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
