--- a/internal/bramleyhatch/entry.go
+++ b/internal/bramleyhatch/entry.go
@@ -8,6 +8,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 	"github.com/bramleyhatch/bramleyhatch/internal/sidecar"
+	"github.com/bramleyhatch/bramleyhatch/internal/usage"
 )
 
 // Entry is the process on an entry host.
@@ -20,6 +21,7 @@
 	platform *platform.Client
 	view     *lists.View
 	pool     *sidecar.Pool
+	ledger   *usage.Ledger
 }
 
 // Run serves until the context ends and all running requests have ended.
@@ -34,7 +36,9 @@
 		Silence:   e.Settings.GetCaller().GetSilence().AsDuration(),
 	}
 	e.AddRoutes(e.healthRoutes()...)
-	e.addOperators()
+	if err := e.addOperators(); err != nil {
+		return err
+	}
 	e.addDuties()
 	e.addCallers()
 	e.addTrainers()
--- a/internal/bramleyhatch/members.go
+++ b/internal/bramleyhatch/members.go
@@ -28,15 +28,24 @@
 	p.members = member.NewMembers(self)
 	client.Heard = func() { p.members.StoreHeard(time.Now()) }
 	exchanger := &member.Exchanger{
-		Members:  p.members,
-		Seeds:    settings.GetSeeds(),
-		Interval: settings.GetInterval().AsDuration(),
-		Hosts:    client.Hosts,
+		Members:   p.members,
+		Seeds:     settings.GetSeeds(),
+		Interval:  settings.GetInterval().AsDuration(),
+		Hosts:     client.Hosts,
+		Decisions: p.Decisions,
 	}
 	p.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterMemberServer(registrar, exchanger) })
 	p.AddDuty("member", func(ctx context.Context) error {
-		p.members.SetAddress(p.Addresses().Peer)
+		p.members.SetAddress(p.advertised())
 		return exchanger.Run(ctx)
 	})
 	p.AddDrain(func(context.Context) { p.members.SetState(peerpb.State_STATE_DRAINING) })
 }
+
+// advertised returns the address under which other processes reach this one.
+func (p *Process) advertised() string {
+	if address := p.Settings.GetAdvertise(); address != "" {
+		return address
+	}
+	return p.Addresses().Peer
+}
