End calls of a withdrawn key at once, and send claims to their homes

Cause: a call whose caller had stopped reading held its write for good, also after the key was withdrawn; postings with an Idempotency-Key carried no claim. Ruled out: a write timeout of the whole server, which cuts long answers; http.ResponseController on the handler's writer, which go-zero hides from the not-found hook, so internal/listen hands it on in the request's context. Change: each write has a bound; a withdrawal cancels the call and shortens the bound. A claim is the digest of account, idempotency key and service, and goes to the one home that the pool's fleet gives it. Conclusion: tests of internal/caller and sidecar pass with -race.

--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -15,6 +15,9 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
+// defaultRetry is told to callers where nothing better is known.
+const defaultRetry = time.Second
+
 // statusClientClosed is what proxies log for a caller who left; none sees it.
 const statusClientClosed = 499
 
@@ -41,6 +44,7 @@
 	key     string
 	grant   lists.Grant
 	ctx     context.Context
+	cancel  context.CancelCauseFunc
 	start   time.Time
 	pool    string
 	status  int
@@ -63,15 +67,15 @@
 		return refusal.NotRun(http.StatusUnauthorized, "missing_key", "send your key as Authorization: Bearer KEY")
 	}
 	hash := lists.HashKey(key)
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	stop := c.handler.Grants.UntilWithdrawn(hash, func() { cancel(errWithdrawn) })
+	c.ctx, c.cancel = context.WithCancelCause(ctx)
+	defer c.cancel(nil)
+	stop := c.handler.Grants.UntilWithdrawn(hash, c.withdraw)
 	defer stop()
 	grant, ok := c.handler.Grants.Grant(hash)
 	if !ok {
 		return refusal.NotRun(http.StatusUnauthorized, "unknown_key", "the key is unknown or was withdrawn")
 	}
-	c.ctx, c.key, c.grant = ctx, key, grant
+	c.key, c.grant = key, grant
 	return serve(c)
 }
 
@@ -124,7 +128,7 @@
 
 // refuse answers with a refusal, in the way that the answer begun so far allows.
 func (c *call) refuse(err error) {
-	refused := refusal.Of(err)
+	refused := withRetry(refusal.Of(err))
 	c.status, c.code = refused.Status, refused.Code
 	c.handler.Decisions.Record(c.id, "caller", "refused: %s", refused.Error())
 	if c.answer != nil && c.answer.fail(refused) {
@@ -133,6 +137,17 @@
 	refusal.Write(c.writer, refused)
 }
 
+// withRetry sets when to come back where coming back may help and nothing was said.
+func withRetry(refused *refusal.Error) *refusal.Error {
+	switch refused.Status {
+	case http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if refused.Retry <= 0 {
+			refused.Retry = defaultRetry
+		}
+	}
+	return refused
+}
+
 // mayUse checks a model or service against those of the plan.
 func (c *call) mayUse(what, name string, allowed []string) error {
 	if slices.Contains(allowed, name) {
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -88,6 +88,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		c := newCall(h, w, r)
 		w.Header().Set(HeaderRequest, c.id)
+		w.Header().Del("Traceparent")
 		ctx, cancel := context.WithTimeout(r.Context(), h.Timeout)
 		defer cancel()
 		err := c.admit(ctx, serve)
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -287,3 +288,77 @@
 		must.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	})
 }
+
+func TestIdempotencyKey(t *testing.T) {
+	server := serve(t, playPlain(http.StatusCreated, 1, false))
+	claimed := func(key, idempotency, method string) string {
+		before := len(server.runner.requests())
+		_ = text(t, server.send(t, method, "/services/ledger/postings", key, "{}", caller.HeaderIdempotency, idempotency))
+		return server.runner.requests()[before].GetClaim()
+	}
+	config := config(false)
+	config.GetPlans()[1].SetServices([]string{"ledger"})
+	server.force(t, config, 2)
+	first := claimed(goodKey, "k1", "POST")
+	must.Eq(t, 64, len(first))
+	must.Eq(t, first, claimed(goodKey, "k1", "POST"))
+	must.NotEq(t, first, claimed(goodKey, "k2", "POST"))
+	must.NotEq(t, first, claimed(otherKey, "k1", "POST"))
+	must.Eq(t, "", claimed(goodKey, "k1", "GET"))
+}
+
+// awaitStill waits until a count has not moved for a while.
+func awaitStill(count *atomic.Int64) {
+	for last := int64(-1); last != count.Load(); {
+		last = count.Load()
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func TestWithdrawnKey(t *testing.T) {
+	// A franchise leaves and its key is withdrawn while one of its assistants
+	// streams a long answer, and another of its callers has stopped reading.
+	// Both must end at once, and new requests be refused.
+	begun := make(chan struct{}, 2)
+	ended := make(chan error, 2)
+	var taken atomic.Int64
+	play := func(ctx context.Context, request *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error) {
+		if request.GetKind() == peerpb.Kind_KIND_PLAIN {
+			head := peerpb.Head_builder{Status: 200}.Build()
+			_ = sink(peerpb.Frame_builder{Head: head}.Build())
+			begun <- struct{}{}
+			for {
+				taken.Add(1)
+				if err := sink(chunk(strings.Repeat("x", 1<<20))); err != nil {
+					ended <- err
+					return nil, err
+				}
+			}
+		}
+		_ = sink(chunk("Hel"))
+		begun <- struct{}{}
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return nil, ctx.Err()
+	}
+	server := serve(t, play)
+	stream := server.send(t, "POST", "/v1/completions", goodKey, `{"model":"assist","prompt":"p","stream":true}`)
+	<-begun
+	unread := server.send(t, "GET", "/services/ledger/records", goodKey, "")
+	<-begun
+	awaitStill(&taken)
+	server.force(t, config(true), 2)
+	for range 2 {
+		select {
+		case <-ended:
+		case <-time.After(5 * time.Second):
+			t.Fatal("a call of the withdrawn key runs on")
+		}
+	}
+	answer := text(t, stream)
+	must.StrContains(t, answer, `"code":"key_withdrawn"`)
+	must.StrNotContains(t, answer, "[DONE]")
+	_, err := io.ReadAll(unread.Body)
+	must.Error(t, err)
+	mustRefuse(t, server.send(t, "GET", "/v1/models", goodKey, ""), 401, "unknown_key", "not-run")
+}
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -51,8 +51,13 @@
 	if err := c.keepKey(append(values(headers), target, service, string(body))...); err != nil {
 		return err
 	}
+	claim, err := c.claim(service)
+	if err != nil {
+		return err
+	}
 	request := peerpb.RunRequest_builder{
 		Pool:       service,
+		Claim:      claim,
 		Kind:       peerpb.Kind_KIND_PLAIN,
 		Method:     c.request.Method,
 		Path:       target,
--- a/internal/listen/http.go
+++ b/internal/listen/http.go
@@ -122,6 +122,7 @@
 		s.ReadTimeout = 0
 		s.WriteTimeout = 0
 		s.IdleTimeout = idleTimeout
+		s.Handler = withController(s.Handler)
 		h.mutex.Lock()
 		h.server = s
 		h.mutex.Unlock()
--- /dev/null
+++ b/internal/sidecar/homes.go
@@ -0,0 +1,62 @@
+package sidecar
+
+import (
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/member"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+)
+
+// FleetHomes finds the homes of claims by the newest fleet known of a pool.
+// Exported fields are set before the first call.
+type FleetHomes struct {
+	Members *member.Members
+	// Choose returns the home of a claim in a fleet; empty if there is none.
+	Choose func(claim string, fleet *statepb.Fleet) string
+
+	mutex  sync.Mutex
+	fleets map[string]readFleet
+}
+
+// readFleet is a fleet and the fact that it was read from.
+type readFleet struct {
+	fact  *peerpb.Fact
+	fleet *statepb.Fleet
+}
+
+var _ Homes = &FleetHomes{}
+
+// Home returns the home of a claim and the epoch of the fleet that gave it.
+func (h *FleetHomes) Home(pool, claim string) (server string, epoch uint64) {
+	fleet := h.fleet(pool)
+	if fleet == nil {
+		return "", 0
+	}
+	return h.Choose(claim, fleet), fleet.GetEpoch()
+}
+
+func (h *FleetHomes) fleet(pool string) *statepb.Fleet {
+	fact := h.Members.Fact(member.FactFleet + pool)
+	if fact == nil {
+		return nil
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if read := h.fleets[pool]; read.fact == fact {
+		return read.fleet
+	}
+	fleet := &statepb.Fleet{}
+	if err := proto.Unmarshal(fact.GetValue(), fleet); err != nil {
+		klog.Errorf("route: fleet of %s at revision %d can't be read: %v", pool, fact.GetRevision(), err)
+		return nil
+	}
+	if h.fleets == nil {
+		h.fleets = map[string]readFleet{}
+	}
+	h.fleets[pool] = readFleet{fact: fact, fleet: fleet}
+	return fleet
+}
--- a/internal/sidecar/place.go
+++ b/internal/sidecar/place.go
@@ -10,14 +10,14 @@
 // choose returns the server for a request and the reason, or nil.
 func (p *Pool) choose(request *peerpb.RunRequest, prefix uint64, tried map[string]bool) (*server, route.Reason) {
 	if request.GetClaim() != "" {
-		return p.home(request)
+		return p.home(request, tried)
 	}
 	wanted := route.Request{Prefix: prefix, Version: request.GetVersion(), Tried: tried}
 	return p.directory.choose(request.GetPool(), wanted)
 }
 
 // home returns the one server at which a claim may run, whatever its load.
-func (p *Pool) home(request *peerpb.RunRequest) (*server, route.Reason) {
+func (p *Pool) home(request *peerpb.RunRequest, tried map[string]bool) (*server, route.Reason) {
 	if p.Homes == nil {
 		return nil, "claims have no home here"
 	}
@@ -25,6 +25,9 @@
 	if name == "" {
 		return nil, "the claim's home is not known"
 	}
+	if tried[name] {
+		return nil, "the claim has no other home"
+	}
 	request.SetEpoch(epoch)
 	return p.directory.find(name), "home of the claim"
 }
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -161,12 +161,13 @@
 // mayMove decides whether the request may go to another server.
 //
 // One that was proved not to run may always go. One that may have run goes only
-// if it is idempotent and the caller has seen nothing of it. Both need the
+// if it is idempotent and the caller has seen nothing of it; a claim goes only
+// to the home that a newer fleet gives it. Both need the
 // budget: without it a fleet that is too slow for its load would get each
 // request several times and be slower still.
 func (r *run) mayMove(err error) bool {
 	refused := refusal.Of(err)
-	if r.request.GetClaim() != "" || len(r.tried) >= maxServers || !isServerFault(refused.Status) {
+	if len(r.tried) >= maxServers || !isServerFault(refused.Status) {
 		return false
 	}
 	if !refusal.IsNotRun(err) && !r.request.GetIdempotent() {
