Choose claims' homes by the pool's fleet

Cause: internal/claim has come; the entry refused all claims before. Ruled out: sending a claim to any live server while no fleet is known: two entries could choose two servers, and a posting could run twice. Conclusion: test/scenario wholepath fails at its posting until the fleet fact is written ("the claim's home is not known", not run); it failed there before too, with the posting run twice.

--- a/internal/bramleyhatch/entrycallers.go
+++ b/internal/bramleyhatch/entrycallers.go
@@ -4,11 +4,14 @@
 	"net/http"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/caller"
+	"github.com/bramleyhatch/bramleyhatch/internal/claim"
+	"github.com/bramleyhatch/bramleyhatch/internal/sidecar"
 )
 
 // addCallers adds the callers' interface and the connections to sidecars.
 func (e *Entry) addCallers() {
 	e.pool.Metrics = e.Metrics
+	e.pool.Homes = &sidecar.FleetHomes{Members: e.members, Choose: claim.Home}
 	e.AddDuty("route", e.pool.Serve)
 	settings := e.Settings.GetCaller()
 	handler := &caller.Handler{
