Keep the limits of plans over all entries, and refuse new work where isolated

Cause: a plan's rate, concurrency and tokens a minute were not kept, and a process that hears nobody went on to take work for keys that may be withdrawn. Ruled out: an even division (unused shares are lost), a home entry for each account (400 messages a second to one process, and its loss), shares by proportion (a batch job at one entry starves a phone at another). Change: Gossip carries demands (at most 64 an exchange, newest first); each entry serves them from the smallest up, lends what none demands, and counts a rise of its own only once the others have heard it. Fractions of a unit of concurrency are drawn by lot. Refusals are 429, not run, with the time to come back, and nothing is held. Guards proved by failing first: settled demands, lending, serving from the smallest up, lots, debt of tokens, isolation, admission. Not proved alone: the first demand's wait in settled(); the meter's slow rise hides it in the test. Conclusion: tests of internal/limit and caller pass with -race.

--- a/internal/bramleyhatch/entrycallers.go
+++ b/internal/bramleyhatch/entrycallers.go
@@ -13,10 +13,13 @@
 	e.pool.Metrics = e.Metrics
 	e.pool.Homes = &sidecar.FleetHomes{Members: e.members, Choose: claim.Home}
 	e.AddDuty("route", e.pool.Serve)
+	admission := &caller.Admission{Neighbours: e.members}
+	e.AddDuty("limit", admission.Run)
 	settings := e.Settings.GetCaller()
 	handler := &caller.Handler{
 		Grants:       e.view,
 		Runner:       e.pool,
+		Admission:    admission,
 		Decisions:    e.Decisions,
 		Metrics:      e.Metrics,
 		MaxBodyBytes: settings.GetMaxBodyBytes(),
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -15,8 +15,12 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
-// defaultRetry is told to callers where nothing better is known.
-const defaultRetry = time.Second
+const (
+	// defaultRetry is told to callers where nothing better is known.
+	defaultRetry = time.Second
+	// isolatedRetry gives the platform's balancer time to choose another entry.
+	isolatedRetry = 5 * time.Second
+)
 
 // statusClientClosed is what proxies log for a caller who left; none sees it.
 const statusClientClosed = 499
@@ -92,22 +96,47 @@
 }
 
 // run sends the request on and writes the answer.
-func (c *call) run(request *peerpb.RunRequest, answer answer) error {
+func (c *call) run(request *peerpb.RunRequest, answer answer, tokens int64) error {
 	c.pool = request.GetPool()
+	done, err := c.mayRun(tokens)
+	if err != nil {
+		return err
+	}
+	var used int64
+	defer func() { done(used) }()
 	c.answer = answer
-	request.SetId(c.id)
-	request.SetAccount(c.grant.Account())
-	request.SetWeight(c.grant.Plan().GetWeight())
-	request.SetPriority(c.grant.Plan().GetPriority())
-	request.SetTimeout(durationpb.New(c.handler.Timeout))
+	c.complete(request)
 	c.handler.Decisions.Record(c.id, "caller", "%s of account %s for %s is taken", request.GetKind(), c.grant.Account(), c.pool)
 	end, err := c.handler.Runner.RunRestartable(c.ctx, request, answer.take, answer.restart)
 	if err != nil {
+		used = tokens
 		return c.explain(err)
 	}
+	used = int64(end.GetPromptTokens() + end.GetOutputTokens())
 	return answer.end(end)
 }
 
+// mayRun decides whether new work is taken at all, and from this account.
+func (c *call) mayRun(tokens int64) (done func(used int64), err error) {
+	if c.handler.Isolated != nil && c.handler.Isolated(time.Now()) {
+		return nil, refusal.NotRun(http.StatusServiceUnavailable, "isolated",
+			"this entry hears neither the store nor most of its peers").After(isolatedRetry)
+	}
+	if c.handler.Admission == nil {
+		return func(int64) {}, nil
+	}
+	return c.handler.Admission.Admit(c.grant.Account(), c.grant.Plan(), tokens)
+}
+
+// complete sets what a request of any kind carries. The key is not among it.
+func (c *call) complete(request *peerpb.RunRequest) {
+	request.SetId(c.id)
+	request.SetAccount(c.grant.Account())
+	request.SetWeight(c.grant.Plan().GetWeight())
+	request.SetPriority(c.grant.Plan().GetPriority())
+	request.SetTimeout(durationpb.New(c.handler.Timeout))
+}
+
 // explain turns the end of the call's context into the refusal that the caller sees.
 func (c *call) explain(err error) error {
 	if errors.Is(context.Cause(c.ctx), errWithdrawn) {
--- a/internal/caller/engine.go
+++ b/internal/caller/engine.go
@@ -9,6 +9,13 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
+const (
+	// bytesPerToken is a rough figure for the tokens of a prompt, until its end tells them.
+	bytesPerToken = 4
+	// assumedTokens stands for the answer of a request that sets no max_tokens.
+	assumedTokens = 256
+)
+
 // completion serves POST /v1/completions.
 func (h *Handler) completion(c *call) error {
 	body, err := readBody(c.writer, c.request, h.MaxBodyBytes)
@@ -56,10 +63,14 @@
 		Idempotent: true,
 	}.Build()
 	shape := shapeOf(kind)
+	tokens := int64(len(text)/bytesPerToken) + fields.MaxTokens
+	if fields.MaxTokens == 0 {
+		tokens += assumedTokens
+	}
 	if deliver.Stream {
-		return c.run(request, newEventAnswer(c, shape, deliver.StreamOptions.IncludeUsage))
+		return c.run(request, newEventAnswer(c, shape, deliver.StreamOptions.IncludeUsage), tokens)
 	}
-	return c.run(request, &jsonAnswer{call: c, shape: shape})
+	return c.run(request, &jsonAnswer{call: c, shape: shape}, tokens)
 }
 
 // model is one model in the answer of GET /v1/models.
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -42,8 +42,13 @@
 
 // Handler serves callers. Exported fields are set before the first request.
 type Handler struct {
-	Grants    Grants
-	Runner    Runner
+	Grants Grants
+	Runner Runner
+	// Admission keeps the limits of plans; nil sets none.
+	Admission *Admission
+	// Isolated reports whether this process can't know what changes elsewhere,
+	// as a withdrawn key, and so takes no new work; nil never does.
+	Isolated  func(now time.Time) bool
 	Decisions *decision.Log
 	Metrics   prometheus.Registerer
 	// MaxBodyBytes is the largest request body.
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -20,6 +20,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/decision"
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/lists"
+	"github.com/bramleyhatch/bramleyhatch/internal/member"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
@@ -74,6 +75,8 @@
 	view    *lists.View
 	runner  *runner
 	address string
+	// isolated is what the handler is told of the process.
+	isolated atomic.Bool
 }
 
 func (s *served) force(t *testing.T, config *listpb.Config, revision uint64) {
@@ -90,6 +93,8 @@
 	handler := &caller.Handler{
 		Grants:       s.view,
 		Runner:       s.runner,
+		Admission:    &caller.Admission{Neighbours: member.NewMembers(&peerpb.Process{})},
+		Isolated:     func(time.Time) bool { return s.isolated.Load() },
 		Decisions:    &decision.Log{},
 		Metrics:      prometheus.NewRegistry(),
 		MaxBodyBytes: 4096,
@@ -362,3 +367,39 @@
 	must.Error(t, err)
 	mustRefuse(t, server.send(t, "GET", "/v1/models", goodKey, ""), 401, "unknown_key", "not-run")
 }
+
+func TestIsolated(t *testing.T) {
+	// A process is cut off from the store and its peers. Keys may have been
+	// withdrawn since: it takes no new work and says when to come back.
+	server := serve(t, playText("never"))
+	server.isolated.Store(true)
+	response := server.send(t, "POST", "/v1/completions", goodKey, `{"model":"assist","prompt":"p"}`)
+	mustRefuse(t, response, 503, "isolated", "not-run")
+	must.Eq(t, "5", response.Header.Get("Retry-After"))
+	must.SliceEmpty(t, server.runner.requests())
+}
+
+func TestLimits(t *testing.T) {
+	// An account sends more at a time than its plan allows. The request too
+	// many is refused at once, with the time to come back, and is not held.
+	release := make(chan struct{})
+	begun := make(chan struct{})
+	server := serve(t, func(ctx context.Context, request *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error) {
+		begun <- struct{}{}
+		<-release
+		return playText("done")(ctx, request, sink)
+	})
+	config := config(false)
+	config.GetPlans()[0].SetConcurrency(1)
+	server.force(t, config, 2)
+	answered := make(chan *http.Response, 1)
+	go func() {
+		answered <- server.send(t, "POST", "/v1/completions", goodKey, `{"model":"assist","prompt":"p"}`)
+	}()
+	<-begun
+	response := server.send(t, "POST", "/v1/completions", goodKey, `{"model":"assist","prompt":"p"}`)
+	mustRefuse(t, response, 429, "limit_concurrency", "not-run")
+	must.NotEq(t, "", response.Header.Get("Retry-After"))
+	close(release)
+	must.Eq(t, 200, (<-answered).StatusCode)
+}
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -65,7 +65,7 @@
 		Body:       body,
 		Idempotent: isIdempotent(c.request.Method),
 	}.Build()
-	return c.run(request, &plainAnswer{call: c})
+	return c.run(request, &plainAnswer{call: c}, 0)
 }
 
 // splitService returns the service and the path with the query that it sees.
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -128,6 +128,7 @@
 	}
 	gossip := &peerpb.Gossip{}
 	gossip.SetSender(m.self)
+	gossip.SetDemands(m.demands.newest(time.Now(), sentDemands))
 	for _, process := range m.processes {
 		gossip.SetProcesses(append(gossip.GetProcesses(), process))
 	}
@@ -161,6 +162,7 @@
 	for _, load := range gossip.GetLoads() {
 		m.OfferLoad(load)
 	}
+	m.OfferDemands(gossip.GetDemands(), time.Now())
 }
 
 func (m *Members) mergeProcess(process *peerpb.Process) {
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -30,6 +30,7 @@
 	watchers    map[string][]func(*peerpb.Fact)
 	withdrawn   []func(*peerpb.Withdrawal)
 	storeHeard  time.Time
+	demands     keptDemands
 	ancestry    ancestry
 }
 
