Give each duty to one process, and let zones' duties keep the fleet's keys

Cause: nothing held a duty. A keeper takes the key duty/NAME under a lease, and its term counts from before each renewal, less a margin. The fence is the revision at which the key was made, since a number inside the value goes with the lease. Ruled out: a watch by every entry (calls grow with the processes); now three candidates by rendezvous rank ask at all.

Failed first: TestTermCountsFromBeforeRenewal with the term counted from the answer, TestTakesDutyWhoseAnswerWasLost without reading back, and TestCallsDoNotGrowWithProcesses without the bound on candidates. Without the watch of the term's end TestTermEndsInOutage did not end at all (stopped after ten minutes). go test -race -count=20 ./internal/duty passed.

--- a/internal/bramleyhatch/entryduties.go
+++ b/internal/bramleyhatch/entryduties.go
@@ -1,15 +1,95 @@
 package bramleyhatch
 
 import (
+	"context"
+	"slices"
+	"strings"
+
 	"google.golang.org/grpc"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/duty"
+	"github.com/bramleyhatch/bramleyhatch/internal/fleet"
+	"github.com/bramleyhatch/bramleyhatch/internal/lists"
+	"github.com/bramleyhatch/bramleyhatch/internal/member"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/usage"
 )
 
 // addDuties adds the platform's client, duties under leases and usage.
 func (e *Entry) addDuties() {
+	e.addLedger()
+	e.addZones()
+}
+
+func (e *Entry) addLedger() {
 	e.ledger = &usage.Ledger{}
 	server := &usage.Server{Ledger: e.ledger}
 	e.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterUsageServer(registrar, server) })
 }
+
+// addZones adds one duty a zone, which orders its backend servers.
+func (e *Entry) addZones() {
+	watcher := &lists.Watcher{Store: e.platform, Prefix: member.FactFleet, Offer: e.members.Offer}
+	e.AddDuty("fleet", watcher.Run)
+	group := &duty.Group{
+		Names:    e.zoneDuties,
+		Run:      e.runZone,
+		Interval: e.Settings.GetDuty().GetInterval().AsDuration(),
+	}
+	e.AddDuty("order", group.Start)
+}
+
+// zoneDuties returns the duties of all zones that the lists or a process name.
+func (e *Entry) zoneDuties() []string {
+	var names []string
+	for _, role := range []peerpb.Role{peerpb.Role_ROLE_ENTRY, peerpb.Role_ROLE_SIDECAR} {
+		for _, process := range e.members.Processes(role) {
+			names = append(names, fleet.DutyPrefix+process.GetZone())
+		}
+	}
+	config, _ := e.view.Config()
+	for _, pool := range config.GetPools() {
+		for _, zone := range pool.GetZones() {
+			names = append(names, fleet.DutyPrefix+zone)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func (e *Entry) runZone(ctx context.Context, name string) error {
+	zone := &fleet.Zone{
+		Name:      strings.TrimPrefix(name, fleet.DutyPrefix),
+		Platform:  e.platform,
+		Members:   e.members,
+		Decisions: e.Decisions,
+		Interval:  e.Settings.GetDuty().GetInterval().AsDuration(),
+	}
+	return e.keeper(name).Run(ctx, zone.Run)
+}
+
+// keeper returns this entry's part in a duty.
+func (e *Entry) keeper(name string) *duty.Keeper {
+	settings := e.Settings.GetDuty()
+	return &duty.Keeper{
+		Store:     e.platform,
+		Name:      name,
+		Process:   e.Process.Settings.GetName(),
+		Address:   e.Addresses().Peer,
+		Lease:     settings.GetLease().AsDuration(),
+		Margin:    settings.GetMargin().AsDuration(),
+		Rank:      func() int { return e.rank(name) },
+		Decisions: e.Decisions,
+	}
+}
+
+// rank returns this entry's place among the live entries for a duty.
+func (e *Entry) rank(name string) int {
+	var candidates []string
+	for _, process := range e.members.Processes(peerpb.Role_ROLE_ENTRY) {
+		if process.GetState() == peerpb.State_STATE_LIVE {
+			candidates = append(candidates, process.GetName())
+		}
+	}
+	return duty.Rank(name, e.Process.Settings.GetName(), candidates)
+}
--- /dev/null
+++ b/internal/duty/duty.go
@@ -0,0 +1,60 @@
+// Package duty gives each duty that needs one process to one process.
+//
+// The holder of a duty owns a key of the platform's store that ends with a
+// lease. Its term counts on this process's own clock from before the last
+// renewal was sent, less a margin, so it ends here before it ends in the store.
+package duty
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+// Prefix of the store's keys that name the holders of duties.
+const Prefix = "duty/"
+
+// Reader reads one value of the platform's store.
+type Reader interface {
+	Get(ctx context.Context, key string) (platform.Value, error)
+}
+
+// Store is what a Keeper needs of the platform's store.
+type Store interface {
+	Reader
+	Delete(ctx context.Context, key string, expect uint64) error
+	Grant(ctx context.Context, length time.Duration) (uint64, error)
+	Renew(ctx context.Context, lease uint64, length time.Duration) error
+	Swap(ctx context.Context, key string, expect uint64, data []byte, lease uint64) (uint64, error)
+}
+
+// Key returns the store's key of a duty.
+func Key(name string) string { return Prefix + name }
+
+// Holder returns who holds a duty. The error is a *platform.NotFoundError if nobody does.
+func Holder(ctx context.Context, store Reader, name string) (*statepb.Holder, error) {
+	value, err := store.Get(ctx, Key(name))
+	if err != nil {
+		return nil, err
+	}
+	return ParseHolder(value)
+}
+
+// ParseHolder reads the value of a duty's key.
+//
+// The fence is the revision at which the holder created the key. The store's
+// revisions are one sequence that never falls, so the fence also grows when the
+// key has gone with its lease; a number kept in the value would be lost then.
+func ParseHolder(value platform.Value) (*statepb.Holder, error) {
+	holder := &statepb.Holder{}
+	if err := proto.Unmarshal(value.Data, holder); err != nil {
+		return nil, eris.Wrap(err, "read "+value.Key)
+	}
+	holder.SetFence(value.Revision)
+	return holder, nil
+}
--- /dev/null
+++ b/internal/duty/keeper.go
@@ -0,0 +1,232 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/decision"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+const (
+	// maxCandidates bounds the processes that ask the store about one duty, so
+	// that its calls don't grow with the processes.
+	maxCandidates = 3
+	// renewals is how often a lease is renewed within its length.
+	renewals = 4
+	// polls is how often another candidate looks within a lease's length.
+	polls = 2
+	// releaseTimeout bounds the wait for the store when a duty is given up.
+	releaseTimeout = 2 * time.Second
+)
+
+// Work does a duty until its context ends, which it does at the end of the term.
+// A nil error within the term says that the duty has nothing left to do.
+type Work func(ctx context.Context, term *Term) error
+
+// Keeper takes part in one duty for a process: it takes it when it is free,
+// works while it holds it, and gives it up. Exported fields are set before Run.
+type Keeper struct {
+	Store Store
+	// Name of the duty.
+	Name    string
+	Process string
+	Address string
+	// Lease is the length of the store's lease.
+	Lease time.Duration
+	// Margin is how much earlier a term ends here than in the store.
+	Margin time.Duration
+	// Rank returns this process's place among the candidates; nil is 0.
+	Rank func() int
+	// Held is told when the duty is taken and given up; nil is allowed.
+	Held      func(name string, held bool)
+	Decisions *decision.Log
+}
+
+// Run takes part until the context ends or the work has nothing left to do.
+func (k *Keeper) Run(ctx context.Context, work Work) error {
+	for ctx.Err() == nil {
+		term, lease := k.take(ctx)
+		if term == nil {
+			pause(ctx, k.Lease/polls)
+			continue
+		}
+		err := k.hold(ctx, term, lease, work)
+		if err == nil && ctx.Err() == nil && term.Valid(time.Now()) {
+			return nil
+		}
+		if err != nil && !errors.Is(err, context.Canceled) {
+			k.Decisions.Record(k.Name, "duty", "%s failed in its term %d: %v", k.Process, term.Fence(), err)
+		}
+		pause(ctx, k.Lease/polls)
+	}
+	return nil
+}
+
+// take returns a term if the duty was free and is now held here.
+func (k *Keeper) take(ctx context.Context) (*Term, uint64) {
+	rank := k.rank()
+	if rank >= maxCandidates {
+		return nil, 0
+	}
+	if !k.isFree(ctx) {
+		return nil, 0
+	}
+	pause(ctx, time.Duration(rank)*k.Lease/(2*renewals))
+	sent := time.Now()
+	lease, err := k.Store.Grant(ctx, k.Lease)
+	if err != nil {
+		return nil, 0
+	}
+	until := sent.Add(k.Lease - k.Margin)
+	fence, err := k.write(ctx, lease, until)
+	if err != nil {
+		return nil, 0
+	}
+	k.Decisions.Record(k.Name, "duty", "%s holds it, term %d, candidate %d", k.Process, fence, rank)
+	return NewTerm(fence, until), lease
+}
+
+func (k *Keeper) rank() int {
+	if k.Rank == nil {
+		return 0
+	}
+	return k.Rank()
+}
+
+func (k *Keeper) isFree(ctx context.Context) bool {
+	_, err := k.Store.Get(ctx, Key(k.Name))
+	var missing *platform.NotFoundError
+	return errors.As(err, &missing)
+}
+
+// write creates the duty's key and returns its revision, which is the fence.
+//
+// The answer may be lost after the change took effect; giving up then would
+// leave the duty held by nobody for a whole lease. The lease's number is known
+// to this process alone, so a key that carries it is its own write.
+func (k *Keeper) write(ctx context.Context, lease uint64, until time.Time) (uint64, error) {
+	data, err := k.holder()
+	if err != nil {
+		return 0, err
+	}
+	fence, err := k.Store.Swap(ctx, Key(k.Name), 0, data, lease)
+	var lost *platform.UnavailableError
+	for errors.As(err, &lost) && ctx.Err() == nil && time.Now().Before(until) {
+		pause(ctx, k.Lease/(2*renewals))
+		fence, err = k.readBack(ctx, lease)
+	}
+	return fence, err
+}
+
+func (k *Keeper) holder() ([]byte, error) {
+	holder := statepb.Holder_builder{
+		Process: k.Process,
+		Since:   time.Now().Unix(),
+		Lease:   k.Lease.Milliseconds(),
+		Address: k.Address,
+	}.Build()
+	data, err := proto.Marshal(holder)
+	return data, eris.Wrap(err, "encode holder")
+}
+
+func (k *Keeper) readBack(ctx context.Context, lease uint64) (uint64, error) {
+	value, err := k.Store.Get(ctx, Key(k.Name))
+	if err != nil {
+		return 0, err
+	}
+	if value.Lease != lease {
+		return 0, &platform.ConflictError{Key: value.Key, Revision: value.Revision}
+	}
+	return value.Revision, nil
+}
+
+// hold works until the term ends, then gives the duty up. The duty is given up
+// only once the work has returned, so that a successor never meets it.
+func (k *Keeper) hold(ctx context.Context, term *Term, lease uint64, work Work) error {
+	k.tell(true)
+	working, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan struct{}, 2)
+	go func() {
+		defer func() { ended <- struct{}{} }()
+		k.renew(working, term, lease, cancel)
+	}()
+	go func() {
+		defer func() { ended <- struct{}{} }()
+		watch(working, term, cancel)
+	}()
+	err := work(working, term)
+	cancel()
+	<-ended
+	<-ended
+	k.release(term)
+	k.tell(false)
+	return err
+}
+
+func (k *Keeper) tell(held bool) {
+	if k.Held != nil {
+		k.Held(k.Name, held)
+	}
+}
+
+// renew lengthens the lease until the context ends or the lease is gone.
+// A term is counted from before the renewal is sent: the store may have counted
+// the lease from any moment since, and an answer may come late.
+func (k *Keeper) renew(ctx context.Context, term *Term, lease uint64, cancel func()) {
+	for pause(ctx, k.Lease/renewals) {
+		sent := time.Now()
+		err := k.Store.Renew(ctx, lease, k.Lease)
+		var gone *platform.NotFoundError
+		switch {
+		case err == nil:
+			term.extend(sent.Add(k.Lease - k.Margin))
+		case errors.As(err, &gone):
+			k.Decisions.Record(k.Name, "duty", "the lease of term %d has lapsed", term.Fence())
+			term.End()
+			cancel()
+			return
+		}
+	}
+}
+
+// watch ends the work at the end of the term. The term is ended for good, since
+// a renewal's answer that comes after that would otherwise revive it.
+func watch(ctx context.Context, term *Term, cancel func()) {
+	for pause(ctx, time.Until(term.Until())) {
+		if !term.Valid(time.Now()) {
+			term.End()
+			cancel()
+			return
+		}
+	}
+}
+
+// release removes the duty's key if it is still this term's.
+func (k *Keeper) release(term *Term) {
+	term.End()
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := k.Store.Delete(ctx, Key(k.Name), term.Fence()); err != nil {
+		k.Decisions.Record(k.Name, "duty", "term %d was not given up, its lease will lapse: %v", term.Fence(), err)
+		return
+	}
+	k.Decisions.Record(k.Name, "duty", "%s has given up term %d", k.Process, term.Fence())
+}
+
+// pause waits and reports whether the context still runs.
+func pause(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return ctx.Err() == nil
+}
--- /dev/null
+++ b/internal/duty/keeper_test.go
@@ -0,0 +1,235 @@
+package duty_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/duty"
+)
+
+const (
+	lease  = 10 * time.Second
+	margin = 3 * time.Second
+	// tick keeps a test's own events apart from those of the keeper's timers.
+	tick = time.Millisecond
+)
+
+// record is what the holders of a duty did.
+type record struct {
+	mutex  sync.Mutex
+	terms  []*duty.Term
+	active int
+	most   int
+}
+
+// work stays in its term until the context ends.
+func (r *record) work(ctx context.Context, term *duty.Term) error {
+	r.enter(term, 1)
+	defer r.enter(nil, -1)
+	<-ctx.Done()
+	return nil
+}
+
+func (r *record) enter(term *duty.Term, by int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.active += by
+	r.most = max(r.most, r.active)
+	if term != nil {
+		r.terms = append(r.terms, term)
+	}
+}
+
+func (r *record) count() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.terms)
+}
+
+func (r *record) term(i int) *duty.Term {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.terms[i]
+}
+
+func newKeeper(store duty.Store, process string, rank int) *duty.Keeper {
+	return &duty.Keeper{
+		Store:   store,
+		Name:    "order-a",
+		Process: process,
+		Lease:   lease,
+		Margin:  margin,
+		Rank:    func() int { return rank },
+	}
+}
+
+// start runs a keeper and returns a function that stops it and waits.
+func start(t *testing.T, keeper *duty.Keeper, work duty.Work) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- keeper.Run(ctx, work) }()
+	return func() {
+		cancel()
+		must.NoError(t, <-ended)
+	}
+}
+
+func TestOneHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, record := newStore(), &record{}
+		var stops []func()
+		for rank, process := range []string{"e1", "e2", "e3", "e4"} {
+			stops = append(stops, start(t, newKeeper(store, process, rank), record.work))
+		}
+		time.Sleep(10 * lease)
+		must.Eq(t, 1, record.count())
+		for _, stop := range stops {
+			stop()
+		}
+		must.Eq(t, 1, record.most)
+		for i := 1; i < record.count(); i++ {
+			must.Greater(t, record.term(i-1).Fence(), record.term(i).Fence())
+		}
+	})
+}
+
+// Two processes send orders to one zone: the store goes away, the holder's
+// lease lapses in it unseen, and the holder works on. Its term must have ended
+// here before the store could give the duty to another.
+func TestTermEndsInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, record := newStore(), &record{}
+		stop := start(t, newKeeper(store, "e1", 0), record.work)
+		time.Sleep(lease + tick)
+		store.set(func() { store.down = true })
+		time.Sleep(lease - margin)
+		synctest.Wait()
+		must.False(t, record.term(0).Valid(time.Now()))
+		must.Eq(t, 0, record.active)
+		stop()
+	})
+}
+
+// Two processes send orders to one zone: the answer of a renewal comes late and
+// is the last one before an outage. Counted from the answer, the term would end
+// here only after the lease has lapsed in the store.
+func TestTermCountsFromBeforeRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, record := newStore(), &record{}
+		stop := start(t, newKeeper(&lateStore{store: store}, "e1", 0), record.work)
+		for range 40 {
+			time.Sleep(lease/10 + tick)
+			must.False(t, record.term(0).Until().After(store.lapses(1).Add(-margin)))
+		}
+		must.Eq(t, 1, record.count())
+		stop()
+	})
+}
+
+// lateStore gives the answers of renewals late.
+type lateStore struct {
+	*store
+}
+
+func (l *lateStore) Renew(ctx context.Context, lease uint64, length time.Duration) error {
+	err := l.store.Renew(ctx, lease, length)
+	time.Sleep(2 * time.Second)
+	return err
+}
+
+// Nobody orders servers for a whole lease: the write that took the duty was
+// done, its answer was lost, and the process gave up what it held.
+func TestTakesDutyWhoseAnswerWasLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, record := newStore(), &record{}
+		keeper := newKeeper(&losingStore{store: store}, "e1", 0)
+		stop := start(t, keeper, record.work)
+		time.Sleep(lease / 4)
+		must.Eq(t, 1, record.count())
+		stop()
+	})
+}
+
+// losingStore loses the answer of the first swap.
+type losingStore struct {
+	*store
+	lost bool
+}
+
+func (l *losingStore) Swap(ctx context.Context, key string, expect uint64, data []byte, lease uint64) (uint64, error) {
+	revision, err := l.store.Swap(ctx, key, expect, data, lease)
+	if !l.lost {
+		l.lost = true
+		return 0, errCut
+	}
+	return revision, err
+}
+
+// One renewal's answer is lost, which must not end the term.
+func TestLostRenewalKeepsTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, record := newStore(), &record{}
+		stop := start(t, newKeeper(store, "e1", 0), record.work)
+		for range 20 {
+			time.Sleep(lease + tick)
+			store.set(func() { store.lose = 1 })
+		}
+		must.Eq(t, 1, record.count())
+		must.True(t, record.term(0).Valid(time.Now()))
+		stop()
+	})
+}
+
+// The store's calls must not grow with the processes that could hold a duty.
+func TestCallsDoNotGrowWithProcesses(t *testing.T) {
+	few, many := callsOf(t, 10), callsOf(t, 400)
+	// Candidates that start at once may each see the duty free: four calls each.
+	must.Between(t, few-8, many, few+8)
+}
+
+func callsOf(t *testing.T, processes int) int {
+	var calls int
+	synctest.Test(t, func(t *testing.T) {
+		store, record := newStore(), &record{}
+		var stops []func()
+		for rank := range processes {
+			stops = append(stops, start(t, newKeeper(store, "e", rank), record.work))
+		}
+		time.Sleep(100*lease + tick)
+		calls = store.count()
+		for _, stop := range stops {
+			stop()
+		}
+	})
+	return calls
+}
+
+func TestTermWallClock(t *testing.T) {
+	now := time.Now()
+	term := duty.NewTerm(1, now.Add(time.Second))
+	must.True(t, term.Valid(now))
+	must.False(t, term.Valid(now.Add(time.Second)))
+	t.Run("wall clock ahead", func(t *testing.T) {
+		must.False(t, term.Valid(now.Round(0).Add(time.Hour)))
+	})
+}
+
+func TestRankSpreads(t *testing.T) {
+	candidates := []string{"e1", "e2", "e3", "e4"}
+	held := map[string]int{}
+	for _, name := range []string{"order-a", "order-b", "order-c", "order-d", "usage", "t1", "t2", "t3"} {
+		for _, candidate := range candidates {
+			if duty.Rank(name, candidate, candidates) == 0 {
+				held[candidate]++
+			}
+		}
+	}
+	must.Greater(t, 2, len(held))
+	must.Eq(t, 4, duty.Rank("usage", "e9", candidates))
+}
--- /dev/null
+++ b/internal/duty/store_test.go
@@ -0,0 +1,131 @@
+package duty_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+var errCut = &platform.UnavailableError{Operation: "call", Cause: errors.New("connection cut")}
+
+// store is a key-value service in memory with leases and the faults of the real one.
+type store struct {
+	mutex    sync.Mutex
+	revision uint64
+	values   map[string]platform.Value
+	leases   map[uint64]time.Time
+	calls    int
+	// down makes calls fail before they take effect.
+	down bool
+	// lose makes this many answers be lost after the change took effect.
+	lose int
+}
+
+func newStore() *store {
+	return &store{values: map[string]platform.Value{}, leases: map[uint64]time.Time{}}
+}
+
+func (s *store) Delete(_ context.Context, key string, expect uint64) error {
+	return s.do(func() error {
+		if s.values[key].Revision != expect {
+			return &platform.ConflictError{Key: key}
+		}
+		s.revision++
+		delete(s.values, key)
+		return nil
+	})
+}
+
+func (s *store) Get(_ context.Context, key string) (platform.Value, error) {
+	var value platform.Value
+	err := s.do(func() error {
+		value = s.values[key]
+		if value.Revision == 0 {
+			return &platform.NotFoundError{Key: key}
+		}
+		return nil
+	})
+	return value, err
+}
+
+func (s *store) Grant(_ context.Context, length time.Duration) (uint64, error) {
+	var lease uint64
+	err := s.do(func() error {
+		lease = uint64(len(s.leases) + 1)
+		s.leases[lease] = time.Now().Add(length)
+		return nil
+	})
+	return lease, err
+}
+
+func (s *store) Renew(_ context.Context, lease uint64, length time.Duration) error {
+	return s.do(func() error {
+		if !time.Now().Before(s.leases[lease]) {
+			return &platform.NotFoundError{Key: "lease"}
+		}
+		s.leases[lease] = time.Now().Add(length)
+		return nil
+	})
+}
+
+func (s *store) Swap(_ context.Context, key string, expect uint64, data []byte, lease uint64) (uint64, error) {
+	var revision uint64
+	err := s.do(func() error {
+		if s.values[key].Revision != expect {
+			return &platform.ConflictError{Key: key, Revision: s.values[key].Revision}
+		}
+		s.revision++
+		revision = s.revision
+		s.values[key] = platform.Value{Key: key, Data: data, Revision: revision, Lease: lease}
+		return nil
+	})
+	return revision, err
+}
+
+// do runs one call under the faults that are set.
+func (s *store) do(call func() error) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	if s.down {
+		return errCut
+	}
+	s.lapse()
+	err := call()
+	if s.lose > 0 {
+		s.lose--
+		return errCut
+	}
+	return err
+}
+
+func (s *store) lapse() {
+	for key, value := range s.values {
+		if value.Lease != 0 && !time.Now().Before(s.leases[value.Lease]) {
+			s.revision++
+			delete(s.values, key)
+		}
+	}
+}
+
+func (s *store) set(change func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change()
+}
+
+func (s *store) count() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
+// lapses returns when a lease lapses.
+func (s *store) lapses(lease uint64) time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.leases[lease]
+}
