Resume a run at its sidecar for as long as silence is allowed

Cause: a stream whose connections were cut for a few milliseconds ended with 'server no longer answers': after two refused connections the entry gave up, though the run went on at the sidecar. Ruled out: the sidecar's memory (it had all frames), the numbering (the first resend came too early). Change: while the request can't go elsewhere, the entry tries the sidecar again every 50 ms until it has shown no life for the bound on silence. Before: scenario cutconnection failed (no [DONE] after the cut); after: passes.

--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -19,6 +19,8 @@
 	// maxServers is the number of servers that one request tries.
 	maxServers = 3
 	retryAfter = time.Second
+	// resumePause is the time between two tries to reach a sidecar again.
+	resumePause = 50 * time.Millisecond
 )
 
 // run is one request on its way.
@@ -82,7 +84,11 @@
 	r.sent = false
 	r.pool.directory.begin(server)
 	defer r.pool.directory.finish(server)
-	for strikes := 0; strikes < maxStrikes; {
+	life := time.Now()
+	for strikes := 0; strikes < maxStrikes || r.mayResume(life); {
+		if strikes >= maxStrikes && !r.pause() {
+			break
+		}
 		began, next := time.Now(), r.next
 		end, err := r.once(server)
 		if err == nil || !isLost(err) || r.ctx.Err() != nil {
@@ -92,12 +98,36 @@
 		if r.next > next || r.alive && time.Since(began) >= r.pool.Silence {
 			strikes = 0
 		}
+		if r.next > next || r.alive {
+			life = time.Now()
+		}
 		r.pool.metrics.resumes.Inc()
 		r.pool.Decisions.Record(r.request.GetId(), "route", "%s, again from frame %d: %v", server.Name(), r.next, err)
 	}
 	return nil, r.meaning(server, &lostError{cause: errSilent})
 }
 
+// mayResume reports whether a sidecar that breaks off each stream is worth more
+// tries. It is while the request can't go elsewhere and the sidecar has shown
+// life within the bound on silence: the run may still go on there. Without this
+// a link that is cut for a moment costs each caller behind it the answer.
+func (r *run) mayResume(life time.Time) bool {
+	isBound := r.next > 0 && r.restart == nil || r.sent && !r.request.GetIdempotent()
+	return isBound && time.Since(life) < r.pool.Silence
+}
+
+// pause waits between two tries; it returns false once the context has ended.
+func (r *run) pause() bool {
+	timer := time.NewTimer(resumePause)
+	defer timer.Stop()
+	select {
+	case <-r.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // once sends the request over the server's connection.
 func (r *run) once(server *server) (*peerpb.End, error) {
 	r.alive = false
