--- a/internal/bramleyhatch/entrycallers.go
+++ b/internal/bramleyhatch/entrycallers.go
@@ -1,4 +1,29 @@
 package bramleyhatch
 
+import (
+	"net/http"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/caller"
+	"github.com/bramleyhatch/bramleyhatch/internal/claim"
+	"github.com/bramleyhatch/bramleyhatch/internal/sidecar"
+)
+
 // addCallers adds the callers' interface and the connections to sidecars.
-func (e *Entry) addCallers() {}
+func (e *Entry) addCallers() {
+	e.pool.Metrics = e.Metrics
+	e.pool.Homes = &sidecar.FleetHomes{Members: e.members, Choose: claim.Home}
+	e.AddDuty("route", e.pool.Serve)
+	settings := e.Settings.GetCaller()
+	handler := &caller.Handler{
+		Grants:       e.view,
+		Runner:       e.pool,
+		Decisions:    e.Decisions,
+		Metrics:      e.Metrics,
+		MaxBodyBytes: settings.GetMaxBodyBytes(),
+		Timeout:      settings.GetTimeout().AsDuration(),
+	}
+	handler.Open()
+	e.AddRoutes(handler.Routes()...)
+	e.notFound = http.HandlerFunc(handler.NotFound)
+	e.notAllowed = http.HandlerFunc(handler.NotAllowed)
+}
