--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -77,6 +77,9 @@
 		server.SetAddress(address)
 	}
 	setState(server, nextState(server.GetState(), listed.State), now)
+	if server.GetState() == StateLive && server.GetBorn() == 0 {
+		server.SetBorn(now.Unix())
+	}
 }
 
 // nextState keeps a drain until the server is gone, whatever the platform says.
