Say 'not run' only if no server that was tried may have run the request

Change: the outcome is unknown if any server tried may have run the request; servers become eligible again within the bound on silence; a run with frames is resumed at its sidecar.

--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -66,7 +66,7 @@
 func (p *Pool) RunRestartable(ctx context.Context, request *peerpb.RunRequest, sink Sink, restart Restart) (*peerpb.End, error) {
 	p.once.Do(p.open)
 	p.budget.request(time.Now())
-	r := &run{pool: p, ctx: ctx, request: request, sink: sink, restart: restart, prefix: prefixOf(request), tried: map[string]bool{}}
+	r := &run{pool: p, ctx: ctx, request: request, sink: sink, restart: restart, prefix: prefixOf(request), tried: map[string]bool{}, began: time.Now()}
 	return r.follow()
 }
 
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -19,6 +19,9 @@
 	// maxServers is the number of servers that one request tries.
 	maxServers = 3
 	retryAfter = time.Second
+	// codeUnreached and codeLost are the codes of refusals because of a connection.
+	codeUnreached = "no_connection"
+	codeLost      = "server_lost"
 	// resumePause is the time between two tries to reach a sidecar again.
 	resumePause = 50 * time.Millisecond
 )
@@ -38,6 +41,9 @@
 	sent bool
 	// alive is true once the present stream has shown life.
 	alive bool
+	// uncertain is true once a server that was tried may have run the request.
+	uncertain bool
+	began     time.Time
 	// tried holds the servers that have had the request.
 	tried map[string]bool
 }
@@ -58,8 +64,9 @@
 		if left := r.left(server, err); left != nil {
 			return nil, left
 		}
+		r.uncertain = r.uncertain || !refusal.IsNotRun(err)
 		if !r.mayMove(err) {
-			return nil, r.pool.refuse(refusal.Of(err))
+			return nil, r.refuse(err)
 		}
 		last = err
 	}
@@ -72,12 +79,41 @@
 		r.pool.Decisions.Record(r.request.GetId(), "route", "%s, %s", chosen.Name(), reason)
 		return chosen, nil
 	}
+	if last != nil && r.comesBack(last) {
+		return r.place(last)
+	}
 	if last != nil {
-		return nil, r.pool.refuse(refusal.Of(last))
+		return nil, r.refuse(last)
 	}
 	return nil, r.pool.refuse(refusal.NotRun(http.StatusServiceUnavailable, "no_server", "no backend server of %s: %s", r.request.GetPool(), reason).After(retryAfter))
 }
 
+// comesBack makes all servers eligible again after a pause, where none could be
+// reached and the bound on silence has not passed. A link that is cut for a
+// moment in front of all sidecars would else fail each request that begins then.
+func (r *run) comesBack(last error) bool {
+	code := refusal.Of(last).Code
+	if code != codeUnreached && code != codeLost {
+		return false
+	}
+	if time.Since(r.began) >= r.pool.Silence || !r.pause() {
+		return false
+	}
+	clear(r.tried)
+	return true
+}
+
+// refuse gives the last refusal to the caller. A request that one server may
+// have run and another proved not to have run has the outcome unknown: the last
+// server's "not run" speaks for itself only.
+func (r *run) refuse(err error) error {
+	refused := *refusal.Of(err)
+	if r.uncertain {
+		refused.Outcome = peerpb.Outcome_OUTCOME_UNKNOWN
+	}
+	return r.pool.refuse(&refused)
+}
+
 // at follows the answer of one server over as many connections as needed.
 func (r *run) at(server *server) (*peerpb.End, error) {
 	r.tried[server.Name()] = true
@@ -91,7 +127,7 @@
 		}
 		began, next := time.Now(), r.next
 		end, err := r.once(server)
-		if err == nil || !isLost(err) || r.ctx.Err() != nil {
+		if err == nil || !r.isBroken(err) || r.ctx.Err() != nil {
 			return end, r.meaning(server, err)
 		}
 		strikes++
@@ -112,7 +148,7 @@
 // life within the bound on silence: the run may still go on there. Without this
 // a link that is cut for a moment costs each caller behind it the answer.
 func (r *run) mayResume(life time.Time) bool {
-	isBound := r.next > 0 && r.restart == nil || r.sent && !r.request.GetIdempotent()
+	isBound := r.next > 0 || r.sent && !r.request.GetIdempotent()
 	return isBound && time.Since(life) < r.pool.Silence
 }
 
@@ -162,9 +198,9 @@
 	var unsent *notSentError
 	switch {
 	case !r.sent && (errors.As(err, &unsent) || isLost(err)):
-		return refusal.NotRun(http.StatusServiceUnavailable, "no_connection", "%s can't be reached", server.Name()).After(retryAfter)
+		return refusal.NotRun(http.StatusServiceUnavailable, codeUnreached, "%s can't be reached", server.Name()).After(retryAfter)
 	case errors.As(err, &unsent), isLost(err):
-		return refusal.Unknown(http.StatusBadGateway, "server_lost", "%s no longer answers", server.Name()).After(retryAfter)
+		return refusal.Unknown(http.StatusBadGateway, codeLost, "%s no longer answers", server.Name()).After(retryAfter)
 	default:
 		return err
 	}
@@ -227,6 +263,14 @@
 	return true
 }
 
+// isBroken reports whether the stream ended without an answer. One that could
+// not be opened counts only after the request was sent once: until then another
+// server can have it.
+func (r *run) isBroken(err error) bool {
+	var unsent *notSentError
+	return isLost(err) || r.sent && errors.As(err, &unsent)
+}
+
 func isLost(err error) bool {
 	var broken *lostError
 	return errors.As(err, &broken)
