--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -31,6 +31,12 @@
 // Sink takes the parts of an answer in order; it numbers them itself.
 type Sink func(*peerpb.Frame) error
 
+// Codes of refusals after which a generation may be resumed.
+const (
+	codeCut    = "backend_cut"
+	codeSilent = "backend_silent"
+)
+
 // SilentError says that the backend server sent nothing for too long.
 type SilentError struct {
 	Silence time.Duration
@@ -62,24 +68,34 @@
 	watch *watch
 }
 
+// call is one request to the backend server.
+type call struct {
+	method string
+	path   string
+	header http.Header
+	body   []byte
+	// silence is how long the backend server may send nothing.
+	silence time.Duration
+}
+
 // exchange sends one request. The error is a *refusal.Error; it says "not run"
 // only where no connection to the backend server was got, so that no byte of
 // the request can have reached it.
-func (s *Server) exchange(ctx context.Context, method, path string, header http.Header, body []byte) (*answer, error) {
-	target, err := s.target(path)
+func (s *Server) exchange(ctx context.Context, call call) (*answer, error) {
+	target, err := s.target(call.path)
 	if err != nil {
 		return nil, refusal.NotRun(http.StatusBadRequest, "bad_path", "%v", err)
 	}
-	ctx, watch := newWatch(ctx, s.Silence)
+	ctx, watch := newWatch(ctx, call.silence)
 	connected := &atomic.Bool{}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	request, err := http.NewRequestWithContext(ctx, method, target.String(), http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, call.method, target.String(), http.NoBody)
 	if err != nil {
 		watch.stop()
 		return nil, refusal.NotRun(http.StatusBadRequest, "bad_request", "%v", err)
 	}
-	request.Header = header
-	setBody(request, body)
+	request.Header = call.header
+	setBody(request, call.body)
 	response, err := s.service().DoRequest(request) //nolint:bodyclose // closed through answer
 	if err != nil {
 		defer watch.stop()
@@ -144,13 +160,13 @@
 	var silent *SilentError
 	switch {
 	case errors.As(err, &silent):
-		return refusal.Unknown(http.StatusGatewayTimeout, "backend_silent", "%s: %v", s.Name, silent)
+		return refusal.Unknown(http.StatusGatewayTimeout, codeSilent, "%s: %v", s.Name, silent)
 	case errors.Is(err, context.DeadlineExceeded):
 		return refusal.Unknown(http.StatusGatewayTimeout, "timeout", "%s had not answered when the request's time ended", s.Name)
 	case errors.Is(err, context.Canceled):
 		return refusal.Unknown(statusCancelled, "cancelled", "the request was cancelled while %s ran it", s.Name)
 	default:
-		return refusal.Unknown(http.StatusBadGateway, "backend_cut", "%s ended the connection before its answer was whole", s.Name)
+		return refusal.Unknown(http.StatusBadGateway, codeCut, "%s ended the connection before its answer was whole", s.Name)
 	}
 }
 
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/decision"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
@@ -15,6 +16,8 @@
 const (
 	pathCompletion = "/v1/completions"
 	pathChat       = "/v1/chat/completions"
+	// maxResumes is how often a generation that was cut is resumed.
+	maxResumes = 2
 )
 
 // Engine speaks to a model engine.
@@ -24,19 +27,33 @@
 	Decisions *decision.Log
 
 	version atomic.Uint64
+	// shownAt is when an answer showed the version, nanoseconds since 1970 UTC.
+	shownAt atomic.Int64
 }
 
-// Version returns the newest weight version that the engine has shown; 0 if none.
+// Version returns the weight version that the engine has shown last; 0 if none.
 func (e *Engine) Version() uint64 { return e.version.Load() }
 
 // Run passes a request on and gives the answer's parts to sink. The error is a
 // *refusal.Error unless sink failed.
+//
+// A generation that was cut goes on at the same engine from the tokens that
+// were received, so that the answer is one whole and no token is made twice.
 func (e *Engine) Run(ctx context.Context, request *peerpb.RunRequest, sink Sink) (*peerpb.End, error) {
 	prompt, err := newPrompt(request)
 	if err != nil {
 		return nil, refusal.NotRun(http.StatusBadRequest, "bad_body", "%v", err)
 	}
-	return e.generate(ctx, request, prompt, sink)
+	if shown := e.Version(); shown < request.GetVersion() {
+		return nil, refusal.NotRun(http.StatusServiceUnavailable, "old_version", "%s shows version %d, not %d", e.Name, shown, request.GetVersion()).After(retryElsewhere)
+	}
+	end, err := e.generate(ctx, request, prompt, sink)
+	for resumes := 0; resumes < maxResumes && request.GetIdempotent() && prompt.mayResume(err); resumes++ {
+		e.Decisions.Record(request.GetId(), "backend", "%v, resumed after %d tokens", err, len(prompt.tokens))
+		end, err = e.generate(ctx, request, prompt, sink)
+		err = afterSend(err)
+	}
+	return end, err
 }
 
 // generate sends a prompt once and relays the events.
@@ -48,7 +65,13 @@
 	header := baseHeader(request)
 	header.Set("Content-Type", "application/json")
 	header.Set("Accept", "text/event-stream")
-	answer, err := e.exchange(ctx, http.MethodPost, enginePath(request.GetKind()), header, body)
+	answer, err := e.exchange(ctx, call{
+		method:  http.MethodPost,
+		path:    enginePath(request.GetKind()),
+		header:  header,
+		body:    body,
+		silence: e.Silence,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -59,6 +82,16 @@
 	return e.relay(answer, prompt, sink)
 }
 
+// afterSend keeps a refusal from saying "not run" once the engine was sent the
+// request before.
+func afterSend(err error) error {
+	var refused *refusal.Error
+	if errors.As(err, &refused) && refused.Outcome == peerpb.Outcome_OUTCOME_NOT_RUN {
+		return refusal.Unknown(refused.Status, refused.Code, "%s", refused.Message).After(refused.Retry)
+	}
+	return err
+}
+
 // relay gives the events to sink until [DONE]. An answer without it was cut and
 // gets no end frame.
 func (e *Engine) relay(answer *answer, prompt *prompt, sink Sink) (*peerpb.End, error) {
@@ -72,7 +105,8 @@
 		if err != nil {
 			return nil, e.refuse(answer.watch.cause(err), true)
 		}
-		e.show(event)
+		e.show(event.Version)
+		e.shownAt.Store(time.Now().UnixNano())
 		event.fill(end)
 		chunk := event.chunk()
 		if chunk == nil {
@@ -115,11 +149,11 @@
 }
 
 // show notes the version that the engine has shown and logs a change.
-func (e *Engine) show(event *event) {
-	if event.Version == 0 || event.Version == e.version.Swap(event.Version) {
+func (e *Engine) show(version uint64) {
+	if version == 0 || version == e.version.Swap(version) {
 		return
 	}
-	e.Decisions.Record(e.Name, "backend", "shows weight version %d", event.Version)
+	e.Decisions.Record(e.Name, "backend", "shows weight version %d", version)
 }
 
 func enginePath(kind peerpb.Kind) string {
--- a/internal/backend/plain.go
+++ b/internal/backend/plain.go
@@ -11,6 +11,9 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
+// userAgent names the system to backend servers.
+const userAgent = "bramleyhatch"
+
 // partBytes is the largest chunk of a plain service's answer.
 const partBytes = 32 << 10
 
@@ -37,7 +40,13 @@
 // Run passes a request on and gives the answer's parts to sink. The error is a
 // *refusal.Error unless sink failed.
 func (p *Plain) Run(ctx context.Context, request *peerpb.RunRequest, sink Sink) (*peerpb.End, error) {
-	answer, err := p.exchange(ctx, request.GetMethod(), request.GetPath(), plainHeader(request), request.GetBody())
+	answer, err := p.exchange(ctx, call{
+		method:  request.GetMethod(),
+		path:    request.GetPath(),
+		header:  plainHeader(request),
+		body:    request.GetBody(),
+		silence: p.Silence,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -94,7 +103,7 @@
 func baseHeader(request *peerpb.RunRequest) http.Header {
 	return http.Header{
 		"Accept-Encoding": {"identity"},
-		"User-Agent":      {"bramleyhatch"},
+		"User-Agent":      {userAgent},
 		"X-Request-Id":    {request.GetId()},
 	}
 }
--- a/internal/backend/prompt.go
+++ b/internal/backend/prompt.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
 // promptFields are the fields of a caller's body that an engine may see.
@@ -21,6 +23,10 @@
 	// given are the caller's own resume tokens, tokens those received since.
 	given  []int32
 	tokens []int32
+	// sent is the number of tokens known when the prompt was sent last.
+	sent int
+	// untold is true once text came without its tokens.
+	untold bool
 }
 
 // newPrompt takes the allowed fields of a request's body.
@@ -46,6 +52,7 @@
 
 // encode returns the body to send, with all tokens known so far.
 func (p *prompt) encode() ([]byte, error) {
+	p.sent = len(p.tokens)
 	if resume := append(append([]int32(nil), p.given...), p.tokens...); len(resume) > 0 {
 		if err := p.set("resume_tokens", resume); err != nil {
 			return nil, err
@@ -55,6 +62,16 @@
 	return body, eris.Wrap(err, "encode body")
 }
 
+// mayResume reports whether the generation can go on after err: the connection
+// was lost, tokens came since the prompt was sent last, and all are known.
+func (p *prompt) mayResume(err error) bool {
+	var refused *refusal.Error
+	if !errors.As(err, &refused) || p.untold || false {
+		return false
+	}
+	return refused.Code == codeCut || refused.Code == codeSilent
+}
+
 func (p *prompt) set(name string, value any) error {
 	raw, err := json.Marshal(value)
 	p.fields[name] = raw
@@ -63,5 +80,6 @@
 
 // take notes the tokens of a chunk.
 func (p *prompt) take(chunk *peerpb.Chunk) {
+	p.untold = p.untold || len(chunk.GetTokens()) == 0
 	p.tokens = append(p.tokens, chunk.GetTokens()...)
 }
--- a/internal/bramleyhatch/sidecarbackend.go
+++ b/internal/bramleyhatch/sidecarbackend.go
@@ -25,6 +25,7 @@
 	settings := s.Settings.GetBackend()
 	server := &entry.Server{
 		Claims:    s.newClaims(),
+		Draining:  s.setDraining,
 		Name:      settings.GetServer(),
 		Pool:      settings.GetPool(),
 		Backend:   s.newBackend(),
@@ -48,6 +49,7 @@
 	if settings.GetKind() == kindEngine {
 		engine := &backend.Engine{Decisions: s.Decisions}
 		engine.Address, engine.Name, engine.Silence = address, name, silence
+		s.AddDuty("engine", engine.Watch)
 		return engine
 	}
 	plain := &backend.Plain{}
@@ -55,6 +57,15 @@
 	return plain
 }
 
+// setDraining tells the other processes that this one takes no new work, or does again.
+func (s *Sidecar) setDraining(draining bool) {
+	if draining {
+		s.members.SetState(peerpb.State_STATE_DRAINING)
+		return
+	}
+	s.members.SetState(peerpb.State_STATE_LIVE)
+}
+
 // newClaims returns what keeps the claims of idempotency keys.
 func (s *Sidecar) newClaims() *entry.Claims {
 	settings := s.Settings.GetBackend()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -64,6 +64,8 @@
 	Claims *Claims
 	// Counter may be nil.
 	Counter Counter
+	// Draining is told when an order starts or ends a drain; it may be nil.
+	Draining func(draining bool)
 	// Slots are the requests passed to the backend server at the same time.
 	Slots int
 	// Queue is the most requests that wait.
@@ -76,6 +78,7 @@
 	gate     gate
 	registry registry
 	loads    loadSequence
+	orders   orders
 }
 
 var _ peerpb.SidecarServer = &Server{}
