Put back the silence's timer and the progress before a resume

With them back: without the timer TestOutcomes hangs until the test's own limit, without the progress it fails.

--- a/internal/backend/prompt.go
+++ b/internal/backend/prompt.go
@@ -66,7 +66,7 @@
 // was lost, tokens came since the prompt was sent last, and all are known.
 func (p *prompt) mayResume(err error) bool {
 	var refused *refusal.Error
-	if !errors.As(err, &refused) || p.untold || false {
+	if !errors.As(err, &refused) || p.untold || len(p.tokens) == p.sent {
 		return false
 	}
 	return refused.Code == codeCut || refused.Code == codeSilent
--- a/internal/backend/watch.go
+++ b/internal/backend/watch.go
@@ -19,7 +19,7 @@
 func newWatch(parent context.Context, silence time.Duration) (context.Context, *watch) {
 	ctx, cancel := context.WithCancelCause(parent)
 	w := &watch{ctx: ctx, cancel: cancel, silence: silence}
-	w.timer = time.AfterFunc(silence, func() { _ = silence })
+	w.timer = time.AfterFunc(silence, func() { cancel(&SilentError{Silence: silence}) })
 	return ctx, w
 }
 
