Test drains and orders of weight versions

Failed first with each guard taken out: the comparison of fences (TestOldFenceIsRefused, TestOvertakenOrder), the second look after the wait (TestOvertakenOrder), the queue's refusal on a drain (TestDrainByOrder), the wait for runs (TestDrainWaitsForRuns).

--- /dev/null
+++ b/internal/entry/orders_test.go
@@ -0,0 +1,161 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/backend"
+	"github.com/bramleyhatch/bramleyhatch/internal/entry"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+)
+
+const (
+	drain  = peerpb.Action_ACTION_DRAIN
+	resume = peerpb.Action_ACTION_RESUME
+	load   = peerpb.Action_ACTION_VERSION
+)
+
+// A zone's server is to be stopped while a clerk's posting runs on it. The
+// posting must end whole, what waits goes elsewhere at once, and nothing new is
+// taken until the order is taken back.
+func TestDrainByOrder(t *testing.T) {
+	service := newService(t, true, answerPosting)
+	server := newServer(service.URL)
+	server.Slots = 1
+	var told atomic.Bool
+	server.Draining = told.Store
+	client := serve(t, server)
+	running := sendAsync(client, posting("running"))
+	receive(t, service.arrived)
+	waiting := sendAsync(client, posting("waiting"))
+	mustOrder(t, client, drain, 1)
+	must.True(t, told.Load())
+	mustBeRefused(t, notRun, "draining", receive(t, waiting))
+	refused := send(client, posting("new"))
+	mustBeRefused(t, notRun, "draining", refused)
+	must.True(t, refused.frames[0].GetLoad().GetDraining())
+	close(service.release)
+	mustBeWhole(t, postingAnswer, receive(t, running))
+	mustOrder(t, client, resume, 1)
+	mustBeWhole(t, postingAnswer, send(client, posting("new")))
+}
+
+// The sidecar gets SIGTERM while a posting runs. It must stay until the posting
+// has ended.
+func TestDrainWaitsForRuns(t *testing.T) {
+	service := newService(t, true, answerPosting)
+	server := newServer(service.URL)
+	client := serve(t, server)
+	running := sendAsync(client, posting("running"))
+	receive(t, service.arrived)
+	drained := make(chan struct{})
+	go func() {
+		server.Drain(context.Background())
+		close(drained)
+	}()
+	mustBecomeDraining(t, client)
+	select {
+	case <-drained:
+		t.Fatal("drained while a request ran")
+	default:
+	}
+	close(service.release)
+	receive(t, drained)
+	mustBeWhole(t, postingAnswer, receive(t, running))
+}
+
+func mustBecomeDraining(t *testing.T, client peerpb.SidecarClient) {
+	t.Helper()
+	for i := range 1000 {
+		request := posting(fmt.Sprintf("probe-%d", i))
+		request.SetPath("no slash")
+		if send(client, request).refusal.GetCode() == "draining" {
+			return
+		}
+	}
+	t.Fatal("doesn't drain")
+}
+
+func mustOrder(t *testing.T, client peerpb.SidecarClient, action peerpb.Action, fence uint64) {
+	t.Helper()
+	reply := order(t, client, action, fence)
+	must.Nil(t, reply.GetRefusal())
+}
+
+func order(t *testing.T, client peerpb.SidecarClient, action peerpb.Action, fence uint64) *peerpb.OrderReply {
+	t.Helper()
+	reply, err := client.Order(context.Background(), peerpb.OrderRequest_builder{
+		Action: action, Model: "m", Version: fence, Fence: fence, Duty: "weights",
+	}.Build())
+	must.NoError(t, err)
+	return reply
+}
+
+// newEngineServer returns the service of a sidecar beside an engine.
+func newEngineServer(address string) *entry.Server {
+	engine := &backend.Engine{}
+	engine.Address, engine.Name, engine.Silence = address, "s1", bound
+	server := newServer(address)
+	server.Backend = engine
+	return server
+}
+
+// The holder of the weights' duty is paused past its lease and its successor
+// orders version 2. Then the former holder wakes up and orders version 1 of an
+// engine that ignores fencing numbers. Samples would be made by old weights, so
+// the sidecar must keep the order from the engine.
+func TestOldFenceIsRefused(t *testing.T) {
+	service := newService(t, false, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprint(w, `{"version":2}`)
+	})
+	client := serve(t, newEngineServer(service.URL))
+	must.Eq(t, 2, order(t, client, load, 2).GetVersion())
+	late := order(t, client, load, 1)
+	must.Eq(t, "old_fence", late.GetRefusal().GetCode())
+	must.Eq(t, 2, late.GetVersion())
+	must.Eq(t, 1, service.runs.Load())
+}
+
+// Order 1 runs at the engine, order 2 waits for its end, and meanwhile the
+// duty's next holder gives an order with fence 3. Order 2 must not reach an
+// engine that ignores fencing numbers.
+func TestOvertakenOrder(t *testing.T) {
+	service := newService(t, true, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprint(w, `{"version":3}`)
+	})
+	client := serve(t, newEngineServer(service.URL))
+	replies := make(chan *peerpb.OrderReply, 2)
+	go func() { replies <- order(t, client, load, 1) }()
+	receive(t, service.arrived)
+	overtaken := make(chan *peerpb.OrderReply, 1)
+	go func() { overtaken <- order(t, client, load, 2) }()
+	mustOrder(t, client, resume, 3)
+	close(service.release)
+	must.Nil(t, receive(t, replies).GetRefusal())
+	must.Eq(t, "old_fence", receive(t, overtaken).GetRefusal().GetCode())
+	must.Eq(t, 1, service.runs.Load())
+}
+
+// The engine's swap fails. The reply must name the version that the engine
+// shows, not the one that was ordered.
+func TestFailedSwap(t *testing.T) {
+	answers := []string{`{"version":4}`}
+	service := newService(t, false, func(w http.ResponseWriter, _ *http.Request) {
+		if len(answers) == 0 {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		_, _ = fmt.Fprint(w, answers[0])
+		answers = nil
+	})
+	client := serve(t, newEngineServer(service.URL))
+	must.Eq(t, 4, order(t, client, load, 4).GetVersion())
+	failed := order(t, client, load, 5)
+	must.Eq(t, "swap_failed", failed.GetRefusal().GetCode())
+	must.Eq(t, 4, failed.GetVersion())
+}
