--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -15,6 +15,13 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
+const (
+	// defaultRetry is told to callers where nothing better is known.
+	defaultRetry = time.Second
+	// isolatedRetry gives the platform's balancer time to choose another entry.
+	isolatedRetry = 5 * time.Second
+)
+
 // statusClientClosed is what proxies log for a caller who left; none sees it.
 const statusClientClosed = 499
 
@@ -24,6 +31,8 @@
 type answer interface {
 	// take writes a frame or keeps it.
 	take(frame *peerpb.Frame) error
+	// restart forgets what was taken; it reports false if a part was written.
+	restart() bool
 	// end writes what closes the answer.
 	end(end *peerpb.End) error
 	// fail closes an answer that has begun; it reports false if nothing of it was written.
@@ -39,6 +48,7 @@
 	key     string
 	grant   lists.Grant
 	ctx     context.Context
+	cancel  context.CancelCauseFunc
 	start   time.Time
 	pool    string
 	status  int
@@ -61,15 +71,15 @@
 		return refusal.NotRun(http.StatusUnauthorized, "missing_key", "send your key as Authorization: Bearer KEY")
 	}
 	hash := lists.HashKey(key)
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	stop := c.handler.Grants.UntilWithdrawn(hash, func() { cancel(errWithdrawn) })
+	c.ctx, c.cancel = context.WithCancelCause(ctx)
+	defer c.cancel(nil)
+	stop := c.handler.Grants.UntilWithdrawn(hash, c.withdraw)
 	defer stop()
 	grant, ok := c.handler.Grants.Grant(hash)
 	if !ok {
 		return refusal.NotRun(http.StatusUnauthorized, "unknown_key", "the key is unknown or was withdrawn")
 	}
-	c.ctx, c.key, c.grant = ctx, key, grant
+	c.key, c.grant = key, grant
 	return serve(c)
 }
 
@@ -86,22 +96,47 @@
 }
 
 // run sends the request on and writes the answer.
-func (c *call) run(request *peerpb.RunRequest, answer answer) error {
+func (c *call) run(request *peerpb.RunRequest, answer answer, tokens int64) error {
 	c.pool = request.GetPool()
+	done, err := c.mayRun(tokens)
+	if err != nil {
+		return err
+	}
+	var used int64
+	defer func() { done(used) }()
 	c.answer = answer
-	request.SetId(c.id)
-	request.SetAccount(c.grant.Account())
-	request.SetWeight(c.grant.Plan().GetWeight())
-	request.SetPriority(c.grant.Plan().GetPriority())
-	request.SetTimeout(durationpb.New(c.handler.Timeout))
+	c.complete(request)
 	c.handler.Decisions.Record(c.id, "caller", "%s of account %s for %s is taken", request.GetKind(), c.grant.Account(), c.pool)
-	end, err := c.handler.Runner.Run(c.ctx, request, answer.take)
+	end, err := c.handler.Runner.RunRestartable(c.ctx, request, answer.take, answer.restart)
 	if err != nil {
+		used = tokens
 		return c.explain(err)
 	}
+	used = int64(end.GetPromptTokens() + end.GetOutputTokens())
 	return answer.end(end)
 }
 
+// mayRun decides whether new work is taken at all, and from this account.
+func (c *call) mayRun(tokens int64) (done func(used int64), err error) {
+	if c.handler.Isolated != nil && c.handler.Isolated(time.Now()) {
+		return nil, refusal.NotRun(http.StatusServiceUnavailable, "isolated",
+			"this entry hears neither the store nor most of its peers").After(isolatedRetry)
+	}
+	if c.handler.Admission == nil {
+		return func(int64) {}, nil
+	}
+	return c.handler.Admission.Admit(c.grant.Account(), c.grant.Plan(), tokens)
+}
+
+// complete sets what a request of any kind carries. The key is not among it.
+func (c *call) complete(request *peerpb.RunRequest) {
+	request.SetId(c.id)
+	request.SetAccount(c.grant.Account())
+	request.SetWeight(c.grant.Plan().GetWeight())
+	request.SetPriority(c.grant.Plan().GetPriority())
+	request.SetTimeout(durationpb.New(c.handler.Timeout))
+}
+
 // explain turns the end of the call's context into the refusal that the caller sees.
 func (c *call) explain(err error) error {
 	if errors.Is(context.Cause(c.ctx), errWithdrawn) {
@@ -122,7 +157,7 @@
 
 // refuse answers with a refusal, in the way that the answer begun so far allows.
 func (c *call) refuse(err error) {
-	refused := refusal.Of(err)
+	refused := withRetry(refusal.Of(err))
 	c.status, c.code = refused.Status, refused.Code
 	c.handler.Decisions.Record(c.id, "caller", "refused: %s", refused.Error())
 	if c.answer != nil && c.answer.fail(refused) {
@@ -131,6 +166,17 @@
 	refusal.Write(c.writer, refused)
 }
 
+// withRetry sets when to come back where coming back may help and nothing was said.
+func withRetry(refused *refusal.Error) *refusal.Error {
+	switch refused.Status {
+	case http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if refused.Retry <= 0 {
+			refused.Retry = defaultRetry
+		}
+	}
+	return refused
+}
+
 // mayUse checks a model or service against those of the plan.
 func (c *call) mayUse(what, name string, allowed []string) error {
 	if slices.Contains(allowed, name) {
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -35,15 +35,20 @@
 
 // Runner runs requests at backend servers.
 type Runner interface {
-	Run(ctx context.Context, request *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error)
+	RunRestartable(ctx context.Context, request *peerpb.RunRequest, sink sidecar.Sink, restart sidecar.Restart) (*peerpb.End, error)
 }
 
 var _ Runner = &sidecar.Pool{}
 
 // Handler serves callers. Exported fields are set before the first request.
 type Handler struct {
-	Grants    Grants
-	Runner    Runner
+	Grants Grants
+	Runner Runner
+	// Admission keeps the limits of plans; nil sets none.
+	Admission *Admission
+	// Isolated reports whether this process can't know what changes elsewhere,
+	// as a withdrawn key, and so takes no new work; nil never does.
+	Isolated  func(now time.Time) bool
 	Decisions *decision.Log
 	Metrics   prometheus.Registerer
 	// MaxBodyBytes is the largest request body.
@@ -88,6 +93,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		c := newCall(h, w, r)
 		w.Header().Set(HeaderRequest, c.id)
+		w.Header().Del("Traceparent")
 		ctx, cancel := context.WithTimeout(r.Context(), h.Timeout)
 		defer cancel()
 		err := c.admit(ctx, serve)
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -51,8 +51,13 @@
 	if err := c.keepKey(append(values(headers), target, service, string(body))...); err != nil {
 		return err
 	}
+	claim, err := c.claim(service)
+	if err != nil {
+		return err
+	}
 	request := peerpb.RunRequest_builder{
 		Pool:       service,
+		Claim:      claim,
 		Kind:       peerpb.Kind_KIND_PLAIN,
 		Method:     c.request.Method,
 		Path:       target,
@@ -60,7 +65,7 @@
 		Body:       body,
 		Idempotent: isIdempotent(c.request.Method),
 	}.Build()
-	return c.run(request, &plainAnswer{call: c})
+	return c.run(request, &plainAnswer{call: c}, 0)
 }
 
 // splitService returns the service and the path with the query that it sees.
