Make the tests of drains and overtaken orders see their guards

Both now wait for the state; with the queue's refusal taken out the first fails, with the second look taken out the other does.

--- a/internal/entry/orders_test.go
+++ b/internal/entry/orders_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
 	"github.com/bramleyhatch/bramleyhatch/internal/entry"
@@ -32,10 +33,14 @@
 	client := serve(t, server)
 	running := sendAsync(client, posting("running"))
 	receive(t, service.arrived)
-	waiting := sendAsync(client, posting("waiting"))
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	waiting, err := client.Run(ctx, posting("waiting"))
+	must.NoError(t, err)
+	mustBeQueued(t, waiting)
 	mustOrder(t, client, drain, 1)
 	must.True(t, told.Load())
-	mustBeRefused(t, notRun, "draining", receive(t, waiting))
+	mustBeRefused(t, notRun, "draining", read(waiting))
 	refused := send(client, posting("new"))
 	mustBeRefused(t, notRun, "draining", refused)
 	must.True(t, refused.frames[0].GetLoad().GetDraining())
@@ -45,6 +50,19 @@
 	mustBeWhole(t, postingAnswer, send(client, posting("new")))
 }
 
+// mustBeQueued reads beats until the server says that a request waits.
+func mustBeQueued(t *testing.T, stream grpc.ServerStreamingClient[peerpb.Frame]) {
+	t.Helper()
+	for {
+		frame, err := stream.Recv()
+		must.NoError(t, err)
+		must.True(t, frame.HasBeat())
+		if frame.GetLoad().GetQueued() > 0 {
+			return
+		}
+	}
+}
+
 // The sidecar gets SIGTERM while a posting runs. It must stay until the posting
 // has ended.
 func TestDrainWaitsForRuns(t *testing.T) {
@@ -134,6 +152,7 @@
 	receive(t, service.arrived)
 	overtaken := make(chan *peerpb.OrderReply, 1)
 	go func() { overtaken <- order(t, client, load, 2) }()
+	mustHaveSeen(t, client, 2)
 	mustOrder(t, client, resume, 3)
 	close(service.release)
 	must.Nil(t, receive(t, replies).GetRefusal())
@@ -141,6 +160,17 @@
 	must.Eq(t, 1, service.runs.Load())
 }
 
+// mustHaveSeen waits until the sidecar refuses fences lower than fence.
+func mustHaveSeen(t *testing.T, client peerpb.SidecarClient, fence uint64) {
+	t.Helper()
+	for range 10000 {
+		if order(t, client, resume, fence-1).HasRefusal() {
+			return
+		}
+	}
+	t.Fatalf("fence %d is not seen", fence)
+}
+
 // The engine's swap fails. The reply must name the version that the engine
 // shows, not the one that was ordered.
 func TestFailedSwap(t *testing.T) {
