Distribute facts, withdrawals and membership by probes, pushes and anti-entropy

Cause: the thin exchange sent whole tables each interval, every entry watched the store and every process read the host list: calls of the store grew with the processes, and bytes with their square. Change: Members and Prober decide without input and output; Exchanger carries their messages; two entries a zone watch the store; withdrawals reach the store after an outage; Isolated and /readyz; a process that stops announces it. Ruled out: sending new withdrawals unasked in each message; the test passed without it, since the digest asks for them at once, so it was taken out.

--- a/internal/bramleyhatch/entryoperators.go
+++ b/internal/bramleyhatch/entryoperators.go
@@ -7,6 +7,9 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 )
 
+// watcherCount is the number of entries of a zone that watch the store.
+const watcherCount = 2
+
 // addOperators adds the lists and the operators' interface.
 func (e *Entry) addOperators() error {
 	tokens, err := operator.ParseTokens(e.Settings.GetOperator().GetTokens())
@@ -15,10 +18,10 @@
 	}
 	e.members.OnFact(member.FactConfig, e.view.Take)
 	e.members.OnWithdrawal(func(withdrawal *peerpb.Withdrawal) { e.view.Withdraw(withdrawal.GetKey()) })
-	watcher := &lists.Watcher{Store: e.platform, Prefix: member.FactConfig, Offer: e.members.Offer}
-	e.AddDuty("lists", watcher.Run)
+	editor := &lists.Editor{Store: e.platform, Accepted: e.members.Offer}
+	e.addWatchers(editor)
 	server := &operator.Server{
-		Editor:  &lists.Editor{Store: e.platform, Accepted: e.members.Offer},
+		Editor:  editor,
 		Store:   e.platform,
 		Members: e.members,
 		View:    e.view,
@@ -29,3 +32,14 @@
 	e.AddRoutes(server.Routes()...)
 	return nil
 }
+
+// addWatchers adds the duties between the store and the other processes.
+func (e *Entry) addWatchers(editor *lists.Editor) {
+	watches := func() bool { return e.members.InCharge("watch", watcherCount) }
+	for _, prefix := range []string{member.FactConfig, member.FactFleet} {
+		watcher := &lists.Watcher{Store: e.platform, Prefix: prefix, Offer: e.members.Offer, InCharge: watches}
+		e.AddDuty("watch "+prefix, watcher.Run)
+	}
+	settler := &lists.Settler{Members: e.members, Editor: editor, InCharge: watches}
+	e.AddDuty("settle", settler.Run)
+}
--- a/internal/bramleyhatch/health.go
+++ b/internal/bramleyhatch/health.go
@@ -2,16 +2,20 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 )
 
 // healthRoutes returns the routes for the platform's balancer and for Prometheus.
-func (p *Process) healthRoutes() []rest.Route {
-	metrics := promhttp.HandlerFor(p.Metrics, promhttp.HandlerOpts{})
+func (e *Entry) healthRoutes() []rest.Route {
+	metrics := promhttp.HandlerFor(e.Metrics, promhttp.HandlerOpts{})
 	return []rest.Route{
 		{Method: http.MethodGet, Path: "/healthz", Handler: answerOK},
+		{Method: http.MethodGet, Path: "/readyz", Handler: e.answerReady},
 		{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP},
 	}
 }
@@ -19,3 +23,29 @@
 func answerOK(w http.ResponseWriter, _ *http.Request) {
 	w.WriteHeader(http.StatusOK)
 }
+
+// answerReady tells the balancer whether to send callers here.
+func (e *Entry) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if reason := e.notReady(time.Now()); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// notReady returns why no callers should come here; "" if they should.
+func (e *Entry) notReady(now time.Time) string {
+	config, _ := e.view.Config()
+	switch {
+	case e.members.Self().GetState() != peerpb.State_STATE_LIVE:
+		return "draining"
+	case config == nil:
+		return "no configuration yet"
+	case e.members.Replaced():
+		return "a later process has this process's name"
+	case e.members.Isolated(now):
+		return "isolated: neither the store nor most processes of the region answer"
+	default:
+		return ""
+	}
+}
--- a/internal/bramleyhatch/members.go
+++ b/internal/bramleyhatch/members.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/grpc"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/lists"
 	"github.com/bramleyhatch/bramleyhatch/internal/member"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
@@ -26,11 +28,13 @@
 		Kind:        backend.GetKind(),
 	}.Build()
 	p.members = member.NewMembers(self)
+	p.members.Isolation = settings.GetIsolated().AsDuration()
 	client.Heard = func() { p.members.StoreHeard(time.Now()) }
 	exchanger := &member.Exchanger{
 		Members:   p.members,
 		Seeds:     settings.GetSeeds(),
 		Interval:  settings.GetInterval().AsDuration(),
+		Suspect:   settings.GetSuspect().AsDuration(),
 		Hosts:     client.Hosts,
 		Decisions: p.Decisions,
 	}
@@ -39,7 +43,45 @@
 		p.members.SetAddress(p.advertised())
 		return exchanger.Run(ctx)
 	})
-	p.AddDrain(func(context.Context) { p.members.SetState(peerpb.State_STATE_DRAINING) })
+	p.AddDrain(func(ctx context.Context) { p.announce(ctx, settings.GetAnnounce().AsDuration()) })
+	if role == peerpb.Role_ROLE_SIDECAR {
+		settler := &lists.Settler{Members: p.members}
+		p.AddDuty("settle", settler.Run)
+	}
+	p.addMemberMetrics()
+}
+
+// addMemberMetrics adds what an alert needs to see of membership.
+func (p *Process) addMemberMetrics() {
+	p.Metrics.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramleyhatch_member_entries",
+			Help: "Entries that are not known to have failed or left.",
+		}, func() float64 { return float64(len(p.members.Processes(peerpb.Role_ROLE_ENTRY))) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramleyhatch_member_sidecars",
+			Help: "Sidecars that are not known to have failed or left.",
+		}, func() float64 { return float64(len(p.members.Processes(peerpb.Role_ROLE_SIDECAR))) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramleyhatch_member_isolated",
+			Help: "1 if neither the store nor most processes of the region answer.",
+		}, p.isolated),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramleyhatch_member_store_age_seconds",
+			Help: "Time since the store answered any process that is heard; -1 if it never did.",
+		}, func() float64 { return max(-1, p.members.StoreAge(time.Now()).Seconds()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramleyhatch_config_revision",
+			Help: "Revision of the lists and keys that is known here.",
+		}, func() float64 { return float64(p.members.Fact(member.FactConfig).GetRevision()) }),
+	)
+}
+
+func (p *Process) isolated() float64 {
+	if p.members.Isolated(time.Now()) {
+		return 1
+	}
+	return 0
 }
 
 // advertised returns the address under which other processes reach this one.
@@ -49,3 +91,18 @@
 	}
 	return p.Addresses().Peer
 }
+
+// announce tells the balancer and the other processes that this one drains and
+// goes on serving for a while.
+//
+// The balancer and the others learn of it a little later than this process. If
+// it closed its listeners at once, requests on their way would be cut off.
+func (p *Process) announce(ctx context.Context, length time.Duration) {
+	p.members.SetState(peerpb.State_STATE_DRAINING)
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/lists/distribution_test.go
@@ -0,0 +1,157 @@
+package lists_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/lists"
+	"github.com/bramleyhatch/bramleyhatch/internal/member"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform/platformtest"
+)
+
+// shortWait keeps the tests of waits short.
+const shortWait = 100 * time.Millisecond
+
+func mustBecome(t *testing.T, state func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(state), wait.Timeout(20*time.Second), wait.Gap(5*time.Millisecond)))
+}
+
+func newMembers() *member.Members {
+	return member.NewMembers(peerpb.Process_builder{Name: "e1", Role: peerpb.Role_ROLE_ENTRY, State: peerpb.State_STATE_LIVE}.Build())
+}
+
+func run(t *testing.T, duty func(context.Context) error) {
+	t.Helper()
+	working, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- duty(working) }()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+}
+
+func startView(t *testing.T, store *platformtest.Store) (*member.Members, *lists.View) {
+	t.Helper()
+	members, view := newMembers(), &lists.View{}
+	members.OnFact(member.FactConfig, view.Take)
+	members.OnWithdrawal(func(w *peerpb.Withdrawal) { view.Withdraw(w.GetKey()) })
+	watcher := &lists.Watcher{Store: store, Prefix: member.FactConfig, Offer: members.Offer, Wait: shortWait}
+	run(t, watcher.Run)
+	return members, view
+}
+
+func numberOf(view *lists.View) uint64 {
+	config, _ := view.Config()
+	return config.GetLists()
+}
+
+func TestWatcherBringsChanges(t *testing.T) {
+	store := &platformtest.Store{}
+	editor := &lists.Editor{Store: store}
+	_, view := startView(t, store)
+	mustPut(t, editor, 0, 1)
+	mustBecome(t, func() bool { return numberOf(view) == 1 })
+	mustPut(t, editor, 1, 2)
+	mustBecome(t, func() bool { return numberOf(view) == 2 })
+}
+
+// The watch of the store shows nothing any more, and no error either. An edit
+// is accepted and would never be in force.
+func TestSilentWatchIsNoticed(t *testing.T) {
+	store := &platformtest.Store{}
+	editor := &lists.Editor{Store: store}
+	_, view := startView(t, store)
+	mustPut(t, editor, 0, 1)
+	mustBecome(t, func() bool { return numberOf(view) == 1 })
+	store.SetSilent(true)
+	mustPut(t, editor, 1, 2)
+	mustBecome(t, func() bool { return numberOf(view) == 2 })
+}
+
+// The store goes away and comes back; the lists changed just before it came
+// back for the watcher. A watcher that had given up would keep the old ones.
+func TestWatcherSurvivesOutage(t *testing.T) {
+	store := &platformtest.Store{}
+	editor := &lists.Editor{Store: store}
+	_, view := startView(t, store)
+	mustPut(t, editor, 0, 1)
+	mustBecome(t, func() bool { return numberOf(view) == 1 })
+	store.SetAway(true)
+	calls := store.Calls()
+	mustBecome(t, func() bool { return store.Calls() > calls+1 })
+	must.Eq(t, 1, numberOf(view))
+	store.SetAway(false)
+	mustPut(t, editor, 1, 2)
+	mustBecome(t, func() bool { return numberOf(view) == 2 })
+}
+
+// A watch answers late, with a configuration older than the one in force.
+func TestViewNeverGoesBack(t *testing.T) {
+	view := &lists.View{}
+	old, err := proto.Marshal(listsWith(1))
+	must.NoError(t, err)
+	next, err := proto.Marshal(listsWith(2))
+	must.NoError(t, err)
+	view.Take(peerpb.Fact_builder{Name: "config", Revision: 7, Value: next}.Build())
+	view.Take(peerpb.Fact_builder{Name: "config", Revision: 6, Value: old}.Build())
+	config, revision := view.Config()
+	must.Eq(t, 7, revision)
+	must.Eq(t, 2.0, config.GetPlans()[0].GetWeight())
+}
+
+func TestOnlyFewWatch(t *testing.T) {
+	store := &platformtest.Store{}
+	asked := make(chan bool, 1)
+	watcher := &lists.Watcher{Store: store, Offer: newMembers().Offer, Wait: shortWait, InCharge: func() bool {
+		select {
+		case asked <- true:
+		default:
+		}
+		return false
+	}}
+	run(t, watcher.Run)
+	<-asked
+	<-asked
+	must.Eq(t, 0, store.Calls())
+}
+
+// A key is withdrawn while the store is away. It works nowhere from then on,
+// but the store does not know. Once the store is back, it must be told, or the
+// key would work again after all processes have restarted.
+func TestWithdrawalReachesStoreAfterOutage(t *testing.T) {
+	store := &platformtest.Store{}
+	editor := &lists.Editor{Store: store}
+	members, view := startView(t, store)
+	mustPut(t, editor, 0, 1)
+	hash := lists.HashKey("k")
+	_, err := editor.Grant(ctx, hash, "a", "ann")
+	must.NoError(t, err)
+	mustBecome(t, func() bool { _, granted := view.Grant(hash); return granted })
+
+	store.SetAway(true)
+	members.Withdraw(peerpb.Withdrawal_builder{Key: hash, Operator: "bob"}.Build())
+	settler := &lists.Settler{Members: members, Editor: editor, InCharge: func() bool { return true }, Interval: shortWait}
+	run(t, settler.Run)
+	_, granted := view.Grant(hash)
+	must.False(t, granted)
+	calls := store.Calls()
+	mustBecome(t, func() bool { return store.Calls() > calls+3 })
+	must.Len(t, 1, members.Withdrawals())
+	store.SetAway(false)
+	mustBecome(t, func() bool { return len(members.Withdrawals()) == 0 })
+
+	config, _, err := editor.Config(ctx)
+	must.NoError(t, err)
+	must.True(t, config.GetKeys()[0].GetWithdrawn())
+	must.Eq(t, "bob", config.GetChanges()[len(config.GetChanges())-1].GetOperator())
+	_, granted = view.Grant(hash)
+	must.False(t, granted)
+}
--- a/internal/lists/view.go
+++ b/internal/lists/view.go
@@ -141,6 +141,17 @@
 	return v.withdrawn[hash]
 }
 
+// settle forgets withdrawals that the configuration holds by now.
+func (v *View) settle(next *snapshot) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	for hash := range v.withdrawn {
+		if next.keys[hash].GetWithdrawn() {
+			delete(v.withdrawn, hash)
+		}
+	}
+}
+
 func (v *View) take(next *snapshot) {
 	for {
 		now := v.current.Load()
@@ -152,6 +163,7 @@
 		}
 	}
 	klog.Infof("lists: revision %d is in force", next.revision)
+	v.settle(next)
 	v.endWithdrawn()
 }
 
--- a/internal/lists/watch.go
+++ b/internal/lists/watch.go
@@ -1,6 +1,7 @@
 package lists
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -13,6 +14,7 @@
 const (
 	watchWait  = 5 * time.Second
 	watchPause = 500 * time.Millisecond
+	idlePause  = time.Second
 )
 
 // Store is what a Watcher needs of the platform.
@@ -29,24 +31,45 @@
 	Prefix string
 	// Offer takes a fact.
 	Offer func(*peerpb.Fact) bool
+	// InCharge reports whether this process should watch now: a few entries of
+	// each zone do, so that the store's calls don't grow with the processes.
+	// nil always watches.
+	InCharge func() bool
+	// Wait is the longest wait of one watch; 0 is 5 s.
+	Wait time.Duration
 }
 
-// Run watches until the context ends. Each round lists too, since a watch can
-// go silent without an error.
+// Run watches until the context ends.
+//
+// A watch can go silent without an error: the lists would stay as they are
+// until the next restart, and nobody would notice. So each watch has an end
+// and the values are listed before the next one. While the store is away the
+// watcher goes on trying.
 func (w *Watcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		reply, err := w.Store.List(ctx, w.Prefix)
-		if err == nil {
-			w.offer(reply)
-			reply, err = w.Store.Watch(ctx, w.Prefix, reply.Revision, watchWait)
-		}
-		if err != nil {
-			klog.V(1).Infof("lists: %v", err)
-			pause(ctx, watchPause)
+		if w.InCharge != nil && !w.InCharge() {
+			pause(ctx, min(idlePause, cmp.Or(w.Wait, watchWait)))
 			continue
 		}
-		w.offer(reply)
+		if err := w.round(ctx); err != nil {
+			klog.V(1).Infof("lists: watch %s: %v", w.Prefix, err)
+			pause(ctx, jitter(watchPause))
+		}
+	}
+	return nil
+}
+
+func (w *Watcher) round(ctx context.Context) error {
+	reply, err := w.Store.List(ctx, w.Prefix)
+	if err != nil {
+		return err
+	}
+	w.offer(reply)
+	reply, err = w.Store.Watch(ctx, w.Prefix, reply.Revision, cmp.Or(w.Wait, watchWait))
+	if err != nil {
+		return err
 	}
+	w.offer(reply)
 	return nil
 }
 
--- a/internal/member/answer.go
+++ b/internal/member/answer.go
@@ -42,14 +42,3 @@
 func (e *Exchanger) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
 	return peerpb.StatusReply_builder{Process: e.Members.Self(), Facts: e.Members.Digest()}.Build(), nil
 }
-
-// Digest returns the names and revisions of the facts known here, without values.
-func (m *Members) Digest() []*peerpb.Fact {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	var digest []*peerpb.Fact
-	for name, fact := range m.facts {
-		digest = append(digest, peerpb.Fact_builder{Name: name, Revision: fact.GetRevision()}.Build())
-	}
-	return digest
-}
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -3,20 +3,29 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
-	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/decision"
-	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
 
-const exchangeTimeout = time.Second
+const (
+	exchangeTimeout = time.Second
+	// probesAtOnce bounds the probes that wait for an answer.
+	probesAtOnce = 4
+	// pushDelay gathers news that comes at the same time into one message.
+	pushDelay = 20 * time.Millisecond
+	// pushPause is the least time between two rounds of messages with news.
+	pushPause = 200 * time.Millisecond
+	// leaveTimeout bounds the last messages of a process that stops.
+	leaveTimeout = time.Second
+)
 
 // Exchanger exchanges with other processes what each knows.
 // Exported fields are set before Run.
@@ -26,178 +35,214 @@
 	Members     *Members
 	Seeds       []string
 	Interval    time.Duration
+	Suspect     time.Duration
 	Credentials credentials.TransportCredentials
 	// Hosts returns the platform's lagging host list; nil uses the seeds alone.
 	Hosts func(ctx context.Context) ([]platform.Host, error)
 	// Decisions are shown to operators who ask; nil shows none.
 	Decisions *decision.Log
 
-	connections map[string]*grpc.ClientConn
-	hosts       []string
+	once        sync.Once
+	mutex       sync.Mutex
+	prober      *Prober
+	connections connections
+	targets     chan *peerpb.Process
 }
 
 var _ peerpb.MemberServer = &Exchanger{}
 
 // Exchange answers another process's exchange.
 func (e *Exchanger) Exchange(_ context.Context, gossip *peerpb.Gossip) (*peerpb.Gossip, error) {
-	e.Members.merge(gossip)
-	return e.Members.gossip(gossip.GetDigest()), nil
+	return e.Members.Answer(time.Now(), gossip), nil
+}
+
+// Probe asks a third process on behalf of one that got no answer from it.
+func (e *Exchanger) Probe(ctx context.Context, request *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	err := e.exchange(ctx, request.GetTarget().GetAddress())
+	return peerpb.ProbeReply_builder{Reached: err == nil}.Build(), nil
 }
 
-// Run exchanges with one process each interval until the context ends.
+// Run probes one process each interval and sends news on at once until the
+// context ends; then it tells the neighbours that this process has left.
 func (e *Exchanger) Run(ctx context.Context) error {
-	e.connections = map[string]*grpc.ClientConn{}
+	e.prober = &Prober{
+		Members:  e.Members,
+		Interval: e.Interval,
+		Suspect:  e.Suspect,
+		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	e.targets = make(chan *peerpb.Process, probesAtOnce)
+	var group sync.WaitGroup
+	for range probesAtOnce {
+		group.Go(func() { e.probeTargets(ctx) })
+	}
+	group.Go(func() { e.push(ctx) })
+	group.Go(func() { e.join(ctx) })
+	e.tick(ctx)
+	group.Wait()
+	e.leave()
+	e.pool().close()
+	return nil
+}
+
+func (e *Exchanger) tick(ctx context.Context) {
 	ticker := time.NewTicker(e.Interval)
 	defer ticker.Stop()
 	for {
-		e.refreshHosts(ctx)
-		if address := e.pick(); address != "" {
-			e.exchangeWith(ctx, address)
+		e.mutex.Lock()
+		target := e.prober.Next(time.Now())
+		e.mutex.Unlock()
+		if target != nil {
+			select {
+			case e.targets <- target:
+			default:
+				klog.V(1).Info("member: all probes wait for answers, one is left out")
+			}
 		}
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-ticker.C:
 		}
 	}
 }
 
-func (e *Exchanger) refreshHosts(ctx context.Context) {
-	if e.Hosts == nil {
+func (e *Exchanger) probeTargets(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case target := <-e.targets:
+			e.probe(ctx, target)
+		}
+	}
+}
+
+func (e *Exchanger) probe(ctx context.Context, target *peerpb.Process) {
+	err := e.exchange(ctx, target.GetAddress())
+	if err == nil || ctx.Err() != nil {
 		return
 	}
-	hosts, err := e.Hosts(ctx)
-	if err != nil {
+	klog.V(1).Infof("member: no answer from %s: %v", target.GetName(), err)
+	e.mutex.Lock()
+	helpers := e.prober.Helpers(target)
+	e.mutex.Unlock()
+	if target.GetState() != peerpb.State_STATE_FAILED && e.askHelpers(ctx, helpers, target) {
+		klog.V(1).Infof("member: others reach %s", target.GetName())
 		return
 	}
-	e.hosts = e.hosts[:0]
-	for _, host := range hosts {
-		e.hosts = append(e.hosts, host.Address)
+	if ctx.Err() == nil {
+		e.mutex.Lock()
+		e.prober.Missed(time.Now(), target)
+		e.mutex.Unlock()
 	}
 }
 
-func (e *Exchanger) pick() string {
-	self := e.Members.Self().GetAddress()
-	var addresses []string
-	for _, role := range []peerpb.Role{peerpb.Role_ROLE_ENTRY, peerpb.Role_ROLE_SIDECAR} {
-		for _, process := range e.Members.Processes(role) {
-			addresses = append(addresses, process.GetAddress())
-		}
-	}
-	addresses = append(addresses, e.Seeds...)
-	addresses = append(addresses, e.hosts...)
-	others := addresses[:0]
-	for _, address := range addresses {
-		if address != self {
-			others = append(others, address)
+func (e *Exchanger) askHelpers(ctx context.Context, helpers []*peerpb.Process, target *peerpb.Process) bool {
+	reached := make(chan bool, len(helpers))
+	request := peerpb.ProbeRequest_builder{Target: target}.Build()
+	for _, helper := range helpers {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, 2*exchangeTimeout)
+			defer cancel()
+			var reply *peerpb.ProbeReply
+			err := e.pool().call(ctx, helper.GetAddress(), func(ctx context.Context, connection *grpc.ClientConn) (err error) {
+				reply, err = peerpb.NewMemberClient(connection).Probe(ctx, request)
+				return err
+			})
+			reached <- err == nil && reply.GetReached()
+		}()
+	}
+	for range helpers {
+		if <-reached {
+			return true
 		}
 	}
-	if len(others) == 0 {
-		return ""
-	}
-	return others[rand.IntN(len(others))]
+	return false
 }
 
-func (e *Exchanger) exchangeWith(ctx context.Context, address string) {
-	connection := e.connections[address]
-	if connection == nil {
-		dialed, err := listen.Dial(address, e.Credentials)
-		if err != nil {
-			klog.Warningf("member: %v", err)
-			return
-		}
-		connection = dialed
-		e.connections[address] = connection
+// exchange sends a request, and once more if the answer shows that either side
+// lacks something.
+func (e *Exchanger) exchange(ctx context.Context, address string) error {
+	answer, err := e.send(ctx, address, e.Members.Request(time.Now()))
+	if err != nil {
+		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	answer, err := peerpb.NewMemberClient(connection).Exchange(ctx, e.Members.gossip(nil))
+	next := e.Members.FollowUp(time.Now(), answer)
+	if next == nil {
+		return nil
+	}
+	answer, err = e.send(ctx, address, next)
 	if err != nil {
-		klog.V(1).Infof("member: no answer from %s: %v", address, err)
-		return
+		return err
 	}
-	e.Members.merge(answer)
+	e.Members.Take(time.Now(), answer)
+	return nil
 }
 
-func (m *Members) gossip(digest []*peerpb.Fact) *peerpb.Gossip {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	known := map[string]uint64{}
-	for _, fact := range digest {
-		known[fact.GetName()] = fact.GetRevision()
-	}
-	gossip := &peerpb.Gossip{}
-	gossip.SetSender(m.self)
-	for _, process := range m.processes {
-		gossip.SetProcesses(append(gossip.GetProcesses(), process))
-	}
-	for name, fact := range m.facts {
-		gossip.SetDigest(append(gossip.GetDigest(), peerpb.Fact_builder{Name: name, Revision: fact.GetRevision()}.Build()))
-		if known[name] < fact.GetRevision() {
-			gossip.SetFacts(append(gossip.GetFacts(), fact))
-		}
-	}
-	for _, withdrawal := range m.withdrawals {
-		gossip.SetWithdrawals(append(gossip.GetWithdrawals(), withdrawal))
-	}
-	for _, load := range m.loads {
-		gossip.SetLoads(append(gossip.GetLoads(), load))
-	}
-	return gossip
+func (e *Exchanger) send(ctx context.Context, address string, gossip *peerpb.Gossip) (*peerpb.Gossip, error) {
+	var answer *peerpb.Gossip
+	err := e.pool().call(ctx, address, func(ctx context.Context, connection *grpc.ClientConn) (err error) {
+		answer, err = peerpb.NewMemberClient(connection).Exchange(ctx, gossip)
+		return err
+	})
+	return answer, err
 }
 
-func (m *Members) merge(gossip *peerpb.Gossip) {
-	m.mutex.Lock()
-	for _, process := range append(gossip.GetProcesses(), gossip.GetSender()) {
-		m.mergeProcess(process)
-	}
-	m.mutex.Unlock()
-	for _, fact := range gossip.GetFacts() {
-		m.Offer(fact)
-	}
-	for _, withdrawal := range gossip.GetWithdrawals() {
-		m.Withdraw(withdrawal)
-	}
-	for _, load := range gossip.GetLoads() {
-		m.OfferLoad(load)
+// push sends news to the neighbours at once, who do the same.
+func (e *Exchanger) push(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.Members.Urgent():
+		}
+		if !wait(ctx, pushDelay) {
+			return
+		}
+		e.sendAll(ctx, e.neighbours())
+		if !wait(ctx, pushPause) {
+			return
+		}
 	}
 }
 
-func (m *Members) mergeProcess(process *peerpb.Process) {
-	known := m.processes[process.GetName()]
-	if known != nil && !isNewer(process, known) {
-		return
+func (e *Exchanger) sendAll(ctx context.Context, targets []*peerpb.Process) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, target := range targets {
+		group.Go(func() { _ = e.exchange(ctx, target.GetAddress()) })
 	}
-	m.processes[process.GetName()] = process
-	klog.Infof("member: %s at %s is %s", process.GetName(), process.GetAddress(), process.GetState())
+	group.Wait()
 }
 
-// SetAddress sets the peer address in this process's own record.
-func (m *Members) SetAddress(address string) {
-	m.change(func(self *peerpb.Process) { self.SetAddress(address) })
+func (e *Exchanger) neighbours() []*peerpb.Process {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.prober.Neighbours()
 }
 
-// SetState sets the state in this process's own record.
-func (m *Members) SetState(state peerpb.State) {
-	m.change(func(self *peerpb.Process) { self.SetState(state) })
+func (e *Exchanger) leave() {
+	e.Members.SetState(peerpb.State_STATE_LEFT)
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	e.sendAll(ctx, e.neighbours())
 }
 
-func (m *Members) change(change func(*peerpb.Process)) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	next, ok := proto.Clone(m.self).(*peerpb.Process)
-	if !ok {
-		return
-	}
-	change(next)
-	next.SetVersion(next.GetVersion() + 1)
-	m.self = next
-	m.processes[next.GetName()] = next
+// pool returns the connections; another process may ask before Run.
+func (e *Exchanger) pool() *connections {
+	e.once.Do(func() { e.connections.credentials = e.Credentials })
+	return &e.connections
 }
 
-func isNewer(process, known *peerpb.Process) bool {
-	if process.GetIncarnation() != known.GetIncarnation() {
-		return process.GetIncarnation() > known.GetIncarnation()
+func wait(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
-	return process.GetVersion() > known.GetVersion()
 }
--- /dev/null
+++ b/internal/member/prober.go
@@ -0,0 +1,149 @@
+package member
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+)
+
+const (
+	helperCount = 2
+	// forgetTime is how long a failed or left process is remembered.
+	forgetTime = 10 * time.Minute
+	// retryEvery is the number of probes between two of a failed process, so
+	// that the two sides of a healed cut find each other.
+	retryEvery = 5
+	// pauseFactor intervals without a call mean that this process was paused.
+	pauseFactor = 4
+)
+
+// Prober decides whom a process asks and what a missing answer means.
+// Exported fields are set before use. It is for one goroutine at a time.
+type Prober struct {
+	Members *Members
+	// Interval is the time between two calls of Next.
+	Interval time.Duration
+	// Suspect is the time after which a suspected process has failed.
+	Suspect time.Duration
+	Rand    *rand.Rand
+
+	turn int
+	last time.Time
+}
+
+// Expire takes suspected processes as failed once their time is over and
+// forgets those that are long gone.
+//
+// After a pause of this process (a frozen host, a long stop of the machine)
+// all suspicions look old, though nobody was asked meanwhile. Their time then
+// begins anew.
+func (p *Prober) Expire(now time.Time) {
+	m := p.Members
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	paused := !p.last.IsZero() && now.Sub(p.last) > max(pauseFactor*p.Interval, p.Suspect/2)
+	p.last = now
+	for name, known := range m.table.records {
+		age := now.Sub(known.since)
+		switch state := known.process.GetState(); {
+		case name == m.self.GetName():
+		case state == peerpb.State_STATE_SUSPECT && paused:
+			known.since = now
+			m.table.records[name] = known
+		case state == peerpb.State_STATE_SUSPECT && age >= p.Suspect:
+			p.mark(known.process, peerpb.State_STATE_FAILED, now)
+		case !isPresent(state) && age >= forgetTime:
+			m.table.remove(name)
+		}
+	}
+}
+
+// Helpers returns processes that should ask the target once more.
+func (p *Prober) Helpers(target *peerpb.Process) []*peerpb.Process {
+	m := p.Members
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.rings.update(&m.table, m.self.GetName())
+	around := m.rings.all()
+	var found []*peerpb.Process
+	for _, i := range p.Rand.Perm(len(around)) {
+		if around[i].GetName() != target.GetName() && len(found) < helperCount {
+			found = append(found, around[i])
+		}
+	}
+	return found
+}
+
+// Missed takes note that neither this process nor its helpers got an answer.
+func (p *Prober) Missed(now time.Time, target *peerpb.Process) {
+	m := p.Members
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	known := m.table.get(target.GetName())
+	if known == nil || known.GetIncarnation() != target.GetIncarnation() || known.GetVersion() != target.GetVersion() {
+		return
+	}
+	switch known.GetState() {
+	case peerpb.State_STATE_LIVE:
+		p.mark(known, peerpb.State_STATE_SUSPECT, now)
+	case peerpb.State_STATE_DRAINING:
+		// A suspicion would hide that it drains, and it would get work again.
+		p.mark(known, peerpb.State_STATE_FAILED, now)
+	default:
+	}
+}
+
+// Neighbours returns the processes to which news is sent at once.
+func (p *Prober) Neighbours() []*peerpb.Process {
+	m := p.Members
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.rings.update(&m.table, m.self.GetName())
+	return m.rings.all()
+}
+
+// Next returns the process to ask now: each of the successors in turn, now and
+// then one that has failed. It returns nil if no other is known.
+func (p *Prober) Next(now time.Time) *peerpb.Process {
+	p.Expire(now)
+	m := p.Members
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.rings.update(&m.table, m.self.GetName())
+	p.turn++
+	if p.turn%retryEvery == 0 {
+		if lost := p.lost(); lost != nil {
+			return lost
+		}
+	}
+	if len(m.rings.successors) == 0 {
+		return p.lost()
+	}
+	return m.rings.successors[p.turn%len(m.rings.successors)]
+}
+
+func (p *Prober) lost() *peerpb.Process {
+	var chosen *peerpb.Process
+	seen := 0
+	for _, known := range p.Members.table.records {
+		if known.process.GetState() != peerpb.State_STATE_FAILED {
+			continue
+		}
+		seen++
+		if p.Rand.IntN(seen) == 0 {
+			chosen = known.process
+		}
+	}
+	return chosen
+}
+
+func (p *Prober) mark(known *peerpb.Process, state peerpb.State, now time.Time) {
+	next := proto.CloneOf(known)
+	next.SetState(state)
+	klog.Infof("member: %s at %s gives no answer, it is taken as %s", known.GetName(), known.GetAddress(), state)
+	p.Members.setProcess(next, known, now)
+}
--- /dev/null
+++ b/internal/member/table.go
@@ -0,0 +1,181 @@
+package member
+
+import (
+	"hash/fnv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+)
+
+// bucketCount is the number of parts in which two tables are compared.
+const bucketCount = 64
+
+// record is what is known of one process.
+type record struct {
+	process *peerpb.Process
+	// hash is that of the name.
+	hash uint64
+	// since is when the state was learnt.
+	since time.Time
+}
+
+// table holds the records of all processes, with hashes by which two tables
+// are compared without sending them. Only present processes count in the
+// hashes, so that forgetting those that left makes no difference.
+type table struct {
+	records map[string]record
+	buckets [bucketCount]uint64
+	hash    uint64
+	// version rises with each change.
+	version uint64
+}
+
+func newTable() table {
+	return table{records: map[string]record{}}
+}
+
+// clone returns a table that shares the records.
+func (t *table) clone() table {
+	next := *t
+	next.records = make(map[string]record, len(t.records))
+	for name, known := range t.records {
+		next.records[name] = known
+	}
+	return next
+}
+
+func (t *table) get(name string) *peerpb.Process {
+	return t.records[name].process
+}
+
+func (t *table) inBucket(index int) []*peerpb.Process {
+	var found []*peerpb.Process
+	for _, known := range t.records {
+		if bucketOf(known.hash) == index {
+			found = append(found, known.process)
+		}
+	}
+	return found
+}
+
+// put replaces the record of a process.
+func (t *table) put(process *peerpb.Process, now time.Time) {
+	name := process.GetName()
+	known, found := t.records[name]
+	if !found {
+		known.hash = hashName(name)
+	}
+	t.toggle(known)
+	known.process, known.since = process, now
+	t.records[name] = known
+	t.toggle(known)
+	t.version++
+}
+
+func (t *table) remove(name string) {
+	t.toggle(t.records[name])
+	delete(t.records, name)
+	t.version++
+}
+
+// toggle takes a record into the hashes, or out of them.
+func (t *table) toggle(known record) {
+	if known.process == nil || !isPresent(known.process.GetState()) {
+		return
+	}
+	sum := hashRecord(known)
+	t.buckets[bucketOf(known.hash)] ^= sum
+	t.hash ^= sum
+}
+
+func bucketOf(hash uint64) int { return int(hash % bucketCount) }
+
+func hashName(name string) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(name))
+	return mix(sum.Sum64())
+}
+
+func hashRecord(known record) uint64 {
+	process := known.process
+	sum := known.hash ^ mix(process.GetIncarnation())
+	sum = mix(sum ^ process.GetVersion())
+	return mix(sum + uint64(process.GetState()))
+}
+
+// mix spreads the bits of a number (the finalizer of splitmix64).
+func mix(value uint64) uint64 {
+	value += 0x9e3779b97f4a7c15
+	value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9
+	value = (value ^ (value >> 27)) * 0x94d049bb133111eb
+	return value ^ (value >> 31)
+}
+
+// complete returns process with what a short form leaves out, taken from the
+// known record; nil if that can't be done.
+func complete(process, known *peerpb.Process) *peerpb.Process {
+	if process.GetAddress() != "" || isLocal(process) {
+		return process
+	}
+	if known == nil || known.GetIncarnation() != process.GetIncarnation() {
+		return nil
+	}
+	next := proto.CloneOf(known)
+	next.SetVersion(process.GetVersion())
+	next.SetState(process.GetState())
+	return next
+}
+
+// shorten returns the form of a record that tells the state only: the other
+// side knows the rest.
+func shorten(process *peerpb.Process) *peerpb.Process {
+	switch process.GetState() {
+	case peerpb.State_STATE_SUSPECT, peerpb.State_STATE_FAILED, peerpb.State_STATE_LEFT:
+		return peerpb.Process_builder{
+			Name:        process.GetName(),
+			Incarnation: process.GetIncarnation(),
+			Version:     process.GetVersion(),
+			State:       process.GetState(),
+		}.Build()
+	default:
+		return process
+	}
+}
+
+// isLocal tells a record without an address whose process has not begun to
+// listen, as in its own table, from a short form.
+func isLocal(process *peerpb.Process) bool {
+	return process.GetRole() != peerpb.Role_ROLE_UNSPECIFIED
+}
+
+func isNewer(process, known *peerpb.Process) bool {
+	if process.GetIncarnation() != known.GetIncarnation() {
+		return process.GetIncarnation() > known.GetIncarnation()
+	}
+	if process.GetVersion() != known.GetVersion() {
+		return process.GetVersion() > known.GetVersion()
+	}
+	return severity(process.GetState()) > severity(known.GetState())
+}
+
+// severity orders what others say of one version of a record: a suspicion goes
+// before the process's own word, a failure before a suspicion. The process
+// answers by raising its version.
+func severity(state peerpb.State) int {
+	switch state {
+	case peerpb.State_STATE_SUSPECT:
+		return 1
+	case peerpb.State_STATE_FAILED:
+		return 2
+	case peerpb.State_STATE_LEFT:
+		return 3
+	default:
+		return 0
+	}
+}
+
+func isPresent(state peerpb.State) bool {
+	return state != peerpb.State_STATE_LEFT && state != peerpb.State_STATE_FAILED
+}
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -132,7 +132,11 @@
 }
 
 func (s *Server) status(ctx context.Context, _ string, _ *http.Request) (proto.Message, error) {
-	reply := &operatorpb.StatusReply{}
+	now := time.Now()
+	reply := operatorpb.StatusReply_builder{
+		Isolated: s.Members.Isolated(now),
+		StoreAge: s.Members.StoreAge(now).Milliseconds(),
+	}.Build()
 	for _, role := range []peerpb.Role{peerpb.Role_ROLE_ENTRY, peerpb.Role_ROLE_SIDECAR} {
 		reply.SetProcesses(append(reply.GetProcesses(), s.Members.Processes(role)...))
 	}
