--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -52,6 +52,9 @@
 	synced    time.Time
 	differs   bool
 	replaced  bool
+	ancestry  ancestry
+	// replacedBy holds, by name, the records that a later process has replaced.
+	replacedBy map[string]*peerpb.Process
 
 	expected   uint64
 	expectedAt time.Time
@@ -68,6 +71,8 @@
 		stamps:   stamps{},
 		watchers: map[string][]func(*peerpb.Fact){},
 		urgent:   make(chan struct{}, 1),
+
+		replacedBy: map[string]*peerpb.Process{},
 	}
 	m.table.put(self, time.Time{})
 	m.updates.add(self.GetName())
@@ -196,7 +201,10 @@
 
 // SetState sets the state in this process's own record.
 func (m *Members) SetState(state peerpb.State) {
-	m.change(func(self *peerpb.Process) { self.SetState(state) })
+	m.change(func(self *peerpb.Process) {
+		self.SetState(state)
+		self.SetEnded(endedAt(state, time.Now()))
+	})
 }
 
 // StoreHeard notes that the platform's store has answered just now.
@@ -262,6 +270,7 @@
 // mergeProcess takes what is said of a process if it is newer. It reports
 // whether the known record is newer, so that the other side should be told.
 func (m *Members) mergeProcess(process *peerpb.Process, now time.Time) (outdated bool) {
+	m.ancestry.note(m.self, process)
 	if process.GetName() == m.self.GetName() {
 		return m.mergeSelf(process, now)
 	}
@@ -270,7 +279,7 @@
 		return isNewer(known, process)
 	}
 	process = complete(process, known)
-	if process == nil || (known == nil && !isPresent(process.GetState())) {
+	if process == nil || (known == nil && hasExpired(process, now)) {
 		return false
 	}
 	m.setProcess(process, known, now)
@@ -285,7 +294,7 @@
 func (m *Members) mergeSelf(process *peerpb.Process, now time.Time) (outdated bool) {
 	own := m.self
 	if !isNewer(process, own) {
-		return isNewer(own, process)
+		return false
 	}
 	if process.GetIncarnation() > own.GetIncarnation() && !m.isNewcomer(now) {
 		if !m.replaced {
@@ -320,6 +329,9 @@
 	if !isPresent(process.GetState()) {
 		delete(m.loads, process.GetServer())
 	}
+	if known.GetIncarnation() < process.GetIncarnation() {
+		m.noteElder(known, now)
+	}
 	m.table.put(process, now)
 	m.updates.add(process.GetName())
 	m.hurry()
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -28,11 +28,12 @@
 
 // Answer takes another process's message and returns the answer.
 func (m *Members) Answer(now time.Time, request *peerpb.Gossip) *peerpb.Gossip {
+	elders := m.eldersOf(request.GetSender())
 	outdated := m.take(now, request)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	answer := m.message(now)
-	answer.SetProcesses(append(answer.GetProcesses(), outdated...))
+	answer.SetProcesses(append(append(answer.GetProcesses(), outdated...), elders...))
 	if request.GetHeld() != m.facts.hash && m.expect(now, request.GetHeld()) {
 		answer.SetDigest(m.facts.digest())
 		answer.SetWithdrawals(m.someWithdrawals())
@@ -42,7 +43,8 @@
 	}
 	if len(request.GetBuckets()) == bucketCount {
 		answer.SetBuckets(slices.Clone(m.table.buckets[:]))
-		answer.SetProcesses(append(answer.GetProcesses(), m.differing(request.GetBuckets())...))
+		differing := append(m.differing(request.GetBuckets()), m.table.ended()...)
+		answer.SetProcesses(append(answer.GetProcesses(), differing...))
 	}
 	return answer
 }
@@ -118,6 +120,12 @@
 	return true
 }
 
+func (m *Members) eldersOf(process *peerpb.Process) []*peerpb.Process {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.elders(process)
+}
+
 func (m *Members) differing(buckets []uint64) []*peerpb.Process {
 	var found []*peerpb.Process
 	sent := 0
@@ -188,9 +196,13 @@
 	return outdated
 }
 
-// wantsSync reports whether the next exchange should compare whole tables:
-// at once while the process joins, else at a low rate.
+// wantsSync reports whether the next exchange should compare whole tables: the
+// first always, which also brings what failed before; then without pause while
+// the process joins and the tables differ, else at a low rate.
 func (m *Members) wantsSync(now time.Time) bool {
+	if m.synced.IsZero() {
+		return true
+	}
 	if !m.differs {
 		return false
 	}
--- a/internal/member/prober.go
+++ b/internal/member/prober.go
@@ -12,8 +12,6 @@
 
 const (
 	helperCount = 2
-	// forgetTime is how long a failed or left process is remembered.
-	forgetTime = 10 * time.Minute
 	// retryEvery is the number of probes between two of a failed process, so
 	// that the two sides of a healed cut find each other.
 	retryEvery = 5
@@ -47,6 +45,7 @@
 	defer m.mutex.Unlock()
 	paused := !p.last.IsZero() && now.Sub(p.last) > max(pauseFactor*p.Interval, p.Suspect/2)
 	p.last = now
+	m.forgetElders(now)
 	for name, known := range m.table.records {
 		age := now.Sub(known.since)
 		switch state := known.process.GetState(); {
@@ -56,7 +55,7 @@
 			m.table.records[name] = known
 		case state == peerpb.State_STATE_SUSPECT && age >= p.Suspect:
 			p.mark(known.process, peerpb.State_STATE_FAILED, now)
-		case !isPresent(state) && age >= forgetTime:
+		case hasExpired(known.process, now):
 			m.table.remove(name)
 		}
 	}
@@ -144,6 +143,7 @@
 func (p *Prober) mark(known *peerpb.Process, state peerpb.State, now time.Time) {
 	next := proto.CloneOf(known)
 	next.SetState(state)
+	next.SetEnded(endedAt(state, now))
 	klog.Infof("member: %s at %s gives no answer, it is taken as %s", known.GetName(), known.GetAddress(), state)
 	p.Members.setProcess(next, known, now)
 }
--- a/internal/member/prober_test.go
+++ b/internal/member/prober_test.go
@@ -171,3 +171,61 @@
 	}
 	must.MapLen(t, len(all), asked)
 }
+
+// A sidecar is started again and has lost what it kept in memory. The processes
+// that knew the earlier one replace its record at the first message. If none
+// told the new one, it would take its empty memory for whole and run a posting
+// a second time.
+func TestRestartedProcessLearnsOfEarlier(t *testing.T) {
+	tests := map[string]func(p *pair) string{
+		"same name":               func(*pair) string { return "s1" },
+		"other name, same server": func(*pair) string { return "s2" },
+		"earlier one has failed": func(p *pair) string {
+			p.failEarlier(t)
+			return "s2"
+		},
+		"told by one that came later": func(p *pair) string {
+			p.failEarlier(t)
+			p.a = joined(p)
+			return "s2"
+		},
+	}
+	for name, restart := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPair()
+			exchange(member.NewMembers(sidecarRecord("s1", 1)), p.a, p.now)
+			again := member.NewMembers(sidecarRecord(restart(p), 2))
+			exchange(again, p.a, p.now)
+			must.False(t, again.IsFirst())
+		})
+	}
+	t.Run("first one", func(t *testing.T) {
+		p := newPair()
+		first := member.NewMembers(sidecarRecord("x", 2))
+		exchange(first, p.a, p.now)
+		must.True(t, first.IsFirst())
+	})
+}
+
+func (p *pair) failEarlier(t *testing.T) {
+	t.Helper()
+	p.prober.Missed(p.now, find(p.a, "s1"))
+	p.pass(5 * time.Second)
+	must.Nil(t, find(p.a, "s1"))
+}
+
+// joined returns a process that came after another had failed.
+func joined(p *pair) *member.Members {
+	late := newMembers("late")
+	for range 3 {
+		exchange(late, p.a, p.now)
+	}
+	return late
+}
+
+func sidecarRecord(name string, incarnation uint64) *peerpb.Process {
+	record := entryRecord(name, incarnation)
+	record.SetAddress(name)
+	record.SetServer("server-1")
+	return record
+}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -9,8 +9,16 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 )
 
-// bucketCount is the number of parts in which two tables are compared.
-const bucketCount = 64
+const (
+	// bucketCount is the number of parts in which two tables are compared.
+	bucketCount = 64
+	// forgetTime is how long a failed or left process is remembered; longer
+	// than sidecars remember requests, so that one that was started again
+	// learns that it was.
+	forgetTime = 20 * time.Minute
+	// sentEnded bounds the failed and left processes told to one that joins.
+	sentEnded = 256
+)
 
 // record is what is known of one process.
 type record struct {
@@ -46,6 +54,17 @@
 	return next
 }
 
+// ended returns records of processes that failed or left, a bounded number.
+func (t *table) ended() []*peerpb.Process {
+	var found []*peerpb.Process
+	for _, known := range t.records {
+		if !isPresent(known.process.GetState()) && len(found) < sentEnded {
+			found = append(found, known.process)
+		}
+	}
+	return found
+}
+
 func (t *table) get(name string) *peerpb.Process {
 	return t.records[name].process
 }
@@ -125,6 +144,7 @@
 	next := proto.CloneOf(known)
 	next.SetVersion(process.GetVersion())
 	next.SetState(process.GetState())
+	next.SetEnded(process.GetEnded())
 	return next
 }
 
@@ -138,6 +158,7 @@
 			Incarnation: process.GetIncarnation(),
 			Version:     process.GetVersion(),
 			State:       process.GetState(),
+			Ended:       process.GetEnded(),
 		}.Build()
 	default:
 		return process
@@ -176,6 +197,20 @@
 	}
 }
 
+// hasExpired reports whether a process failed or left so long ago that it is
+// forgotten. The time comes with the record: were it counted from when each
+// process learnt of it, they would remind each other for ever.
+func hasExpired(process *peerpb.Process, now time.Time) bool {
+	return !isPresent(process.GetState()) && now.Sub(time.Unix(process.GetEnded(), 0)) >= forgetTime
+}
+
+func endedAt(state peerpb.State, now time.Time) int64 {
+	if isPresent(state) {
+		return 0
+	}
+	return now.Unix()
+}
+
 func isPresent(state peerpb.State) bool {
 	return state != peerpb.State_STATE_LEFT && state != peerpb.State_STATE_FAILED
 }
