--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -35,7 +35,7 @@
 
 // Runner runs requests at backend servers.
 type Runner interface {
-	Run(ctx context.Context, request *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error)
+	RunRestartable(ctx context.Context, request *peerpb.RunRequest, sink sidecar.Sink, restart sidecar.Restart) (*peerpb.End, error)
 }
 
 var _ Runner = &sidecar.Pool{}
@@ -88,6 +88,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		c := newCall(h, w, r)
 		w.Header().Set(HeaderRequest, c.id)
+		w.Header().Del("Traceparent")
 		ctx, cancel := context.WithTimeout(r.Context(), h.Timeout)
 		defer cancel()
 		err := c.admit(ctx, serve)
