Ignore a repeated SIGTERM at the end of a process

Cause: the rolling replacement's second SIGTERM came between the end of the signal context and the exit (a second with the race detector) and killed the process: code -1 for a good end.

--- a/internal/cmd/entrycmd.go
+++ b/internal/cmd/entrycmd.go
@@ -1,10 +1,6 @@
 package cmd
 
 import (
-	"context"
-	"os/signal"
-	"syscall"
-
 	"github.com/bramleyhatch/bramleyhatch/internal/bramleyhatch"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
 	"github.com/bramleyhatch/bramleyhatch/internal/settings"
@@ -26,8 +22,8 @@
 	if err := settings.Load(e.Settings, &loaded); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, end := stopContext()
+	defer end()
 	entry := &bramleyhatch.Entry{Settings: &loaded}
 	return entry.Run(ctx)
 }
--- a/internal/cmd/sidecarcmd.go
+++ b/internal/cmd/sidecarcmd.go
@@ -1,10 +1,6 @@
 package cmd
 
 import (
-	"context"
-	"os/signal"
-	"syscall"
-
 	"github.com/bramleyhatch/bramleyhatch/internal/bramleyhatch"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
 	"github.com/bramleyhatch/bramleyhatch/internal/settings"
@@ -26,8 +22,8 @@
 	if err := settings.Load(s.Settings, &loaded); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, end := stopContext()
+	defer end()
 	sidecar := &bramleyhatch.Sidecar{Settings: &loaded}
 	return sidecar.Run(ctx)
 }
