--- /dev/null
+++ b/internal/rollout/execution.go
@@ -0,0 +1,181 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"hash/fnv"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+)
+
+const scorePause = 200 * time.Millisecond
+
+// errNotNeeded ends an attempt whose sample can't be used any more.
+var errNotNeeded = errors.New("rollout: the slot needs the attempt no more")
+
+// completion is the body that an engine sees.
+type completion struct {
+	Model       string  `json:"model"`
+	Prompt      string  `json:"prompt"`
+	MaxTokens   uint32  `json:"max_tokens,omitempty"`
+	Temperature float64 `json:"temperature"`
+	Seed        int64   `json:"seed"`
+}
+
+// execution runs one attempt.
+type execution struct {
+	holder  *Holder
+	step    *Step
+	attempt Attempt
+	open    *peerpb.OpenRequest
+	oldest  uint64
+	answer  Answer
+}
+
+func (e *execution) run(ctx context.Context) {
+	sample, err := e.generate(ctx)
+	if err != nil {
+		e.fail(err)
+		return
+	}
+	if e.finish(sample) {
+		e.keep(ctx, sample)
+	}
+}
+
+// generate returns a whole, scored sample.
+func (e *execution) generate(ctx context.Context) (*peerpb.Sample, error) {
+	e.holder.Decisions.Record(e.attempt.ID(), "sample", "slot %d of step %d starts, second run %t", e.attempt.Slot(), e.open.GetStep(), e.attempt.Second())
+	end, err := e.holder.Runner.Run(ctx, e.request(), e.take)
+	if err != nil {
+		return nil, err
+	}
+	sample, err := e.answer.Sample(e.attempt, e.open, end)
+	if err != nil {
+		return nil, err
+	}
+	return sample, e.score(ctx, sample)
+}
+
+func (e *execution) request() *peerpb.RunRequest {
+	body, err := json.Marshal(completion{
+		Model:       e.open.GetModel(),
+		Prompt:      e.attempt.Prompt(),
+		MaxTokens:   e.open.GetMaxTokens(),
+		Temperature: e.open.GetTemperature(),
+		Seed:        seed(e.open, e.attempt),
+	})
+	if err != nil {
+		body = nil
+	}
+	return peerpb.RunRequest_builder{
+		Id:         e.attempt.ID(),
+		Account:    e.open.GetAccount(),
+		Pool:       e.open.GetModel(),
+		Kind:       peerpb.Kind_KIND_COMPLETION,
+		Method:     http.MethodPost,
+		Body:       body,
+		Weight:     e.open.GetWeight(),
+		Timeout:    durationpb.New(e.holder.Timeout),
+		Idempotent: true,
+		Version:    e.oldest,
+	}.Build()
+}
+
+// seed is the same for all attempts at a slot, so that a second run draws the
+// same answer and the faster of two is not the shorter one.
+func seed(open *peerpb.OpenRequest, attempt Attempt) int64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(attemptID(open.GetTrainer(), open.GetStep(), attempt.Slot(), 0, 0)))
+	return int64(hash.Sum64() >> 1)
+}
+
+// take adds a frame, and ends the attempt once it is doomed.
+func (e *execution) take(frame *peerpb.Frame) error {
+	if frame.WhichPart() != peerpb.Frame_Chunk_case {
+		return nil
+	}
+	chunk := frame.GetChunk()
+	if err := e.answer.Add(e.attempt.ID(), chunk); err != nil {
+		return err
+	}
+	e.holder.mutex.Lock()
+	defer e.holder.mutex.Unlock()
+	if !e.step.Progress(e.attempt, len(chunk.GetTokens()), chunk.GetVersion(), time.Now()) {
+		return errNotNeeded
+	}
+	return nil
+}
+
+// score asks the scorer until it answers or the attempt's time is over: the
+// sample is whole, and generating it again would cost more.
+func (e *execution) score(ctx context.Context, sample *peerpb.Sample) error {
+	if e.holder.Scorer == nil {
+		return nil
+	}
+	for {
+		score, err := e.holder.Scorer.Score(ctx, sample.GetPrompt(), sample.GetText())
+		if err == nil {
+			sample.SetScore(score)
+			return nil
+		}
+		if !rest(ctx, scorePause) {
+			return err
+		}
+	}
+}
+
+func (e *execution) fail(err error) {
+	h := e.holder
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.ended(e.step, e.attempt)
+	h.Decisions.Record(e.attempt.ID(), "sample", "gave no sample: %v", err)
+	var refused *refusal.Error
+	var wait time.Duration
+	if errors.As(err, &refused) {
+		wait = refused.Retry
+	}
+	e.step.Fail(e.attempt, wait, time.Now())
+	h.notify()
+}
+
+// finish reports whether the sample fills its slot; then it cancels the other
+// attempts at it.
+func (e *execution) finish(sample *peerpb.Sample) bool {
+	h := e.holder
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.ended(e.step, e.attempt)
+	others := e.step.Others(e.attempt)
+	if !e.step.Finish(e.attempt, sample, time.Now()) {
+		h.Decisions.Record(e.attempt.ID(), "sample", "whole but not needed: slot %d has one, or it is stale", e.attempt.Slot())
+		h.notify()
+		return false
+	}
+	if h.step == e.step {
+		h.stop(others, "attempt "+e.attempt.ID()+" was first")
+	}
+	h.notify()
+	return true
+}
+
+// keep brings the bytes to another process, then lets the sample be fixed.
+func (e *execution) keep(ctx context.Context, sample *peerpb.Sample) {
+	h := e.holder
+	h.mutex.Lock()
+	forget := h.forget
+	h.forget = nil
+	h.mutex.Unlock()
+	holders := h.Keeping.Keep(ctx, sample, forget)
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	e.step.Kept(e.attempt, append([]string{h.Process}, holders...))
+	h.notify()
+}
--- /dev/null
+++ b/internal/rollout/service.go
@@ -0,0 +1,170 @@
+package rollout
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+)
+
+const lookInterval = 500 * time.Millisecond
+
+// Weights takes announced versions of models for which this process is in charge.
+type Weights interface {
+	Announce(ctx context.Context, model string, version uint64) error
+}
+
+// Service answers other entries about the trainers whose steps this one holds,
+// and holds samples for them. Exported fields are set before Run.
+type Service struct {
+	peerpb.UnimplementedStepServer
+
+	// New returns a holder for a trainer.
+	New   func(trainer string) *Holder
+	Shelf *Shelf
+	// Locate returns the process that holds a duty, as far as is known.
+	Locate  func(duty string) (*Location, bool)
+	Process string
+	Weights Weights
+
+	mutex   sync.Mutex
+	holders map[string]*Holder
+	run     context.Context
+	group   sync.WaitGroup
+}
+
+var _ peerpb.StepServer = &Service{}
+
+// Run runs the holders until the context ends. One whose duty another process
+// is known to hold lets go of its step.
+func (s *Service) Run(ctx context.Context) error {
+	s.mutex.Lock()
+	s.run = ctx
+	s.mutex.Unlock()
+	for rest(ctx, lookInterval) {
+		for _, holder := range s.all() {
+			s.look(holder)
+		}
+	}
+	s.group.Wait()
+	return nil
+}
+
+// Lead makes this process the holder of a trainer's steps until the context ends.
+func (s *Service) Lead(ctx context.Context, trainer string, fence uint64) error {
+	return s.holder(trainer).Lead(ctx, fence)
+}
+
+// Open opens a step that this process holds.
+func (s *Service) Open(ctx context.Context, request *peerpb.OpenRequest) (*peerpb.OpenReply, error) {
+	reply, err := s.open(ctx, request)
+	if err != nil {
+		return peerpb.OpenReply_builder{Refusal: refusal.Of(err).ToMessage()}.Build(), nil
+	}
+	return reply, nil
+}
+
+func (s *Service) open(ctx context.Context, request *peerpb.OpenRequest) (*peerpb.OpenReply, error) {
+	holder, err := s.known(request.GetTrainer())
+	if err != nil {
+		return nil, err
+	}
+	return holder.Open(ctx, request)
+}
+
+// Pull hands over samples of a step that this process holds.
+func (s *Service) Pull(ctx context.Context, request *peerpb.PullRequest) (*peerpb.PullReply, error) {
+	reply, err := s.pull(ctx, request)
+	if err != nil {
+		return peerpb.PullReply_builder{Refusal: refusal.Of(err).ToMessage()}.Build(), nil
+	}
+	return reply, nil
+}
+
+func (s *Service) pull(ctx context.Context, request *peerpb.PullRequest) (*peerpb.PullReply, error) {
+	holder, err := s.known(request.GetTrainer())
+	if err != nil {
+		return nil, err
+	}
+	return holder.Pull(ctx, request)
+}
+
+// Announce takes a newer version for a trainer's steps, or for the samplers of a model.
+func (s *Service) Announce(ctx context.Context, request *peerpb.AnnounceRequest) (*peerpb.AnnounceReply, error) {
+	if err := s.announce(ctx, request); err != nil {
+		return peerpb.AnnounceReply_builder{Refusal: refusal.Of(err).ToMessage()}.Build(), nil
+	}
+	return &peerpb.AnnounceReply{}, nil
+}
+
+func (s *Service) announce(ctx context.Context, request *peerpb.AnnounceRequest) error {
+	if request.GetDuty() == WeightDuty(request.GetModel()) {
+		return s.Weights.Announce(ctx, request.GetModel(), request.GetVersion())
+	}
+	holder, err := s.known(request.GetTrainer())
+	if err != nil {
+		return err
+	}
+	return holder.Announce(ctx, request)
+}
+
+// Keep holds samples for another process.
+func (s *Service) Keep(_ context.Context, request *peerpb.KeepSampleRequest) (*peerpb.KeepSampleReply, error) {
+	for _, sample := range request.GetSamples() {
+		if !s.Shelf.Keep(sample, request.GetForget()) {
+			return nil, refusal.NotRun(http.StatusInsufficientStorage, "shelf_full", "no room for samples of %s", sample.GetTrainer())
+		}
+	}
+	return &peerpb.KeepSampleReply{}, nil
+}
+
+// Fetch returns samples held for another process.
+func (s *Service) Fetch(_ context.Context, request *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	samples := s.Shelf.Fetch(request.GetTrainer(), request.GetStep(), request.GetSlots())
+	return peerpb.FetchReply_builder{Samples: samples}.Build(), nil
+}
+
+// known returns the holder of a trainer if this process has been it.
+func (s *Service) known(trainer string) (*Holder, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if holder := s.holders[trainer]; holder != nil {
+		return holder, nil
+	}
+	return nil, noHolder(trainer)
+}
+
+func (s *Service) holder(trainer string) *Holder {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.holders == nil {
+		s.holders = map[string]*Holder{}
+	}
+	if s.holders[trainer] == nil {
+		holder := s.New(trainer)
+		s.holders[trainer] = holder
+		ctx := s.run
+		s.group.Go(func() { _ = holder.Run(ctx) })
+	}
+	return s.holders[trainer]
+}
+
+func (s *Service) all() []*Holder {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	holders := make([]*Holder, 0, len(s.holders))
+	for _, holder := range s.holders {
+		holders = append(holders, holder)
+	}
+	return holders
+}
+
+func (s *Service) look(holder *Holder) {
+	location, ok := s.Locate(TrainerDuty(holder.Trainer))
+	if ok && location.Process() != s.Process {
+		holder.Drop(location.Process() + " is the holder")
+	}
+}
--- /dev/null
+++ b/internal/rollout/takeover.go
@@ -0,0 +1,133 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+)
+
+// Lead makes this process the holder for a term, whose fencing number is given,
+// until the context ends. It loads the step that the store holds, or goes on
+// with its own if nobody has changed it since an earlier term.
+func (h *Holder) Lead(ctx context.Context, fence uint64) error {
+	pause := storePause
+	for ctx.Err() == nil {
+		err := h.takeOver(ctx, fence)
+		if err != nil {
+			klog.Warningf("step: %s: the step can't be taken over yet: %v", h.Trainer, err)
+			rest(ctx, pause)
+			pause = min(2*pause, greatestStorePause)
+			continue
+		}
+		pause = storePause
+		select {
+		case <-ctx.Done():
+		case <-h.lost:
+		}
+	}
+	return nil
+}
+
+func (h *Holder) takeOver(ctx context.Context, fence uint64) error {
+	h.writing.Lock()
+	defer h.writing.Unlock()
+	if h.goesOn(ctx, fence) {
+		return nil
+	}
+	h.Drop("the store's state is loaded anew")
+	step, err := h.load(ctx, fence)
+	if err != nil {
+		return err
+	}
+	// The first write carries the new fence: a holder of an earlier term, thawed
+	// in the middle of its own write, finds another revision and gives up.
+	proposed := step.Propose()
+	if err := h.state.write(ctx, encode(proposed)); err != nil {
+		return err
+	}
+	step.Commit()
+	h.fetch(ctx, step)
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.version = step.Newest()
+	h.away = nil
+	h.replace(step)
+	h.Decisions.Record(h.Trainer, "step", "%s holds step %d in term %d", h.Process, step.Number(), fence)
+	return nil
+}
+
+// goesOn reports whether the store's state is still the one of this process.
+func (h *Holder) goesOn(ctx context.Context, fence uint64) bool {
+	h.mutex.Lock()
+	step := h.step
+	h.mutex.Unlock()
+	if step == nil || h.state.unsure != nil {
+		return false
+	}
+	value, err := h.Store.Get(ctx, h.state.key)
+	if err != nil || value.Revision != h.state.revision {
+		return false
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	step.Renew(fence)
+	h.notify()
+	h.Decisions.Record(h.Trainer, "step", "%s goes on with step %d in term %d", h.Process, step.Number(), fence)
+	return true
+}
+
+// load returns the step that the store holds; one without slots if there is none yet.
+func (h *Holder) load(ctx context.Context, fence uint64) (*Step, error) {
+	data, err := h.state.load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if data == nil {
+		return NewStep(peerpb.OpenRequest_builder{Trainer: h.Trainer}.Build(), 0, fence, 0), nil
+	}
+	state, err := decode(data, &statepb.Step{})
+	if err != nil {
+		return nil, err
+	}
+	if len(state.GetSlots()) == 0 {
+		return NewStep(peerpb.OpenRequest_builder{Trainer: h.Trainer}.Build(), state.GetPlace(), fence, state.GetVersion()), nil
+	}
+	prompts, err := h.Store.Get(ctx, PromptsKey(h.Trainer, state.GetStep()))
+	if err != nil {
+		return nil, err
+	}
+	return restore(state, prompts.Data, fence)
+}
+
+func restore(state *statepb.Step, data []byte, fence uint64) (*Step, error) {
+	prompts, err := decode(data, &statepb.Prompts{})
+	if err != nil {
+		return nil, err
+	}
+	if string(promptsDigest(data)) != string(state.GetPrompts()) {
+		return nil, errors.New("rollout: the prompts in the store are not those of the open step")
+	}
+	return Restore(state, prompts, fence)
+}
+
+// fetch brings in the bytes of the samples that are fixed already, from the
+// processes that hold them. Slots whose bytes are lost run again.
+func (h *Holder) fetch(ctx context.Context, step *Step) {
+	for process, slots := range step.Missing() {
+		samples, err := h.Keeping.Fetch(ctx, process, h.Trainer, step.Number(), slots)
+		if err != nil {
+			klog.Warningf("step: %s: %s gives no samples: %v", h.Trainer, process, err)
+		}
+		for _, sample := range samples {
+			step.Found(sample)
+		}
+	}
+	if lost := step.GiveUp(); lost > 0 {
+		h.Decisions.Record(h.Trainer, "step", "%d samples of step %d were lost and run again", lost, step.Number())
+	}
+}
--- /dev/null
+++ b/internal/trainer/handler.go
@@ -0,0 +1,103 @@
+// Package trainer serves trainers over HTTP: opening a step, pulling its
+// samples and announcing weights.
+package trainer
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/lists"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+)
+
+// Grants knows what a key allows.
+type Grants interface {
+	Grant(hash string) (lists.Grant, bool)
+	UntilWithdrawn(hash string, end func()) (stop func())
+}
+
+// Steps passes calls on to the holder of a trainer's steps.
+type Steps interface {
+	Announce(ctx context.Context, request *peerpb.AnnounceRequest) error
+	Open(ctx context.Context, request *peerpb.OpenRequest) (*peerpb.OpenReply, error)
+	Pull(ctx context.Context, request *peerpb.PullRequest) (*peerpb.PullReply, error)
+}
+
+// Handler serves trainers. Exported fields are set before Routes.
+type Handler struct {
+	Grants Grants
+	Steps  Steps
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
+	// Poll is the longest wait of a pull.
+	Poll time.Duration
+}
+
+// call is one request of a trainer whose key has been looked up.
+type call struct {
+	writer  http.ResponseWriter
+	request *http.Request
+	ctx     context.Context
+	trainer string
+	key     string
+	grant   lists.Grant
+}
+
+// Routes returns the routes of the interface.
+func (h *Handler) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: "/v1/trainers/:trainer/steps", Handler: h.handle(h.open)},
+		{Method: http.MethodGet, Path: "/v1/trainers/:trainer/samples", Handler: h.handle(h.pull)},
+		{Method: http.MethodPost, Path: "/v1/trainers/:trainer/weights", Handler: h.handle(h.announce)},
+	}
+}
+
+func (h *Handler) handle(serve func(*call) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := h.admit(w, r, serve); err != nil {
+			refusal.Write(w, err)
+		}
+	}
+}
+
+// admit looks the key up and serves the call as long as it is not withdrawn.
+// The watch begins before the look-up: a key withdrawn between the two ends the
+// call all the same.
+func (h *Handler) admit(w http.ResponseWriter, r *http.Request, serve func(*call) error) error {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	key = strings.TrimSpace(key)
+	if !ok || key == "" {
+		return refusal.NotRun(http.StatusUnauthorized, "missing_key", "send your key as Authorization: Bearer KEY")
+	}
+	hash := lists.HashKey(key)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer h.Grants.UntilWithdrawn(hash, cancel)()
+	grant, ok := h.Grants.Grant(hash)
+	if !ok {
+		return refusal.NotRun(http.StatusUnauthorized, "unknown_key", "the key is unknown or was withdrawn")
+	}
+	trainer := pathvar.Vars(r)["trainer"]
+	if !slices.Contains(grant.Plan().GetTrainers(), trainer) {
+		return refusal.NotRun(http.StatusForbidden, "trainer_not_allowed", "the plan doesn't allow the trainer %q", trainer)
+	}
+	err := serve(&call{writer: w, request: r, ctx: ctx, trainer: trainer, key: key, grant: grant})
+	if ctx.Err() != nil && r.Context().Err() == nil {
+		return refusal.Unknown(http.StatusUnauthorized, "key_withdrawn", "the key was withdrawn")
+	}
+	return err
+}
+
+func (c *call) mayUse(model string) error {
+	if slices.Contains(c.grant.Plan().GetModels(), model) {
+		return nil
+	}
+	return refusal.NotRun(http.StatusForbidden, "model_not_allowed", "the plan doesn't allow the model %q", model)
+}
--- /dev/null
+++ b/internal/trainer/open.go
@@ -0,0 +1,169 @@
+package trainer
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+)
+
+const (
+	maxTokens      = 1 << 20
+	maxTemperature = 2
+)
+
+// openBody is the body of POST /v1/trainers/TRAINER/steps.
+type openBody struct {
+	Step        *uint64     `json:"step"`
+	Model       string      `json:"model"`
+	Staleness   uint64      `json:"staleness"`
+	MaxTokens   uint32      `json:"max_tokens"`
+	Temperature *float64    `json:"temperature"`
+	Groups      []openGroup `json:"groups"`
+}
+
+type openGroup struct {
+	Prompt  string `json:"prompt"`
+	Samples uint32 `json:"samples"`
+}
+
+// openAnswer is the answer: the slots of the step and their first place.
+type openAnswer struct {
+	Step  uint64 `json:"step"`
+	Slots uint32 `json:"slots"`
+	Place uint64 `json:"place"`
+}
+
+// announceBody is the body of POST /v1/trainers/TRAINER/weights.
+type announceBody struct {
+	Model   string `json:"model"`
+	Version uint64 `json:"version"`
+}
+
+func malformed(format string, arguments ...any) error {
+	return refusal.NotRun(http.StatusBadRequest, "invalid_request", format, arguments...)
+}
+
+// open serves POST /v1/trainers/TRAINER/steps.
+func (h *Handler) open(c *call) error {
+	var body openBody
+	if err := h.read(c, &body); err != nil {
+		return err
+	}
+	if err := body.check(); err != nil {
+		return err
+	}
+	if err := c.mayUse(body.Model); err != nil {
+		return err
+	}
+	reply, err := h.Steps.Open(c.ctx, body.request(c))
+	if err != nil {
+		return err
+	}
+	return write(c, openAnswer{Step: *body.Step, Slots: reply.GetSlots(), Place: reply.GetPlace()})
+}
+
+// announce serves POST /v1/trainers/TRAINER/weights.
+func (h *Handler) announce(c *call) error {
+	var body announceBody
+	if err := h.read(c, &body); err != nil {
+		return err
+	}
+	if body.Version == 0 {
+		return malformed("version: must be 1 or more")
+	}
+	if err := c.mayUse(body.Model); err != nil {
+		return err
+	}
+	request := peerpb.AnnounceRequest_builder{
+		Account: c.grant.Account(),
+		Trainer: c.trainer,
+		Model:   body.Model,
+		Version: body.Version,
+	}.Build()
+	if err := h.Steps.Announce(c.ctx, request); err != nil {
+		return err
+	}
+	return write(c, body)
+}
+
+func (b *openBody) check() error {
+	switch {
+	case b.Step == nil:
+		return malformed("step: is missing")
+	case b.Model == "":
+		return malformed("model: is missing")
+	case b.MaxTokens > maxTokens:
+		return malformed("max_tokens: must be at most %d", maxTokens)
+	case b.Temperature != nil && (*b.Temperature < 0 || *b.Temperature > maxTemperature):
+		return malformed("temperature: must be from 0 to %d", maxTemperature)
+	case len(b.Groups) == 0:
+		return malformed("groups: is empty")
+	}
+	for i, group := range b.Groups {
+		if group.Samples == 0 {
+			return malformed("groups[%d].samples: must be 1 or more", i)
+		}
+		if !utf8.ValidString(group.Prompt) {
+			return malformed("groups[%d].prompt: is not UTF-8", i)
+		}
+	}
+	return nil
+}
+
+func (b *openBody) request(c *call) *peerpb.OpenRequest {
+	request := peerpb.OpenRequest_builder{
+		Account:     c.grant.Account(),
+		Trainer:     c.trainer,
+		Step:        *b.Step,
+		Model:       b.Model,
+		Staleness:   b.Staleness,
+		MaxTokens:   b.MaxTokens,
+		Temperature: 1,
+		Weight:      c.grant.Plan().GetWeight(),
+	}.Build()
+	if b.Temperature != nil {
+		request.SetTemperature(*b.Temperature)
+	}
+	prompts := make([]*peerpb.Prompt, 0, len(b.Groups))
+	for _, group := range b.Groups {
+		prompts = append(prompts, peerpb.Prompt_builder{Text: group.Prompt, Samples: group.Samples}.Build())
+	}
+	request.SetPrompts(prompts)
+	return request
+}
+
+// read decodes a body. One that holds the caller's key is refused: prompts go
+// to backend servers, which never see keys.
+func (h *Handler) read(c *call, body any) error {
+	text, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, h.MaxBodyBytes))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return refusal.NotRun(http.StatusRequestEntityTooLarge, "body_too_large", "the body has more than %d bytes", h.MaxBodyBytes)
+	}
+	if err != nil {
+		return malformed("the body can't be read")
+	}
+	if strings.Contains(string(text), c.key) {
+		return malformed("the body holds the key")
+	}
+	if err := json.Unmarshal(text, body); err != nil {
+		return malformed("the body is not as expected: %v", err)
+	}
+	return nil
+}
+
+func write(c *call, answer any) error {
+	text, err := json.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	c.writer.Header().Set("Content-Type", "application/json")
+	_, _ = c.writer.Write(append(text, '\n'))
+	return nil
+}
--- /dev/null
+++ b/internal/weight/conductor.go
@@ -0,0 +1,206 @@
+package weight
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/decision"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+)
+
+const lookInterval = 100 * time.Millisecond
+
+// Orderer passes an order to a sampler through its sidecar. It returns the
+// version that the engine shows afterwards.
+type Orderer interface {
+	Order(ctx context.Context, server string, order *peerpb.OrderRequest) (uint64, error)
+}
+
+// Directory knows the samplers.
+type Directory interface {
+	Processes(role peerpb.Role) []*peerpb.Process
+	Load(server string) *peerpb.Load
+}
+
+// Record keeps the version wanted in the platform's store.
+type Record interface {
+	// Load returns what is kept; nil if nothing is.
+	Load(ctx context.Context) ([]byte, error)
+	// Write replaces it unless another process has changed it.
+	Write(ctx context.Context, data []byte) error
+}
+
+// Term is the time for which this process is in charge.
+type Term interface {
+	Fence() uint64
+	Valid(now time.Time) bool
+}
+
+// Key returns the store's key of the version wanted of a model.
+func Key(model string) string { return "weight/" + model }
+
+// Conductor orders a model's samplers to load new weights while it is in charge.
+// Exported fields are set before Run.
+type Conductor struct {
+	Model     string
+	Record    Record
+	Directory Directory
+	Orderer   Orderer
+	Decisions *decision.Log
+	// Share of the samplers that change at the same time.
+	Share float64
+	// Timeout bounds one change.
+	Timeout time.Duration
+
+	writing sync.Mutex
+	mutex   sync.Mutex
+	wave    Wave
+	loaded  bool
+	whole   uint64
+	started time.Time
+}
+
+// Announce sets the version wanted. It is ordered at once; an error says that
+// the store doesn't hold it yet, and that it is to be announced again.
+func (c *Conductor) Announce(ctx context.Context, version uint64, fence uint64) error {
+	if c.announce(version) {
+		c.Decisions.Record(Key(c.Model), "weight", "version %d is wanted on all samplers", version)
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.write(ctx, fence)
+}
+
+func (c *Conductor) announce(version uint64) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	newer := c.wave.Announce(version)
+	if newer {
+		c.started = time.Now()
+	}
+	return newer
+}
+
+func (c *Conductor) write(ctx context.Context, fence uint64) error {
+	c.mutex.Lock()
+	target := c.wave.Target()
+	c.mutex.Unlock()
+	value := statepb.Weight_builder{Model: c.Model, Version: target, Fence: fence}.Build()
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(value)
+	if err != nil {
+		return err
+	}
+	return c.Record.Write(ctx, data)
+}
+
+// Run orders samplers until the context ends, which it does with the term.
+func (c *Conductor) Run(ctx context.Context, term Term) error {
+	c.mutex.Lock()
+	c.wave.Share = c.Share
+	c.wave.Lag = DefaultLag
+	c.mutex.Unlock()
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		c.load(ctx)
+		for _, server := range c.next() {
+			group.Go(func() { c.order(ctx, term, server) })
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// load reads the version wanted, until the store has answered once.
+func (c *Conductor) load(ctx context.Context) {
+	if c.loaded {
+		return
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	data, err := c.Record.Load(ctx)
+	if err != nil {
+		return
+	}
+	value := &statepb.Weight{}
+	if err := proto.Unmarshal(data, value); err != nil {
+		c.Decisions.Record(Key(c.Model), "weight", "what the store holds can't be read: %v", err)
+		return
+	}
+	c.loaded = true
+	c.announce(value.GetVersion())
+}
+
+func (c *Conductor) next() []string {
+	now := time.Now()
+	live := c.live()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.wave.Observe(live, now)
+	if c.wave.Target() > c.whole && len(live) > 0 && c.wave.Behind() == 0 {
+		c.whole = c.wave.Target()
+		c.Decisions.Record(Key(c.Model), "weight", "all %d samplers show version %d after %s", len(live), c.whole, now.Sub(c.started))
+	}
+	return c.wave.Next(now)
+}
+
+func (c *Conductor) live() []Sampler {
+	var live []Sampler
+	for _, process := range c.Directory.Processes(peerpb.Role_ROLE_SIDECAR) {
+		if process.GetPool() != c.Model || process.GetState() != peerpb.State_STATE_LIVE {
+			continue
+		}
+		load := c.Directory.Load(process.GetServer())
+		live = append(live, Sampler{
+			Server:  process.GetServer(),
+			Zone:    process.GetZone(),
+			Version: load.GetVersion(),
+			Running: load.GetRunning(),
+		})
+	}
+	return live
+}
+
+// order changes one sampler.
+func (c *Conductor) order(ctx context.Context, term Term, server string) {
+	c.mutex.Lock()
+	version := c.wave.Target()
+	c.mutex.Unlock()
+	if !term.Valid(time.Now()) {
+		return
+	}
+	c.Decisions.Record(Key(c.Model), "weight", "%s is ordered to load version %d", server, version)
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	shown, err := c.Orderer.Order(ctx, server, c.request(version, term))
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if err != nil {
+		c.Decisions.Record(Key(c.Model), "weight", "%s failed to load version %d: %v", server, version, err)
+		c.wave.Failed(server, time.Now())
+		return
+	}
+	c.Decisions.Record(Key(c.Model), "weight", "%s shows version %d", server, shown)
+	c.wave.Done(server, shown, time.Now())
+}
+
+func (c *Conductor) request(version uint64, term Term) *peerpb.OrderRequest {
+	return peerpb.OrderRequest_builder{
+		Action:  peerpb.Action_ACTION_VERSION,
+		Model:   c.Model,
+		Version: version,
+		Fence:   term.Fence(),
+		Duty:    Key(c.Model),
+		Timeout: durationpb.New(c.Timeout),
+	}.Build()
+}
--- /dev/null
+++ b/internal/weight/width.go
@@ -0,0 +1,59 @@
+package weight
+
+import "time"
+
+const (
+	firstWidth = 4
+	// leastQueued and mostQueued bound the share of the changes under way that
+	// only wait for the weight store.
+	leastQueued = 0.2
+	mostQueued  = 0.5
+	shrinkBy    = 0.8
+)
+
+// width learns how many changes the weight store carries at the same time, as
+// delay-based congestion control does: a change that takes longer than the
+// fastest one seen has waited for the store, and more of them at a time only
+// take more samplers out of service without being done earlier.
+type width struct {
+	current float64
+	fastest time.Duration
+	steady  bool
+}
+
+// limit returns the present width, at most most.
+func (w *width) limit(most int) int {
+	if w.current == 0 {
+		w.current = firstWidth
+	}
+	w.current = min(w.current, float64(most))
+	return max(1, int(w.current))
+}
+
+// learn takes the time that a change took.
+func (w *width) learn(took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	if w.fastest == 0 || took < w.fastest {
+		w.fastest = took
+	}
+	queued := 1 - float64(w.fastest)/float64(took)
+	switch {
+	case queued > mostQueued:
+		w.steady = true
+		w.current = max(1, w.current-1)
+	case queued > leastQueued:
+		w.steady = true
+	case w.steady:
+		w.current += 1 / w.current
+	default:
+		w.current++
+	}
+}
+
+// shrink makes room after a failure.
+func (w *width) shrink() {
+	w.steady = true
+	w.current = max(1, w.current*shrinkBy)
+}
