--- a/internal/bramleyhatch/entrytrainers.go
+++ b/internal/bramleyhatch/entrytrainers.go
@@ -1,4 +1,145 @@
 package bramleyhatch
 
-// addTrainers adds the trainers' interface.
-func (e *Entry) addTrainers() {}
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/duty"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/record"
+	"github.com/bramleyhatch/bramleyhatch/internal/rollout"
+	"github.com/bramleyhatch/bramleyhatch/internal/trainer"
+	"github.com/bramleyhatch/bramleyhatch/internal/weight"
+)
+
+const percent = 100
+
+// trainers is what an entry does for trainers.
+type trainers struct {
+	entry      *Entry
+	service    *rollout.Service
+	peers      *rollout.Peers
+	conductors *weight.Conductors
+	metrics    *rollout.Metrics
+}
+
+// addTrainers adds the trainers' interface, the steps that this entry holds and
+// the weights of samplers.
+func (e *Entry) addTrainers() {
+	t := &trainers{entry: e, conductors: &weight.Conductors{}, metrics: rollout.NewMetrics(e.Metrics)}
+	shelf := &rollout.Shelf{}
+	t.peers = &rollout.Peers{Directory: e.members, Shelf: shelf}
+	t.service = &rollout.Service{
+		New:     t.newHolder,
+		Shelf:   shelf,
+		Locate:  t.locate,
+		Process: e.Process.Settings.GetName(),
+		Weights: t.conductors,
+	}
+	handler := &trainer.Handler{
+		Grants:       e.view,
+		Steps:        &rollout.Client{Locate: t.locate, Peers: t.peers},
+		MaxBodyBytes: e.Settings.GetCaller().GetMaxBodyBytes(),
+		Poll:         e.Settings.GetTrainer().GetPoll().AsDuration(),
+	}
+	e.AddRoutes(handler.Routes()...)
+	e.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterStepServer(registrar, t.service) })
+	e.AddDuty("step", t.service.Run)
+	group := &duty.Group{Names: t.names, Run: t.run, Interval: e.Settings.GetDuty().GetInterval().AsDuration()}
+	e.AddDuty("trainer", group.Start)
+}
+
+// newHolder returns the holder of a trainer's steps.
+func (t *trainers) newHolder(name string) *rollout.Holder {
+	settings := t.entry.Settings.GetTrainer()
+	holder := rollout.NewHolder(name, t.entry.platform)
+	holder.Process = t.entry.Process.Settings.GetName()
+	holder.Runner = t.entry.pool
+	holder.Keeping = t.peers
+	holder.Decisions = t.entry.Decisions
+	holder.Attempts = int(settings.GetAttempts())
+	holder.Timeout = settings.GetTimeout().AsDuration()
+	holder.Batch = settings.GetBatch().AsDuration()
+	holder.Poll = settings.GetPoll().AsDuration()
+	holder.Metrics = t.metrics
+	if settings.GetScorer() != "" {
+		holder.Scorer = rollout.NewHTTPScorer(settings.GetScorer())
+	}
+	return holder
+}
+
+// names returns the duties wanted: one for each trainer of a plan, one for each
+// model of a plan with trainers.
+func (t *trainers) names() []string {
+	config, _ := t.entry.view.Config()
+	names := map[string]bool{}
+	for _, plan := range config.GetPlans() {
+		for _, name := range plan.GetTrainers() {
+			names[rollout.TrainerDuty(name)] = true
+			for _, model := range plan.GetModels() {
+				names[rollout.WeightDuty(model)] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// run takes part in one duty.
+func (t *trainers) run(ctx context.Context, name string) error {
+	return t.entry.keeper(name).Run(ctx, func(ctx context.Context, term *duty.Term) error {
+		t.publish(name, term)
+		if model, ok := strings.CutPrefix(name, rollout.WeightDuty("")); ok {
+			return t.conduct(ctx, model, term)
+		}
+		return t.service.Lead(ctx, strings.TrimPrefix(name, rollout.TrainerDuty("")), term.Fence())
+	})
+}
+
+// publish tells the other entries who holds a duty. The fencing number is a
+// revision of the store and grows with each holder, so the newest one wins.
+func (t *trainers) publish(name string, term *duty.Term) {
+	holder := statepb.Holder_builder{
+		Process: t.entry.Process.Settings.GetName(),
+		Address: t.entry.Addresses().Peer,
+		Fence:   term.Fence(),
+	}.Build()
+	value, err := proto.Marshal(holder)
+	if err != nil {
+		klog.Errorf("duty: %s can't be published: %v", name, err)
+		return
+	}
+	t.entry.members.Offer(peerpb.Fact_builder{Name: duty.Key(name), Revision: term.Fence(), Value: value}.Build())
+}
+
+// locate returns who is known to hold a duty.
+func (t *trainers) locate(name string) (*rollout.Location, bool) {
+	fact := t.entry.members.Fact(duty.Key(name))
+	holder := &statepb.Holder{}
+	if fact == nil || proto.Unmarshal(fact.GetValue(), holder) != nil {
+		return nil, false
+	}
+	return rollout.NewLocation(holder.GetProcess(), holder.GetAddress()), true
+}
+
+// conduct orders the samplers of a model for one term.
+func (t *trainers) conduct(ctx context.Context, model string, term *duty.Term) error {
+	settings := t.entry.Settings.GetTrainer()
+	conductor := &weight.Conductor{
+		Model:     model,
+		Record:    &record.Record{Store: t.entry.platform, Key: weight.Key(model)},
+		Directory: t.entry.members,
+		Orderer:   &weight.Sidecars{Directory: t.entry.members},
+		Decisions: t.entry.Decisions,
+		Share:     float64(settings.GetSwapsPercent()) / percent,
+		Timeout:   settings.GetSwap().AsDuration(),
+	}
+	defer t.conductors.Add(conductor)()
+	return conductor.Run(ctx, term)
+}
--- /dev/null
+++ b/internal/rollout/fake_test.go
@@ -0,0 +1,212 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+	"github.com/bramleyhatch/bramleyhatch/internal/sidecar"
+)
+
+var errAway = &platform.UnavailableError{Operation: "test", Cause: errors.New("away")}
+
+// fakeStore is the platform's key-value service as far as steps need it.
+type fakeStore struct {
+	mutex    sync.Mutex
+	values   map[string]platform.Value
+	revision uint64
+	writes   int
+	largest  int
+	// away fails every call; loseNext lets one write take effect without an answer.
+	away     bool
+	loseNext bool
+	// beforeSwap is called without the lock before each write.
+	beforeSwap func(key string)
+}
+
+var _ Store = &fakeStore{}
+
+func newFakeStore() *fakeStore { return &fakeStore{values: map[string]platform.Value{}} }
+
+func (s *fakeStore) set(change func(*fakeStore)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change(s)
+}
+
+func (s *fakeStore) Delete(_ context.Context, key string, expect uint64) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.away {
+		return errAway
+	}
+	if s.values[key].Revision != expect {
+		return &platform.ConflictError{Key: key}
+	}
+	delete(s.values, key)
+	return nil
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (platform.Value, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.away {
+		return platform.Value{}, errAway
+	}
+	value, ok := s.values[key]
+	if !ok {
+		return value, &platform.NotFoundError{Key: key}
+	}
+	return value, nil
+}
+
+func (s *fakeStore) List(_ context.Context, prefix string) (platform.ListReply, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	reply := platform.ListReply{Revision: s.revision}
+	for key, value := range s.values {
+		if strings.HasPrefix(key, prefix) {
+			reply.Values = append(reply.Values, value)
+		}
+	}
+	return reply, nil
+}
+
+func (s *fakeStore) Swap(_ context.Context, key string, expect uint64, data []byte, _ uint64) (uint64, error) {
+	if s.beforeSwap != nil {
+		s.beforeSwap(key)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.away {
+		return 0, errAway
+	}
+	if s.values[key].Revision != expect {
+		return 0, &platform.ConflictError{Key: key, Revision: s.values[key].Revision}
+	}
+	s.revision++
+	s.writes++
+	s.largest = max(s.largest, len(data))
+	s.values[key] = platform.Value{Key: key, Data: data, Revision: s.revision}
+	if s.loseNext {
+		s.loseNext = false
+		return 0, errAway
+	}
+	return s.revision, nil
+}
+
+// fakeRunner yields answers of two chunks under the present version.
+type fakeRunner struct {
+	mutex   sync.Mutex
+	version uint64
+	runs    int
+	// gate holds every run until it yields; nil holds none.
+	gate chan struct{}
+	// cut leaves tokens out of the first answers.
+	cut int
+}
+
+var _ Runner = &fakeRunner{}
+
+func (r *fakeRunner) Run(ctx context.Context, request *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error) {
+	if r.gate != nil {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-r.gate:
+		}
+	}
+	r.mutex.Lock()
+	r.runs++
+	version, tokens := r.version, uint64(4)
+	if r.cut > 0 {
+		r.cut--
+		tokens++
+	}
+	r.mutex.Unlock()
+	for range 2 {
+		if err := sink(chunkFrame(version, 1, 2)); err != nil {
+			return nil, err
+		}
+	}
+	return peerpb.End_builder{Finish: "stop", OutputTokens: tokens}.Build(), nil
+}
+
+func (r *fakeRunner) set(version uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.version = version
+}
+
+func chunkFrame(version uint64, tokens ...int32) *peerpb.Frame {
+	chunk := peerpb.Chunk_builder{Data: []byte("x"), Tokens: tokens, Version: version}.Build()
+	return peerpb.Frame_builder{Chunk: chunk}.Build()
+}
+
+// fakeKeeping is the memory of other processes, by name.
+type fakeKeeping struct {
+	mutex   sync.Mutex
+	shelves map[string]*Shelf
+}
+
+var _ Keeping = &fakeKeeping{}
+
+func newFakeKeeping(names ...string) *fakeKeeping {
+	keeping := &fakeKeeping{shelves: map[string]*Shelf{}}
+	for _, name := range names {
+		keeping.shelves[name] = &Shelf{}
+	}
+	return keeping
+}
+
+func (k *fakeKeeping) Keep(_ context.Context, sample *peerpb.Sample, forget []uint32) []string {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	var holders []string
+	for name, shelf := range k.shelves {
+		if shelf.Keep(sample, forget) {
+			holders = append(holders, name)
+		}
+	}
+	return holders
+}
+
+func (k *fakeKeeping) Fetch(_ context.Context, process, trainer string, step uint64, slots []uint32) ([]*peerpb.Sample, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	shelf := k.shelves[process]
+	if shelf == nil {
+		return nil, errors.New("gone")
+	}
+	return shelf.Fetch(trainer, step, slots), nil
+}
+
+func (k *fakeKeeping) kill(name string) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	delete(k.shelves, name)
+}
+
+func openRequest(step uint64, groups int, samples uint32, staleness uint64) *peerpb.OpenRequest {
+	request := peerpb.OpenRequest_builder{Trainer: "drafts", Account: "casa", Model: "draft", Step: step, Staleness: staleness, MaxTokens: 64}.Build()
+	for range groups {
+		request.SetPrompts(append(request.GetPrompts(), peerpb.Prompt_builder{Text: "say", Samples: samples}.Build()))
+	}
+	return request
+}
+
+func newTestHolder(process string, store Store, runner Runner, keeping Keeping) *Holder {
+	holder := NewHolder("drafts", store)
+	holder.Process = process
+	holder.Runner = runner
+	holder.Keeping = keeping
+	holder.Attempts = 64
+	holder.Timeout = time.Minute
+	holder.Batch = time.Millisecond
+	holder.Poll = 10 * time.Second
+	return holder
+}
--- a/internal/rollout/holder.go
+++ b/internal/rollout/holder.go
@@ -13,13 +13,14 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/decision"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/record"
 	"github.com/bramleyhatch/bramleyhatch/internal/sidecar"
 )
 
 const (
 	// dispatchInterval bounds the time until a pause of a slot or a second run is looked at.
-	dispatchInterval = 100 * time.Millisecond
-	storePause       = 200 * time.Millisecond
+	dispatchInterval   = 100 * time.Millisecond
+	storePause         = 200 * time.Millisecond
 	greatestStorePause = 2 * time.Second
 )
 
@@ -69,7 +70,7 @@
 
 	// writing is held while the store is read or written; it is taken before mutex.
 	writing sync.Mutex
-	state   book
+	state   record.Record
 
 	mutex   sync.Mutex
 	step    *Step
@@ -88,7 +89,7 @@
 	return &Holder{
 		Trainer: trainer,
 		Store:   store,
-		state:   book{store: store, key: StateKey(trainer)},
+		state:   record.Record{Store: store, Key: StateKey(trainer)},
 		running: map[string]context.CancelFunc{},
 		changed: make(chan struct{}),
 		lost:    make(chan struct{}, 1),
@@ -254,7 +255,7 @@
 	if proposed == nil {
 		return false, nil
 	}
-	err := h.state.write(ctx, encode(proposed))
+	err := h.state.Write(ctx, encode(proposed))
 	h.settled(step, proposed, err)
 	return true, err
 }
@@ -275,7 +276,7 @@
 	if h.step != step {
 		return
 	}
-	var lost *LostError
+	var lost *record.LostError
 	if errors.As(err, &lost) {
 		h.Decisions.Record(h.Trainer, "step", "%s is no longer the holder: %v", h.Process, err)
 		h.replace(nil)
@@ -318,3 +319,13 @@
 		return true
 	}
 }
+
+// Counts returns what happened to the attempts of the open step.
+func (h *Holder) Counts() Counts {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.step == nil {
+		return Counts{}
+	}
+	return h.step.Counts()
+}
--- a/internal/rollout/open.go
+++ b/internal/rollout/open.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/record"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
@@ -77,17 +78,17 @@
 	if err := checkSize(step, prompts, state); err != nil {
 		return err
 	}
-	key := &book{store: h.Store, key: PromptsKey(h.Trainer, step.Number())}
-	known, err := key.load(ctx)
+	kept := &record.Record{Store: h.Store, Key: PromptsKey(h.Trainer, step.Number())}
+	known, err := kept.Load(ctx)
 	if err != nil {
 		return err
 	}
 	if !bytes.Equal(known, prompts) {
-		if err := key.write(ctx, prompts); err != nil {
+		if err := kept.Write(ctx, prompts); err != nil {
 			return err
 		}
 	}
-	return h.state.write(ctx, state)
+	return h.state.Write(ctx, state)
 }
 
 // checkSize refuses steps whose values would outgrow the store's bound. The
@@ -107,7 +108,7 @@
 	if errors.As(err, &refused) {
 		return err
 	}
-	var lost *LostError
+	var lost *record.LostError
 	if errors.As(err, &lost) {
 		h.Drop(err.Error())
 		h.signalLost()
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -31,7 +31,7 @@
 
 // Peers speaks to the other entries. Exported fields are set before the first call.
 type Peers struct {
-	Directory   Directory
+	Directory Directory
 	// Shelf holds this process's own samples.
 	Shelf       *Shelf
 	Credentials credentials.TransportCredentials
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -18,7 +18,7 @@
 // Step decides about the slots of one open step. It does no input or output,
 // takes the time from its caller and is not safe for concurrent use.
 type Step struct {
-	open   *peerpb.OpenRequest
+	open *peerpb.OpenRequest
 	// term is that of the attempts, fence that of the newest term of the same holder.
 	term   uint64
 	fence  uint64
@@ -314,7 +314,6 @@
 	return oldest
 }
 
-
 // Others returns the other running attempts at an attempt's slot.
 func (s *Step) Others(attempt Attempt) []Attempt {
 	var others []Attempt
--- a/internal/rollout/takeover.go
+++ b/internal/rollout/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"k8s.io/klog/v2"
 
@@ -11,6 +12,18 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 )
 
+// TermError says that a process with a newer term holds a trainer's steps.
+type TermError struct {
+	Trainer string
+	Fence   uint64
+	Newer   uint64
+}
+
+// Error names both terms.
+func (e *TermError) Error() string {
+	return fmt.Sprintf("rollout: term %d for %s is over, term %d has begun", e.Fence, e.Trainer, e.Newer)
+}
+
 // Lead makes this process the holder for a term, whose fencing number is given,
 // until the context ends. It loads the step that the store holds, or goes on
 // with its own if nobody has changed it since an earlier term.
@@ -47,7 +60,7 @@
 	// The first write carries the new fence: a holder of an earlier term, thawed
 	// in the middle of its own write, finds another revision and gives up.
 	proposed := step.Propose()
-	if err := h.state.write(ctx, encode(proposed)); err != nil {
+	if err := h.state.Write(ctx, encode(proposed)); err != nil {
 		return err
 	}
 	step.Commit()
@@ -66,11 +79,11 @@
 	h.mutex.Lock()
 	step := h.step
 	h.mutex.Unlock()
-	if step == nil || h.state.unsure != nil {
+	if step == nil || !h.state.IsSure() {
 		return false
 	}
-	value, err := h.Store.Get(ctx, h.state.key)
-	if err != nil || value.Revision != h.state.revision {
+	value, err := h.Store.Get(ctx, h.state.Key)
+	if err != nil || value.Revision != h.state.Revision() {
 		return false
 	}
 	h.mutex.Lock()
@@ -83,7 +96,7 @@
 
 // load returns the step that the store holds; one without slots if there is none yet.
 func (h *Holder) load(ctx context.Context, fence uint64) (*Step, error) {
-	data, err := h.state.load(ctx)
+	data, err := h.state.Load(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -94,6 +107,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if state.GetFence() > fence {
+		return nil, &TermError{Trainer: h.Trainer, Fence: fence, Newer: state.GetFence()}
+	}
 	if len(state.GetSlots()) == 0 {
 		return NewStep(peerpb.OpenRequest_builder{Trainer: h.Trainer}.Build(), state.GetPlace(), fence, state.GetVersion()), nil
 	}
--- a/internal/weight/conductor.go
+++ b/internal/weight/conductor.go
@@ -41,6 +41,16 @@
 	Valid(now time.Time) bool
 }
 
+// NotLoadedError says that the version kept in the store isn't known yet.
+type NotLoadedError struct {
+	Model string
+}
+
+// Error names the model.
+func (e *NotLoadedError) Error() string {
+	return "weight: the version kept for " + e.Model + " isn't known yet"
+}
+
 // Key returns the store's key of the version wanted of a model.
 func Key(model string) string { return "weight/" + model }
 
@@ -60,6 +70,7 @@
 	writing sync.Mutex
 	mutex   sync.Mutex
 	wave    Wave
+	fence   uint64
 	loaded  bool
 	whole   uint64
 	started time.Time
@@ -67,13 +78,16 @@
 
 // Announce sets the version wanted. It is ordered at once; an error says that
 // the store doesn't hold it yet, and that it is to be announced again.
-func (c *Conductor) Announce(ctx context.Context, version uint64, fence uint64) error {
+func (c *Conductor) Announce(ctx context.Context, version uint64) error {
 	if c.announce(version) {
 		c.Decisions.Record(Key(c.Model), "weight", "version %d is wanted on all samplers", version)
 	}
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	return c.write(ctx, fence)
+	if !c.loaded {
+		return &NotLoadedError{Model: c.Model}
+	}
+	return c.write(ctx)
 }
 
 func (c *Conductor) announce(version uint64) bool {
@@ -86,9 +100,9 @@
 	return newer
 }
 
-func (c *Conductor) write(ctx context.Context, fence uint64) error {
+func (c *Conductor) write(ctx context.Context) error {
 	c.mutex.Lock()
-	target := c.wave.Target()
+	target, fence := c.wave.Target(), c.fence
 	c.mutex.Unlock()
 	value := statepb.Weight_builder{Model: c.Model, Version: target, Fence: fence}.Build()
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(value)
@@ -103,6 +117,7 @@
 	c.mutex.Lock()
 	c.wave.Share = c.Share
 	c.wave.Lag = DefaultLag
+	c.fence = term.Fence()
 	c.mutex.Unlock()
 	ticker := time.NewTicker(lookInterval)
 	defer ticker.Stop()
@@ -123,11 +138,11 @@
 
 // load reads the version wanted, until the store has answered once.
 func (c *Conductor) load(ctx context.Context) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	if c.loaded {
 		return
 	}
-	c.writing.Lock()
-	defer c.writing.Unlock()
 	data, err := c.Record.Load(ctx)
 	if err != nil {
 		return
--- a/internal/weight/wave.go
+++ b/internal/weight/wave.go
@@ -33,10 +33,12 @@
 
 // sampler is what is known of one sampler.
 type sampler struct {
-	server   string
-	zone     string
-	shown    uint64
-	running  uint32
+	server  string
+	zone    string
+	shown   uint64
+	running uint32
+	// ordered is the version of the newest order.
+	ordered  uint64
 	changing bool
 	since    time.Time
 	// settled is when it last answered an order.
@@ -103,7 +105,7 @@
 	sampler.changing = false
 	sampler.settled = now
 	sampler.shown = shown
-	if shown < w.target {
+	if shown < sampler.ordered {
 		w.fail(sampler, now)
 		return
 	}
@@ -144,6 +146,7 @@
 		changing[sampler.zone]++
 		sampler.changing = true
 		sampler.since = now
+		sampler.ordered = w.target
 		chosen = append(chosen, sampler.server)
 	}
 	return chosen
