--- a/internal/rollout/interleaving_test.go
+++ b/internal/rollout/interleaving_test.go
@@ -65,18 +65,22 @@
 	return i.actors[rapid.IntRange(0, len(i.actors)-1).Draw(t, "actor")]
 }
 
-// start starts an attempt.
-func (i *interleaving) start(t *rapid.T) {
+// run starts up to three attempts and finishes as many, in any order, with
+// versions near the newest; their bytes are kept.
+func (i *interleaving) run(t *rapid.T) {
 	one := i.pick(t)
 	i.now = i.now.Add(time.Minute)
-	if attempt, ok := one.step.Next(i.now); ok {
-		one.running = append(one.running, attempt)
+	for range rapid.IntRange(1, 3).Draw(t, "attempts") {
+		if attempt, ok := one.step.Next(i.now); ok {
+			one.running = append(one.running, attempt)
+		}
+	}
+	for range rapid.IntRange(1, 3).Draw(t, "finished") {
+		i.finish(t, one)
 	}
 }
 
-// finish finishes one with a version near the newest and keeps its bytes.
-func (i *interleaving) finish(t *rapid.T) {
-	one := i.pick(t)
+func (i *interleaving) finish(t *rapid.T, one *actor) {
 	if len(one.running) == 0 {
 		return
 	}
@@ -119,6 +123,23 @@
 	}
 }
 
+// flush is propose, write and commit without a delay between them.
+func (i *interleaving) flush(t *rapid.T) {
+	one := i.pick(t)
+	state := one.step.Propose()
+	if state == nil || one.written {
+		return
+	}
+	var lost *record.LostError
+	switch err := one.record.Write(context.Background(), encode(state)); {
+	case errors.As(err, &lost):
+		i.remove(one)
+	case err == nil:
+		one.step.Commit()
+		one.proposed = nil
+	}
+}
+
 // commit takes note of a write that took effect.
 func (i *interleaving) commit(t *rapid.T) {
 	one := i.pick(t)
@@ -205,11 +226,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		i := newInterleaving(t)
 		t.Repeat(map[string]func(*rapid.T){
-			"start":     i.start,
-			"finish":    i.finish,
+			"run":       i.run,
 			"propose":   i.propose,
 			"write":     i.write,
 			"commit":    i.commit,
+			"flush":     i.flush,
 			"take over": i.takeOver,
 			"announce":  i.announce,
 			"pull":      i.pull,
