--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -154,6 +154,20 @@
 	return Attempt{}, false
 }
 
+// Second starts a second run of a slot whatever its budget, for policies that
+// are measured beside this one.
+func (s *Step) Second(slot uint32, now time.Time) (Attempt, bool) {
+	if int(slot) >= len(s.slots) || !s.slots[slot].isEmpty() || len(s.slots[slot].runs) == 0 {
+		return Attempt{}, false
+	}
+	return s.start(s.slots[slot], now, true), true
+}
+
+// WithoutSeconds makes Next start no second runs.
+func (s *Step) WithoutSeconds() {
+	s.budget = budget{}
+}
+
 func (s *Step) start(slot *slot, now time.Time, second bool) Attempt {
 	slot.attempts++
 	attempt := Attempt{
--- a/internal/rollout/straggler.go
+++ b/internal/rollout/straggler.go
@@ -67,11 +67,11 @@
 	if rate > 0 {
 		return rest / rate
 	}
-	waited := now.Sub(run.pace.start).Seconds()
-	if run.pace.tokens > 0 || waited <= silentWaits*usual.late {
+	if run.pace.tokens == 0 && now.Sub(run.pace.start).Seconds() <= silentWaits*usual.late {
 		return 0
 	}
-	return secondGain*(usual.wait+rest/usual.pace) + waited
+	// It stands still: the longer, the more another engine is worth.
+	return secondGain*(usual.wait+(float64(run.pace.tokens)+rest)/usual.pace) + now.Sub(run.pace.start).Seconds()
 }
 
 // learn takes the figures of a finished run.
