--- a/internal/measure/experiments.go
+++ b/internal/measure/experiments.go
@@ -2,5 +2,5 @@
 
 // Experiments returns all experiments in the order of docs/MEASUREMENTS.md.
 func Experiments() []Experiment {
-	return []Experiment{Stragglers()}
+	return []Experiment{Stragglers(), Weights()}
 }
