--- a/internal/weight/wave.go
+++ b/internal/weight/wave.go
@@ -120,13 +120,14 @@
 		return
 	}
 	sampler.changing = false
+	// An order that timed out has waited for the store; one refused at once says nothing of it.
+	w.width.narrow(now.Sub(sampler.since))
 	w.fail(sampler, now)
 }
 
 func (w *Wave) fail(sampler *sampler, now time.Time) {
 	sampler.failures++
 	sampler.notBefore = now.Add(min(leastPause<<min(sampler.failures-1, 5), greatestPause))
-	w.width.shrink()
 }
 
 // Next returns the samplers to order now, those in the zones with the most
--- a/internal/weight/width.go
+++ b/internal/weight/width.go
@@ -8,7 +8,8 @@
 	// only wait for the weight store.
 	leastQueued = 0.2
 	mostQueued  = 0.5
-	shrinkBy    = 0.8
+	// steadyGrowth is what the width gains while as many changes end as are under way.
+	steadyGrowth = 8
 )
 
 // width learns how many changes the weight store carries at the same time, as
@@ -46,14 +47,17 @@
 	case queued > leastQueued:
 		w.steady = true
 	case w.steady:
-		w.current += 1 / w.current
+		w.current += steadyGrowth / w.current
 	default:
 		w.current++
 	}
 }
 
-// shrink makes room after a failure.
-func (w *width) shrink() {
-	w.steady = true
-	w.current = max(1, w.current*shrinkBy)
+// narrow takes the time that a failed change took: one that took long has
+// waited for the store, one that failed at once says nothing about it.
+func (w *width) narrow(took time.Duration) {
+	if w.fastest > 0 && 1-float64(w.fastest)/float64(took) > mostQueued {
+		w.steady = true
+		w.current = max(1, w.current-1)
+	}
 }
