--- a/internal/weight/width.go
+++ b/internal/weight/width.go
@@ -3,7 +3,9 @@
 import "time"
 
 const (
-	firstWidth = 4
+	// firstShare of the greatest width is tried first, and at least firstWidth.
+	firstShare = 0.125
+	firstWidth = 2
 	// leastQueued and mostQueued bound the share of the changes under way that
 	// only wait for the weight store.
 	leastQueued = 0.2
@@ -25,7 +27,7 @@
 // limit returns the present width, at most most.
 func (w *width) limit(most int) int {
 	if w.current == 0 {
-		w.current = firstWidth
+		w.current = max(firstWidth, firstShare*float64(most))
 	}
 	w.current = min(w.current, float64(most))
 	return max(1, int(w.current))
