--- a/internal/weight/width.go
+++ b/internal/weight/width.go
@@ -12,6 +12,8 @@
 	mostQueued  = 0.5
 	// steadyGrowth is what the width gains while as many changes end as are under way.
 	steadyGrowth = 8
+	// steadyShrink is what it loses in that time when changes wait for the store.
+	steadyShrink = 24
 )
 
 // width learns how many changes the weight store carries at the same time, as
@@ -45,7 +47,7 @@
 	switch {
 	case queued > mostQueued:
 		w.steady = true
-		w.current = max(1, w.current-1)
+		w.current = max(1, w.current-steadyShrink/w.current)
 	case queued > leastQueued:
 		w.steady = true
 	case w.steady:
@@ -60,6 +62,6 @@
 func (w *width) narrow(took time.Duration) {
 	if w.fastest > 0 && 1-float64(w.fastest)/float64(took) > mostQueued {
 		w.steady = true
-		w.current = max(1, w.current-1)
+		w.current = max(1, w.current-steadyShrink/w.current)
 	}
 }
