Send trainers' calls again while a duty changes hands, and end pulls of withdrawn keys

A killed holder's pull waits for the successor. Ruled out: answering 503 at once, since each call is idempotent.

--- a/internal/bramleyhatch/entrytrainers.go
+++ b/internal/bramleyhatch/entrytrainers.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
@@ -19,7 +20,11 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/weight"
 )
 
-const percent = 100
+const (
+	percent = 100
+	// trainerPatience is how long a trainer's call waits while a duty changes hands.
+	trainerPatience = 20 * time.Second
+)
 
 // trainers is what an entry does for trainers.
 type trainers struct {
@@ -28,12 +33,19 @@
 	peers      *rollout.Peers
 	conductors *weight.Conductors
 	metrics    *rollout.Metrics
+	// draining ends when the entry is to stop: it gives its duties up while it
+	// still serves, so that other entries take them before it is gone.
+	draining context.Context
+	drain    func(context.Context)
 }
 
 // addTrainers adds the trainers' interface, the steps that this entry holds and
 // the weights of samplers.
 func (e *Entry) addTrainers() {
 	t := &trainers{entry: e, conductors: &weight.Conductors{}, metrics: rollout.NewMetrics(e.Metrics)}
+	draining, startDraining := context.WithCancel(context.Background())
+	t.draining = draining
+	t.drain = func(context.Context) { startDraining() }
 	shelf := &rollout.Shelf{}
 	t.peers = &rollout.Peers{Directory: e.members, Shelf: shelf}
 	t.service = &rollout.Service{
@@ -42,10 +54,11 @@
 		Locate:  t.locate,
 		Process: e.Process.Settings.GetName(),
 		Weights: t.conductors,
+		Wanted:  t.wanted,
 	}
 	handler := &trainer.Handler{
 		Grants:       e.view,
-		Steps:        &rollout.Client{Locate: t.locate, Peers: t.peers},
+		Steps:        &rollout.Client{Locate: t.locate, Peers: t.peers, Patience: trainerPatience},
 		MaxBodyBytes: e.Settings.GetCaller().GetMaxBodyBytes(),
 		Poll:         e.Settings.GetTrainer().GetPoll().AsDuration(),
 	}
@@ -53,7 +66,13 @@
 	e.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterStepServer(registrar, t.service) })
 	e.AddDuty("step", t.service.Run)
 	group := &duty.Group{Names: t.names, Run: t.run, Interval: e.Settings.GetDuty().GetInterval().AsDuration()}
-	e.AddDuty("trainer", group.Start)
+	e.AddDuty("trainer", func(ctx context.Context) error {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(t.draining, cancel)()
+		return group.Start(ctx)
+	})
+	e.AddDrain(t.drain)
 }
 
 // newHolder returns the holder of a trainer's steps.
@@ -91,6 +110,12 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
+// wanted reports whether a plan lists the trainer; all are while no lists are known.
+func (t *trainers) wanted(name string) bool {
+	config, _ := t.entry.view.Config()
+	return config == nil || slices.Contains(t.names(), rollout.TrainerDuty(name))
+}
+
 // run takes part in one duty.
 func (t *trainers) run(ctx context.Context, name string) error {
 	return t.entry.keeper(name).Run(ctx, func(ctx context.Context, term *duty.Term) error {
--- a/internal/rollout/execution.go
+++ b/internal/rollout/execution.go
@@ -82,6 +82,7 @@
 		Method:     http.MethodPost,
 		Body:       body,
 		Weight:     e.open.GetWeight(),
+		Priority:   e.open.GetPriority(),
 		Timeout:    durationpb.New(e.holder.Timeout),
 		Idempotent: true,
 		Version:    e.oldest,
--- a/internal/rollout/open.go
+++ b/internal/rollout/open.go
@@ -68,7 +68,7 @@
 }
 
 func noHolder(trainer string) *refusal.Error {
-	return refusal.NotRun(http.StatusServiceUnavailable, "no_holder", "no process holds the steps of %s yet", trainer).After(retry)
+	return refusal.NotRun(http.StatusServiceUnavailable, codeNoHolder, "no process holds the steps of %s yet", trainer).After(retry)
 }
 
 // keepStep writes the prompts, then the state, which opens the step.
--- a/internal/rollout/proposal.go
+++ b/internal/rollout/proposal.go
@@ -90,6 +90,7 @@
 		MaxTokens:    s.open.GetMaxTokens(),
 		Temperature:  s.open.GetTemperature(),
 		Weight:       s.open.GetWeight(),
+		Priority:     s.open.GetPriority(),
 		Prompts:      promptsDigest(EncodePrompts(s.open)),
 		Place:        s.place,
 		Acknowledged: s.acknowledged,
@@ -152,6 +153,7 @@
 		MaxTokens:   state.GetMaxTokens(),
 		Temperature: state.GetTemperature(),
 		Weight:      state.GetWeight(),
+		Priority:    state.GetPriority(),
 	}.Build()
 	for group, text := range prompts.GetPrompts() {
 		prompt := peerpb.Prompt_builder{Text: text, Samples: state.GetCounts()[group]}.Build()
--- a/internal/rollout/service.go
+++ b/internal/rollout/service.go
@@ -29,6 +29,8 @@
 	Locate  func(duty string) (*Location, bool)
 	Process string
 	Weights Weights
+	// Wanted reports whether a plan lists the trainer.
+	Wanted func(trainer string) bool
 
 	mutex   sync.Mutex
 	holders map[string]*Holder
@@ -167,4 +169,7 @@
 	if ok && location.Process() != s.Process {
 		holder.Drop(location.Process() + " is the holder")
 	}
+	if !s.Wanted(holder.Trainer) {
+		holder.Drop("no plan lists the trainer")
+	}
 }
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -129,6 +129,7 @@
 		return nil
 	}
 	same.SetWeight(0)
+	same.SetPriority(0)
 	return same
 }
 
--- a/internal/trainer/handler.go
+++ b/internal/trainer/handler.go
@@ -89,7 +89,7 @@
 		return refusal.NotRun(http.StatusForbidden, "trainer_not_allowed", "the plan doesn't allow the trainer %q", trainer)
 	}
 	err := serve(&call{writer: w, request: r, ctx: ctx, trainer: trainer, key: key, grant: grant})
-	if ctx.Err() != nil && r.Context().Err() == nil {
+	if err != nil && ctx.Err() != nil && r.Context().Err() == nil {
 		return refusal.Unknown(http.StatusUnauthorized, "key_withdrawn", "the key was withdrawn")
 	}
 	return err
--- a/internal/trainer/open.go
+++ b/internal/trainer/open.go
@@ -126,6 +126,7 @@
 		MaxTokens:   b.MaxTokens,
 		Temperature: 1,
 		Weight:      c.grant.Plan().GetWeight(),
+		Priority:    c.grant.Plan().GetPriority(),
 	}.Build()
 	if b.Temperature != nil {
 		request.SetTemperature(*b.Temperature)
@@ -158,7 +159,11 @@
 	return nil
 }
 
+// write answers the call unless its key was withdrawn meanwhile.
 func write(c *call, answer any) error {
+	if err := c.ctx.Err(); err != nil {
+		return err
+	}
 	text, err := json.Marshal(answer)
 	if err != nil {
 		return err
