--- a/internal/rollout/answer.go
+++ b/internal/rollout/answer.go
@@ -90,7 +90,7 @@
 func checkRanges(request string, ranges []*peerpb.Range, tokens uint32) error {
 	var until uint32
 	for _, part := range ranges {
-		if part.GetFrom() != until || part.GetUntil() <= part.GetFrom() || part.GetVersion() == 0 {
+		if part.GetFrom() != until || part.GetUntil() <= part.GetFrom() {
 			return &AnswerError{Request: request, Problem: fmt.Sprintf("no version for tokens from %d on", until)}
 		}
 		until = part.GetUntil()
--- a/internal/weight/wave_test.go
+++ b/internal/weight/wave_test.go
@@ -56,6 +56,7 @@
 		must.Len(t, 1, wave.Next(start))
 		wave.Done("s0000", 1, start)
 		must.Eq(t, 1, wave.Behind())
+		must.SliceEmpty(t, wave.Next(start))
 		must.Len(t, 1, wave.Next(start.Add(leastPause)))
 	})
 	t.Run("a sampler set back is ordered again", func(t *testing.T) {
