--- a/internal/rollout/fake_test.go
+++ b/internal/rollout/fake_test.go
@@ -112,7 +112,7 @@
 
 var _ Runner = &fakeRunner{}
 
-func (r *fakeRunner) Run(ctx context.Context, request *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error) {
+func (r *fakeRunner) Run(ctx context.Context, _ *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error) {
 	if r.gate != nil {
 		select {
 		case <-ctx.Done():
@@ -136,12 +136,6 @@
 	return peerpb.End_builder{Finish: "stop", OutputTokens: tokens}.Build(), nil
 }
 
-func (r *fakeRunner) set(version uint64) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.version = version
-}
-
 func chunkFrame(version uint64, tokens ...int32) *peerpb.Frame {
 	chunk := peerpb.Chunk_builder{Data: []byte("x"), Tokens: tokens, Version: version}.Build()
 	return peerpb.Frame_builder{Chunk: chunk}.Build()
--- a/internal/rollout/step_test.go
+++ b/internal/rollout/step_test.go
@@ -40,12 +40,11 @@
 	step.Commit()
 }
 
-func mustHandOver(t *testing.T, step *Step, place uint64, count int) []*peerpb.Sample {
+func mustHandOver(t *testing.T, step *Step, count int) {
 	t.Helper()
-	pulled, err := step.Pull(place, 64, 0)
+	pulled, err := step.Pull(0, 64, 0)
 	must.NoError(t, err)
 	must.Len(t, count, pulled.Samples())
-	return pulled.Samples()
 }
 
 // A swap of weights during generation puts two versions into one sample. The
@@ -100,20 +99,20 @@
 		commit(step)
 		step.Announce(3)
 		again := mustNext(t, step, start)
-		mustHandOver(t, step, 0, 0)
+		mustHandOver(t, step, 0)
 		must.True(t, finishAttempt(t, step, again, start, 2))
 		commit(step)
-		mustHandOver(t, step, 0, 1)
+		mustHandOver(t, step, 1)
 	})
 	t.Run("one handed over is dropped when it is pulled again", func(t *testing.T) {
 		step := NewStep(openRequest(1, 1, 1, 1), 0, 1, 1)
 		must.True(t, finishAttempt(t, step, mustNext(t, step, start), start, 1))
 		commit(step)
-		mustHandOver(t, step, 0, 1)
+		mustHandOver(t, step, 1)
 		step.Announce(3)
 		_, wanted := step.Next(start)
 		must.False(t, wanted, must.Sprint("the trainer may have it"))
-		mustHandOver(t, step, 0, 0)
+		mustHandOver(t, step, 0)
 		must.Eq(t, 0, mustNext(t, step, start).Slot())
 	})
 	t.Run("the pull's version counts", func(t *testing.T) {
--- a/internal/weight/wave_test.go
+++ b/internal/weight/wave_test.go
@@ -18,15 +18,15 @@
 	return live
 }
 
-func newWave(count int, version, target uint64) *Wave {
+func newWave(count int, version uint64) *Wave {
 	wave := &Wave{Share: 0.34, Lag: DefaultLag}
 	wave.Observe(samplers(count, version), start)
-	wave.Announce(target)
+	wave.Announce(2)
 	return wave
 }
 
 func TestWaveKeepsCapacity(t *testing.T) {
-	wave := newWave(930, 1, 2)
+	wave := newWave(930, 1)
 	now := start
 	for wave.Behind() > 0 {
 		chosen := wave.Next(now)
@@ -45,14 +45,14 @@
 // taken for done, unless what they show is what counts.
 func TestWaveOrdersAgain(t *testing.T) {
 	t.Run("a swap that fails is retried after a pause", func(t *testing.T) {
-		wave := newWave(1, 1, 2)
+		wave := newWave(1, 1)
 		must.Len(t, 1, wave.Next(start))
 		wave.Failed("s0000", start)
 		must.SliceEmpty(t, wave.Next(start))
 		must.Len(t, 1, wave.Next(start.Add(leastPause)))
 	})
 	t.Run("an answer that shows the old version counts as failed", func(t *testing.T) {
-		wave := newWave(1, 1, 2)
+		wave := newWave(1, 1)
 		must.Len(t, 1, wave.Next(start))
 		wave.Done("s0000", 1, start)
 		must.Eq(t, 1, wave.Behind())
@@ -60,7 +60,7 @@
 		must.Len(t, 1, wave.Next(start.Add(leastPause)))
 	})
 	t.Run("a sampler set back is ordered again", func(t *testing.T) {
-		wave := newWave(1, 1, 2)
+		wave := newWave(1, 1)
 		wave.Next(start)
 		wave.Done("s0000", 2, start)
 		must.Eq(t, 0, wave.Behind())
@@ -69,14 +69,14 @@
 		must.Len(t, 1, wave.Next(start.Add(DefaultLag)))
 	})
 	t.Run("a report that lags is not believed", func(t *testing.T) {
-		wave := newWave(1, 1, 2)
+		wave := newWave(1, 1)
 		wave.Next(start)
 		wave.Done("s0000", 2, start)
 		wave.Observe(samplers(1, 1), start.Add(DefaultLag/2))
 		must.Eq(t, 0, wave.Behind())
 	})
 	t.Run("a version announced meanwhile is ordered next", func(t *testing.T) {
-		wave := newWave(1, 1, 2)
+		wave := newWave(1, 1)
 		wave.Next(start)
 		must.True(t, wave.Announce(3))
 		must.False(t, wave.Announce(2))
@@ -84,7 +84,7 @@
 		must.Len(t, 1, wave.Next(start))
 	})
 	t.Run("a sampler that starts later is ordered too", func(t *testing.T) {
-		wave := newWave(1, 2, 2)
+		wave := newWave(1, 2)
 		must.SliceEmpty(t, wave.Next(start))
 		wave.Observe(append(samplers(1, 2), samplers(2, 1)[1]), start)
 		must.Eq(t, 1, wave.Behind())
@@ -92,7 +92,7 @@
 }
 
 func TestWaveSpreadsZones(t *testing.T) {
-	wave := newWave(70, 1, 2)
+	wave := newWave(70, 1)
 	for range 20 {
 		wave.width.learn(time.Second)
 	}
