Measure the fair queue against its baselines

Cause: the worst served account is the figure that counts; the queue was in place without one. Settle moved only later requests before: its test passed without it. It now shifts what waits, and the test fails without the shift. Also: usage of answers that their caller gave up is counted, servers of a fleet keep the time at which they were live first.

--- a/internal/bramleyhatch/sidecarbackend.go
+++ b/internal/bramleyhatch/sidecarbackend.go
@@ -25,6 +25,7 @@
 	settings := s.Settings.GetBackend()
 	server := &entry.Server{
 		Claims:    s.newClaims(),
+		Counter:   s.counter,
 		Draining:  s.setDraining,
 		Name:      settings.GetServer(),
 		Pool:      settings.GetPool(),
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -55,15 +55,23 @@
 	run.markPassed()
 	s.Decisions.Record(run.id, "backend", "passed to %s for %s", s.Name, run.request.GetAccount())
 	end, err := s.Backend.Run(ctx, run.request, run.add)
-	if err != nil {
-		return nil, err
+	switch {
+	case err == nil:
+		end.SetCounts(s.count(run.request, end.GetPromptTokens(), end.GetOutputTokens()))
+		return end, nil
+	case ctx.Err() != nil && run.tokens() > 0:
+		// What the caller got before it gave up was served.
+		s.count(run.request, 0, run.tokens())
 	}
-	if s.Counter != nil {
-		request := run.request
-		counts := s.Counter.Add(request.GetAccount(), request.GetPool(), time.Now(), end.GetPromptTokens(), end.GetOutputTokens())
-		end.SetCounts(counts)
+	return nil, err
+}
+
+// count counts a request's usage and returns the counters that changed.
+func (s *Server) count(request *peerpb.RunRequest, prompt, output uint64) []*peerpb.Count {
+	if s.Counter == nil {
+		return nil
 	}
-	return end, nil
+	return s.Counter.Add(request.GetAccount(), request.GetPool(), time.Now(), prompt, output)
 }
 
 // classify turns an error into a refusal that claims no more than is proved: a
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -34,6 +34,7 @@
 	bytes    int
 	first    uint64
 	read     uint64
+	produced uint64
 	passed   bool
 	closed   bool
 	refusal  *refusal.Error
@@ -182,6 +183,13 @@
 	}
 }
 
+// tokens returns the number of tokens produced so far.
+func (r *run) tokens() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.produced
+}
+
 func (r *run) tryAdd(frame *peerpb.Frame) (<-chan struct{}, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -201,6 +209,7 @@
 func (r *run) push(frame *peerpb.Frame) {
 	frame.SetId(r.id)
 	frame.SetSeq(r.next())
+	r.produced += uint64(len(frame.GetChunk().GetTokens()))
 	r.frames = append(r.frames, frame)
 	r.bytes += proto.Size(frame)
 	r.notify()
--- a/internal/fair/admit.go
+++ b/internal/fair/admit.go
@@ -54,7 +54,7 @@
 	}
 	work := 0.0
 	for _, account := range q.heads {
-		served := (start - account.items[0].start) * account.weight
+		served := (start - account.start()) * account.weight
 		work += min(max(served, 0), account.cost)
 	}
 	return seconds(work / rate)
--- a/internal/fair/heads.go
+++ b/internal/fair/heads.go
@@ -13,11 +13,11 @@
 func (h heads[T]) Len() int { return len(h) }
 
 func (h heads[T]) Less(i, j int) bool {
-	a, b := h[i].items[0], h[j].items[0]
-	if a.start != b.start {
-		return a.start < b.start
+	a, b := h[i], h[j]
+	if a.start() != b.start() {
+		return a.start() < b.start()
 	}
-	return a.order < b.order
+	return a.items[0].order < b.items[0].order
 }
 
 // Pop is called by container/heap.
--- a/internal/fair/queue.go
+++ b/internal/fair/queue.go
@@ -27,7 +27,6 @@
 	value   T
 	request Request
 	start   float64
-	finish  float64
 	order   uint64
 }
 
@@ -59,6 +58,8 @@
 	finish float64
 	cost   float64
 	index  int
+	// shift is added to the tags of the waiting items.
+	shift float64
 }
 
 // Len returns the number of waiting items.
@@ -77,13 +78,12 @@
 // before it; item is nil if none is left.
 func (q *Queue[T]) Pop(now time.Time) (item *Item[T], late []*Item[T]) {
 	for q.length > 0 {
-		item := q.take()
-		if isLate(item, now) {
-			q.account(item.request).finish -= item.work()
-			late = append(late, item)
+		if first := q.heads[0]; isLate(first.items[0], now) {
+			late = append(late, q.drop(first, 0))
 			continue
 		}
-		q.virtual = max(q.virtual, item.start)
+		q.virtual = max(q.virtual, q.heads[0].start())
+		item := q.take()
 		q.rate.add(now, item.request.Cost)
 		return item, late
 	}
@@ -115,7 +115,7 @@
 
 // Remove takes an item out before it is served and reports whether it waited.
 func (q *Queue[T]) Remove(matches func(T) bool) bool {
-	for _, account := range q.accounts {
+	for _, account := range q.heads {
 		for i, item := range account.items {
 			if matches(item.value) {
 				q.drop(account, i)
@@ -126,7 +126,8 @@
 	return false
 }
 
-// Settle corrects the account's tag once the true cost of its item is known.
+// Settle corrects the account's tags once the true cost of its item is known;
+// what waits already is served later or sooner by the difference.
 func (q *Queue[T]) Settle(request Request, cost float64) {
 	account := q.accounts[request.Account]
 	if account == nil {
@@ -135,7 +136,12 @@
 	if request.Weight <= 0 {
 		request.Weight = 1
 	}
-	account.finish += (cost - request.Cost) / request.Weight
+	correction := (cost - request.Cost) / request.Weight
+	account.finish += correction
+	account.shift += correction
+	if account.index != absent {
+		heap.Fix(&q.heads, account.index)
+	}
 }
 
 func (q *Queue[T]) account(request Request) *account[T] {
@@ -166,9 +172,8 @@
 	account := q.account(request)
 	start := max(q.virtual, account.finish)
 	q.order++
-	item := &Item[T]{value: value, request: request, start: start, order: q.order}
-	item.finish = start + item.work()
-	account.finish = item.finish
+	item := &Item[T]{value: value, request: request, start: start - account.shift, order: q.order}
+	account.finish = start + item.work()
 	account.cost += request.Cost
 	account.items = append(account.items, item)
 	q.length++
@@ -195,7 +200,6 @@
 	account.finish -= item.work()
 	for _, later := range account.items[i:] {
 		later.start -= item.work()
-		later.finish -= item.work()
 	}
 	q.length--
 	q.reorder(account)
@@ -210,6 +214,9 @@
 	heap.Fix(&q.heads, account.index)
 }
 
+// start returns the start tag of the first waiting item.
+func (a *account[T]) start() float64 { return a.items[0].start + a.shift }
+
 func (i *Item[T]) work() float64 { return i.request.Cost / i.request.Weight }
 
 func isLate[T any](item *Item[T], now time.Time) bool {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -99,6 +99,9 @@
 		server.SetState(state)
 		server.SetSince(now.Unix())
 	}
+	if state == StateLive && server.GetBorn() == 0 {
+		server.SetBorn(now.Unix())
+	}
 }
 
 // sorted returns the servers by identity, without the removed ones that are too many.
--- a/internal/measure/experiments.go
+++ b/internal/measure/experiments.go
@@ -2,5 +2,7 @@
 
 // Experiments returns all experiments in the order of docs/MEASUREMENTS.md.
 func Experiments() []Experiment {
-	return []Experiment{}
+	return []Experiment{
+		Fairness(),
+	}
 }
--- /dev/null
+++ b/internal/member/ancestry_test.go
@@ -0,0 +1,39 @@
+package member
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+)
+
+// A sidecar is killed and started again on its host, or another host takes its
+// backend server over. It has lost what it kept in memory and must learn from
+// the others that there was a process before it, in whatever order they speak.
+func TestIsFirst(t *testing.T) {
+	process := func(name, server string, incarnation uint64) *peerpb.Process {
+		return peerpb.Process_builder{Name: name, Server: server, Incarnation: incarnation}.Build()
+	}
+	elder, younger := process("entry", "", 1), process("other", "", 9)
+	tests := map[string]struct {
+		heard   []*peerpb.Process
+		isFirst bool
+	}{
+		"nobody heard":           {nil, false},
+		"elder knows of none":    {[]*peerpb.Process{elder}, true},
+		"only younger ones":      {[]*peerpb.Process{younger}, true},
+		"started again":          {[]*peerpb.Process{elder, process("s1", "server", 4)}, false},
+		"on another host":        {[]*peerpb.Process{process("s0", "server", 4), elder}, false},
+		"its own record returns": {[]*peerpb.Process{elder, process("s1", "server", 5)}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			members := NewMembers(process("s1", "server", 5))
+			for _, heard := range test.heard {
+				members.merge(peerpb.Gossip_builder{Sender: elder, Processes: []*peerpb.Process{heard}}.Build())
+			}
+			must.Eq(t, test.isFirst, members.IsFirst())
+		})
+	}
+}
