--- a/internal/measure/experiments.go
+++ b/internal/measure/experiments.go
@@ -4,5 +4,7 @@
 func Experiments() []Experiment {
 	return []Experiment{
 		Fairness(),
+		Stragglers(),
+		Weights(),
 	}
 }
--- a/internal/member/ancestry.go
+++ b/internal/member/ancestry.go
@@ -1,6 +1,12 @@
 package member
 
-import "github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+)
 
 // ancestry is what the others know of processes before this one.
 type ancestry struct {
@@ -35,10 +41,51 @@
 
 // isEldest reports whether no other known process started before this one.
 func (m *Members) isEldest() bool {
-	for name, process := range m.processes {
-		if name != m.self.GetName() && process.GetIncarnation() < m.self.GetIncarnation() {
+	for name, known := range m.table.records {
+		if name != m.self.GetName() && known.process.GetIncarnation() < m.self.GetIncarnation() {
 			return false
 		}
 	}
 	return true
 }
+
+// elders returns the records by which a process that was started again learns
+// of the earlier one: those of its name with a lower incarnation, and those of
+// other names beside the same backend server, in whatever state.
+//
+// A process that asks replaces its earlier record here by asking. Without this
+// answer nobody would tell it that there was one, and it would take its empty
+// memory for whole.
+func (m *Members) elders(process *peerpb.Process) []*peerpb.Process {
+	var found []*peerpb.Process
+	for name, known := range m.table.records {
+		isSame := name == process.GetName() || process.GetServer() != "" && known.process.GetServer() == process.GetServer()
+		if isSame && known.process.GetIncarnation() < process.GetIncarnation() {
+			found = append(found, known.process)
+		}
+	}
+	if elder := m.replacedBy[process.GetName()]; elder != nil {
+		found = append(found, elder)
+	}
+	return found
+}
+
+// noteElder keeps the record that a later process of its name replaces.
+func (m *Members) noteElder(known *peerpb.Process, now time.Time) {
+	if known == nil {
+		return
+	}
+	elder := proto.CloneOf(known)
+	elder.SetState(peerpb.State_STATE_FAILED)
+	elder.SetEnded(now.Unix())
+	m.replacedBy[known.GetName()] = elder
+}
+
+// forgetElders drops the records that were replaced long ago.
+func (m *Members) forgetElders(now time.Time) {
+	for name, elder := range m.replacedBy {
+		if hasExpired(elder, now) {
+			delete(m.replacedBy, name)
+		}
+	}
+}
