--- a/internal/member/ancestry_test.go
+++ b/internal/member/ancestry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -31,7 +32,7 @@
 		t.Run(name, func(t *testing.T) {
 			members := NewMembers(process("s1", "server", 5))
 			for _, heard := range test.heard {
-				members.merge(peerpb.Gossip_builder{Sender: elder, Processes: []*peerpb.Process{heard}}.Build())
+				members.Take(time.Unix(10, 0), peerpb.Gossip_builder{Sender: elder, Processes: []*peerpb.Process{heard}}.Build())
 			}
 			must.Eq(t, test.isFirst, members.IsFirst())
 		})
