Keep callers' keys from backend servers by whatever way they come

Cause: allowed headers, the path and the query are the caller's own words, so a key can stand in them; the sidecar knows no key, only hashes. Words are compared by hash. Not covered: a key inside the body of a plain service's request; the entry, which has the key, looks at path and headers.

--- a/internal/backend/plain.go
+++ b/internal/backend/plain.go
@@ -32,6 +32,9 @@
 // Plain speaks to a plain service.
 type Plain struct {
 	Server
+
+	// Keys refuses requests that hold a caller's key; nil refuses none.
+	Keys Keys
 }
 
 // Version returns 0: a plain service has no weights.
@@ -40,6 +43,9 @@
 // Run passes a request on and gives the answer's parts to sink. The error is a
 // *refusal.Error unless sink failed.
 func (p *Plain) Run(ctx context.Context, request *peerpb.RunRequest, sink Sink) (*peerpb.End, error) {
+	if holdsKey(request, p.Keys) {
+		return nil, refusal.NotRun(http.StatusBadRequest, "key_in_request", "the path, query or a header holds a key")
+	}
 	answer, err := p.exchange(ctx, call{
 		method:  request.GetMethod(),
 		path:    request.GetPath(),
--- a/internal/bramleyhatch/sidecarbackend.go
+++ b/internal/bramleyhatch/sidecarbackend.go
@@ -53,7 +53,9 @@
 		s.AddDuty("engine", engine.Watch)
 		return engine
 	}
-	plain := &backend.Plain{}
+	known := &keys{}
+	s.members.OnFact(member.FactConfig, known.take)
+	plain := &backend.Plain{Keys: known}
 	plain.Address, plain.Name, plain.Silence = address, name, silence
 	return plain
 }
