--- a/internal/rollout/execution.go
+++ b/internal/rollout/execution.go
@@ -162,6 +162,7 @@
 	}
 	if h.step == e.step {
 		h.stop(others, "attempt "+e.attempt.ID()+" was first")
+		h.Metrics.observe(e.step)
 	}
 	h.notify()
 	return true
--- a/internal/rollout/step_test.go
+++ b/internal/rollout/step_test.go
@@ -186,6 +186,19 @@
 		_, ok := step.Next(start.Add(20 * time.Second))
 		must.False(t, ok)
 	})
+	t.Run("nor one while others wait in queues", func(t *testing.T) {
+		step := NewStep(openRequest(1, 1, 24, 1), 0, 1, 1)
+		for range 24 {
+			mustNext(t, step, start)
+		}
+		for slot := range uint32(8) {
+			attempt := step.slots[slot].runs[1].attempt
+			must.True(t, step.Progress(attempt, 100, 1, start.Add(time.Second)))
+			must.True(t, finishAttempt(t, step, attempt, start.Add(2*time.Second), 1))
+		}
+		_, ok := step.Next(start.Add(20 * time.Second))
+		must.False(t, ok)
+	})
 	t.Run("nor one beyond the budget", func(t *testing.T) {
 		step, _ := stepWithStraggler(t, 4)
 		step.budget.left = 0
--- a/internal/rollout/straggler.go
+++ b/internal/rollout/straggler.go
@@ -12,6 +12,8 @@
 	// silentWaits is how many usual waits for a first token an attempt may take.
 	silentWaits = 3
 	usualShare  = 0.9
+	// queuedShare of the running attempts without a token means that samplers are full.
+	queuedShare = 0.125
 )
 
 // outlook is what is expected of fresh runs, from those that have finished.
@@ -28,7 +30,7 @@
 // uses the same seed, so a long answer stays long, and taking whichever comes
 // first doesn't favour short answers.
 func (s *Step) straggler(now time.Time) *slot {
-	if len(s.paces.values) < leastFinished || !s.budget.has() {
+	if len(s.paces.values) < leastFinished || !s.budget.has() || s.isQueued() {
 		return nil
 	}
 	usual := outlook{pace: s.paces.quantile(0.5), wait: s.waits.quantile(0.5), late: s.waits.quantile(usualShare)}
@@ -45,6 +47,21 @@
 	return chosen
 }
 
+// isQueued reports whether many attempts wait for their first token: then the
+// samplers are full, and a second run would only wait too and make others wait.
+func (s *Step) isQueued() bool {
+	waiting, running := 0, 0
+	for _, slot := range s.slots {
+		for _, run := range slot.runs {
+			running++
+			if run.pace.tokens == 0 {
+				waiting++
+			}
+		}
+	}
+	return waiting > 1 && float64(waiting) > queuedShare*float64(running)
+}
+
 // gain returns the seconds that a second run saves; 0 if it doesn't pay.
 func (s *Step) gain(slot *slot, usual outlook, now time.Time) float64 {
 	for _, run := range slot.runs {
