--- a/internal/bramleyhatch/entrytrainers.go
+++ b/internal/bramleyhatch/entrytrainers.go
@@ -84,6 +84,7 @@
 	holder.Keeping = t.peers
 	holder.Decisions = t.entry.Decisions
 	holder.Attempts = int(settings.GetAttempts())
+	holder.Capacity = t.capacity
 	holder.Timeout = settings.GetTimeout().AsDuration()
 	holder.Batch = settings.GetBatch().AsDuration()
 	holder.Poll = settings.GetPoll().AsDuration()
@@ -94,6 +95,26 @@
 	return holder
 }
 
+// capacity returns how many requests the live samplers of a model run at the
+// same time; samplers whose load isn't known count as the average one.
+func (t *trainers) capacity(model string) int {
+	live, known, slots := 0, 0, 0
+	for _, process := range t.entry.members.Processes(peerpb.Role_ROLE_SIDECAR) {
+		if process.GetPool() != model || process.GetState() != peerpb.State_STATE_LIVE {
+			continue
+		}
+		live++
+		if load := t.entry.members.Load(process.GetServer()); load.GetSlots() > 0 {
+			known++
+			slots += int(load.GetSlots())
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return slots * live / known
+}
+
 // names returns the duties wanted: one for each trainer of a plan, one for each
 // model of a plan with trainers.
 func (t *trainers) names() []string {
--- a/internal/rollout/holder.go
+++ b/internal/rollout/holder.go
@@ -59,6 +59,10 @@
 	Decisions *decision.Log
 	// Attempts is the number of samples that run at the same time.
 	Attempts int
+	// Capacity returns how many requests a model's samplers run at the same time,
+	// 0 if it isn't known; nil never knows. An attempt beyond it would wait in a
+	// queue, bound to its sampler too early, and begin under older weights.
+	Capacity func(model string) int
 	// Timeout bounds one attempt.
 	Timeout time.Duration
 	// Batch is the shortest time between two writes of the state.
@@ -185,7 +189,7 @@
 func (h *Holder) startNext(ctx context.Context, group *sync.WaitGroup) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if h.step == nil || len(h.running) >= h.Attempts || ctx.Err() != nil {
+	if h.step == nil || len(h.running) >= h.room(h.step.open.GetModel()) || ctx.Err() != nil {
 		return false
 	}
 	step := h.step
@@ -203,6 +207,17 @@
 	return true
 }
 
+// room returns how many attempts may run at the same time.
+func (h *Holder) room(model string) int {
+	if h.Capacity == nil {
+		return h.Attempts
+	}
+	if capacity := h.Capacity(model); capacity > 0 {
+		return min(h.Attempts, capacity)
+	}
+	return h.Attempts
+}
+
 // ended forgets a running attempt.
 func (h *Holder) ended(step *Step, attempt Attempt) {
 	if h.step != step {
--- a/internal/rollout/holder_test.go
+++ b/internal/rollout/holder_test.go
@@ -287,3 +287,19 @@
 	mustBeOnce(t, pullAll(t, holder, 0), 4, 0)
 	must.Eq(t, 7, runner.runs)
 }
+
+// Attempts beyond what the samplers run would wait in queues, and begin under
+// weights that are old by then.
+func TestAttemptsWithinCapacity(t *testing.T) {
+	runner := &fakeRunner{version: 1, gate: make(chan struct{})}
+	holder := newTestHolder("a", newFakeStore(), runner, newFakeKeeping("b"))
+	holder.Capacity = func(string) int { return 3 }
+	runHolder(t, holder, 1)
+	mustOpen(t, holder, openRequest(1, 2, 8, 1))
+	await(t, func() bool { return holder.Counts().Started() == 3 })
+	runner.gate <- struct{}{}
+	await(t, func() bool { return holder.Counts().Started() == 4 })
+	must.Eq(t, 1, holder.Counts().Accepted())
+	close(runner.gate)
+	mustBeOnce(t, pullAll(t, holder, 0), 16, 0)
+}
