--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -12,12 +12,12 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/lists"
 	"github.com/bramleyhatch/bramleyhatch/internal/member"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/operatorpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
-	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 )
 
 const (
@@ -156,8 +156,8 @@
 	}
 	var found []*operatorpb.Holder
 	for _, value := range listed.Values {
-		holder := &statepb.Holder{}
-		if err := proto.Unmarshal(value.Data, holder); err != nil {
+		holder, err := duty.ParseHolder(value)
+		if err != nil {
 			klog.Warningf("operator: %s can't be read: %v", value.Key, err)
 			continue
 		}
