Resume through a moment without connections, and never call a lost run "not run"

Ruled out: trying each server until the bound on silence (a request that can go elsewhere waits 3 s for nothing); resuming while restart is nil (a stream's caller has one, which refuses once it has begun). Change: a refused resume is a broken stream; a request that can go elsewhere does after four tries in a row, another one stays as long as silence is allowed; a run that moves is cancelled where it was; once a server may have run the request, the outcome stays unknown.

--- a/internal/sidecar/pool_test.go
+++ b/internal/sidecar/pool_test.go
@@ -188,6 +188,14 @@
 		mustRefuse(t, pool, posting(), peerpb.Outcome_OUTCOME_UNKNOWN, "server_lost")
 		must.SliceEmpty(t, two.requests())
 	})
+	t.Run("idempotent, and no other can be reached", func(t *testing.T) {
+		// The second server is sure that it ran nothing. The first may have run
+		// it, so the caller must not read "not run".
+		one, two := dies(t), startFake(t, nil)
+		two.stop()
+		pool := newPool(t, known{"s1", one.address, "assist", 0}, known{"s2", two.address, "assist", peerpb.State_STATE_SUSPECT})
+		mustRefuse(t, pool, idempotent(), peerpb.Outcome_OUTCOME_UNKNOWN, "no_connection")
+	})
 	t.Run("a part was seen", func(t *testing.T) {
 		one, two := dies(t, "x"), startFake(t, words("a"))
 		pool := newPool(t, known{"s1", one.address, "assist", 0}, known{"s2", two.address, "assist", peerpb.State_STATE_SUSPECT})
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -14,8 +14,8 @@
 
 const (
 	// maxStrikes is the number of streams in a row that may break at once and
-	// without a frame before a sidecar is taken for dead.
-	maxStrikes = 2
+	// without a frame before a request that can go elsewhere does.
+	maxStrikes = 4
 	// maxServers is the number of servers that one request tries.
 	maxServers = 3
 	retryAfter = time.Second
@@ -36,8 +36,10 @@
 	next uint64
 	// sent is true once the request may have reached the present server.
 	sent bool
-	// alive is true once the present stream has shown life.
-	alive bool
+	// mayHaveRun is true once any server may have run the request.
+	mayHaveRun bool
+	// life is when the present server last showed life.
+	life time.Time
 	// tried holds the servers that have had the request.
 	tried map[string]bool
 }
@@ -58,9 +60,11 @@
 		if left := r.left(server, err); left != nil {
 			return nil, left
 		}
+		r.mayHaveRun = r.mayHaveRun || !refusal.IsNotRun(err)
 		if !r.mayMove(err) {
-			return nil, r.pool.refuse(refusal.Of(err))
+			return nil, r.refuse(err)
 		}
+		r.pool.cancel(server.address, r.request.GetId(), "tried elsewhere")
 		last = err
 	}
 }
@@ -73,47 +77,81 @@
 		return chosen, nil
 	}
 	if last != nil {
-		return nil, r.pool.refuse(refusal.Of(last))
+		return nil, r.refuse(last)
 	}
-	return nil, r.pool.refuse(refusal.NotRun(http.StatusServiceUnavailable, "no_server", "no backend server of %s: %s", r.request.GetPool(), reason).After(retryAfter))
+	return nil, r.refuse(refusal.NotRun(http.StatusServiceUnavailable, "no_server", "no backend server of %s: %s", r.request.GetPool(), reason).After(retryAfter))
+}
+
+// refuse ends the request with the refusal of the last server.
+//
+// That server may be sure that it ran nothing, while one before it may have run
+// the request and then been lost: the caller would read "not run" and be wrong.
+// Once any server may have run it, the outcome stays unknown.
+func (r *run) refuse(err error) *refusal.Error {
+	refused := *refusal.Of(err)
+	if r.mayHaveRun {
+		refused.Outcome = peerpb.Outcome_OUTCOME_UNKNOWN
+	}
+	return r.pool.refuse(&refused)
 }
 
 // at follows the answer of one server over as many connections as needed.
 func (r *run) at(server *server) (*peerpb.End, error) {
 	r.tried[server.Name()] = true
 	r.sent = false
+	r.life = time.Now()
 	r.pool.directory.begin(server)
 	defer r.pool.directory.finish(server)
-	life := time.Now()
-	for strikes := 0; strikes < maxStrikes || r.mayResume(life); {
-		if strikes >= maxStrikes && !r.pause() {
-			break
-		}
+	strikes := 0
+	for isResume := false; ; isResume = true {
 		began, next := time.Now(), r.next
 		end, err := r.once(server)
-		if err == nil || !isLost(err) || r.ctx.Err() != nil {
+		if err == nil || !r.isBroken(err) || r.ctx.Err() != nil {
 			return end, r.meaning(server, err)
 		}
-		strikes++
-		if r.next > next || r.alive && time.Since(began) >= r.pool.Silence {
-			strikes = 0
-		}
-		if r.next > next || r.alive {
-			life = time.Now()
-		}
+		strikes = r.strike(strikes, isResume, began, next)
 		r.pool.metrics.resumes.Inc()
 		r.pool.Decisions.Record(r.request.GetId(), "route", "%s, again from frame %d: %v", server.Name(), r.next, err)
+		if strikes >= maxStrikes && r.givesUp() {
+			return nil, r.meaning(server, err)
+		}
+		if strikes > 1 && !r.pause() {
+			return nil, r.meaning(server, err)
+		}
 	}
-	return nil, r.meaning(server, &lostError{cause: errSilent})
 }
 
-// mayResume reports whether a sidecar that breaks off each stream is worth more
-// tries. It is while the request can't go elsewhere and the sidecar has shown
-// life within the bound on silence: the run may still go on there. Without this
-// a link that is cut for a moment costs each caller behind it the answer.
-func (r *run) mayResume(life time.Time) bool {
-	isBound := r.next > 0 && r.restart == nil || r.sent && !r.request.GetIdempotent()
-	return isBound && time.Since(life) < r.pool.Silence
+// strike counts the streams in a row that broke without life. A resumed one that
+// was silent from its start settles it: the sidecar doesn't answer on a new
+// connection either.
+func (r *run) strike(strikes int, isResume bool, began time.Time, next uint64) int {
+	isAlive := r.life.After(began)
+	isLong := time.Since(began) >= r.pool.Silence
+	switch {
+	case r.next > next, isAlive && isLong:
+		return 0
+	case isResume && isLong:
+		return maxStrikes
+	default:
+		return strikes + 1
+	}
+}
+
+// givesUp reports whether a sidecar that breaks off each stream is worth no
+// more tries: at once if the request can go elsewhere, else when the sidecar
+// has shown no life within the bound on silence, since the run may still go on
+// there. Without that, a link that is cut for a moment costs each caller behind
+// it the answer.
+func (r *run) givesUp() bool {
+	return r.request.GetIdempotent() && r.forget() || time.Since(r.life) >= r.pool.Silence
+}
+
+// isBroken reports whether a stream's end leaves the run at the sidecar to be
+// resumed. A connection that can't be made again is no other case than one that
+// breaks: once the request was sent, the run may go on.
+func (r *run) isBroken(err error) bool {
+	var unsent *notSentError
+	return isLost(err) || r.sent && errors.As(err, &unsent)
 }
 
 // pause waits between two tries; it returns false once the context has ended.
@@ -130,7 +168,6 @@
 
 // once sends the request over the server's connection.
 func (r *run) once(server *server) (*peerpb.End, error) {
-	r.alive = false
 	used, err := r.pool.connections.get(server.address)
 	if err != nil {
 		return nil, &notSentError{cause: err}
@@ -203,11 +240,11 @@
 	if !refusal.IsNotRun(err) && !r.request.GetIdempotent() {
 		return false
 	}
-	if !r.pool.budget.retry(time.Now()) {
-		r.pool.Decisions.Record(r.request.GetId(), "route", "not tried elsewhere, the retry budget is spent")
+	if !r.forget() {
 		return false
 	}
-	if !r.forget() {
+	if !r.pool.budget.retry(time.Now()) {
+		r.pool.Decisions.Record(r.request.GetId(), "route", "not tried elsewhere, the retry budget is spent")
 		return false
 	}
 	r.pool.metrics.retries.Inc()
