--- a/internal/bramleyhatch/entrycallers.go
+++ b/internal/bramleyhatch/entrycallers.go
@@ -20,6 +20,7 @@
 		Grants:       e.view,
 		Runner:       e.pool,
 		Admission:    admission,
+		Isolated:     e.members.Isolated,
 		Decisions:    e.Decisions,
 		Metrics:      e.Metrics,
 		MaxBodyBytes: settings.GetMaxBodyBytes(),
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -19,6 +19,9 @@
 	// maxServers is the number of servers that one request tries.
 	maxServers = 3
 	retryAfter = time.Second
+	// codeUnreached and codeLost are the codes of refusals because of a connection.
+	codeUnreached = "no_connection"
+	codeLost      = "server_lost"
 	// resumePause is the time between two tries to reach a sidecar again.
 	resumePause = 50 * time.Millisecond
 )
@@ -39,7 +42,10 @@
 	// mayHaveRun is true once any server may have run the request.
 	mayHaveRun bool
 	// life is when the present server last showed life.
-	life time.Time
+	life  time.Time
+	began time.Time
+	// left holds the servers from which the request moved on.
+	left []*server
 	// tried holds the servers that have had the request.
 	tried map[string]bool
 }
@@ -55,16 +61,17 @@
 		end, err := r.at(server)
 		if err == nil {
 			r.pool.counted(end)
+			r.stopOthers(server)
 			return end, nil
 		}
-		if left := r.left(server, err); left != nil {
-			return nil, left
+		if gone := r.gone(server, err); gone != nil {
+			return nil, gone
 		}
 		r.mayHaveRun = r.mayHaveRun || !refusal.IsNotRun(err)
 		if !r.mayMove(err) {
 			return nil, r.refuse(err)
 		}
-		r.pool.cancel(server.address, r.request.GetId(), "tried elsewhere")
+		r.left = append(r.left, server)
 		last = err
 	}
 }
@@ -76,6 +83,9 @@
 		r.pool.Decisions.Record(r.request.GetId(), "route", "%s, %s", chosen.Name(), reason)
 		return chosen, nil
 	}
+	if last != nil && r.comesBack(last) {
+		return r.place(last)
+	}
 	if last != nil {
 		return nil, r.refuse(last)
 	}
@@ -95,6 +105,21 @@
 	return r.pool.refuse(&refused)
 }
 
+// comesBack makes all servers eligible again after a pause, where none could be
+// reached and the bound on silence has not passed. A link that is cut for a
+// moment in front of all sidecars would else fail each request that begins then.
+func (r *run) comesBack(last error) bool {
+	code := refusal.Of(last).Code
+	if code != codeUnreached && code != codeLost {
+		return false
+	}
+	if time.Since(r.began) >= r.pool.Silence || !r.pause() {
+		return false
+	}
+	clear(r.tried)
+	return true
+}
+
 // at follows the answer of one server over as many connections as needed.
 func (r *run) at(server *server) (*peerpb.End, error) {
 	r.tried[server.Name()] = true
@@ -146,14 +171,6 @@
 	return r.request.GetIdempotent() && r.forget() || time.Since(r.life) >= r.pool.Silence
 }
 
-// isBroken reports whether a stream's end leaves the run at the sidecar to be
-// resumed. A connection that can't be made again is no other case than one that
-// breaks: once the request was sent, the run may go on.
-func (r *run) isBroken(err error) bool {
-	var unsent *notSentError
-	return isLost(err) || r.sent && errors.As(err, &unsent)
-}
-
 // pause waits between two tries; it returns false once the context has ended.
 func (r *run) pause() bool {
 	timer := time.NewTimer(resumePause)
@@ -199,17 +216,27 @@
 	var unsent *notSentError
 	switch {
 	case !r.sent && (errors.As(err, &unsent) || isLost(err)):
-		return refusal.NotRun(http.StatusServiceUnavailable, "no_connection", "%s can't be reached", server.Name()).After(retryAfter)
+		return refusal.NotRun(http.StatusServiceUnavailable, codeUnreached, "%s can't be reached", server.Name()).After(retryAfter)
 	case errors.As(err, &unsent), isLost(err):
-		return refusal.Unknown(http.StatusBadGateway, "server_lost", "%s no longer answers", server.Name()).After(retryAfter)
+		return refusal.Unknown(http.StatusBadGateway, codeLost, "%s no longer answers", server.Name()).After(retryAfter)
 	default:
 		return err
 	}
 }
 
-// left ends a request whose caller is gone or whose sink failed, and stops it
+// stopOthers stops the request at the servers that it was tried at before. It
+// is not stopped there earlier, since it may come back to them.
+func (r *run) stopOthers(server *server) {
+	for _, one := range r.left {
+		if one.address != server.address {
+			r.pool.cancel(one.address, r.request.GetId(), "answered elsewhere")
+		}
+	}
+}
+
+// gone ends a request whose caller is gone or whose sink failed, and stops it
 // at the sidecar. It returns nil if neither is so.
-func (r *run) left(server *server, err error) error {
+func (r *run) gone(server *server, err error) error {
 	var failed *sinkError
 	switch {
 	case errors.As(err, &failed):
@@ -264,6 +291,14 @@
 	return true
 }
 
+// isBroken reports whether the stream ended without an answer. One that could
+// not be opened counts only after the request was sent once: until then another
+// server can have it.
+func (r *run) isBroken(err error) bool {
+	var unsent *notSentError
+	return isLost(err) || r.sent && errors.As(err, &unsent)
+}
+
 func isLost(err error) bool {
 	var broken *lostError
 	return errors.As(err, &broken)
