Let a sidecar that was started again learn its claims from the others

Cause: sidecars of a pool that are replaced one after another would forget together; then every posting with a key was refused as unknown for the ten minutes that claims are kept. The property test found that a server that was alone for a time has claims which nobody else kept; Partners refuses then.

--- a/internal/bramleyhatch/sidecarbackend.go
+++ b/internal/bramleyhatch/sidecarbackend.go
@@ -40,6 +40,7 @@
 	server.Open()
 	s.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterSidecarServer(registrar, server) })
 	s.AddDuty("backend", server.Maintain)
+	s.AddDuty("claim", server.Claims.Learn)
 	s.AddDrain(server.Drain)
 }
 
--- a/internal/claim/claim_property_test.go
+++ b/internal/claim/claim_property_test.go
@@ -123,6 +123,29 @@
 	}
 }
 
+// Learn makes a sidecar that was started again ask the others what they keep.
+func (w *world) Learn(t *rapid.T) {
+	id := w.draw(t)
+	if id == "" || !w.nodes[id].isReady(w.now) {
+		return
+	}
+	partners, whole := claim.Partners(id, w.view("view"), w.now, remember)
+	for _, partner := range partners {
+		whole = whole && w.learnFrom(w.nodes[id], w.nodes[partner])
+	}
+	w.nodes[id].isFirst = w.nodes[id].isFirst || whole
+}
+
+func (w *world) learnFrom(node, partner *node) bool {
+	if partner.isDown || !partner.isFirm(w.now) {
+		return false
+	}
+	for key, record := range partner.journal.All(w.now) {
+		_, _, _ = node.journal.Hold(key, record, w.now)
+	}
+	return true
+}
+
 // Remove drains a server or removes it with its sidecar's memory.
 func (w *world) Remove(t *rapid.T) {
 	id := w.draw(t)
@@ -245,6 +268,8 @@
 			"add":     w.Add,
 			"advance": w.Advance,
 			"crash":   w.Crash,
+			"learn":   w.Learn,
+			"relearn": w.Learn,
 			"remove":  w.Remove,
 			"send":    w.Send,
 			"resend":  w.Send,
--- a/internal/claim/journal.go
+++ b/internal/claim/journal.go
@@ -61,6 +61,16 @@
 	until time.Time
 }
 
+// All returns every claim that is kept.
+func (j *Journal) All(now time.Time) map[string]Record {
+	j.sweep(now)
+	all := make(map[string]Record, len(j.records))
+	for claim, record := range j.records {
+		all[claim] = *record
+	}
+	return all
+}
+
 // Find returns a claim.
 func (j *Journal) Find(claim string) (Record, bool) {
 	record := j.records[claim]
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/claim"
@@ -18,6 +19,8 @@
 type Peers interface {
 	// Claim asks a server's sidecar to keep a claim.
 	Claim(ctx context.Context, server string, request *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
+	// Recall asks a server's sidecar for the claims that it keeps.
+	Recall(ctx context.Context, server string, request *peerpb.RecallRequest) (*peerpb.RecallReply, error)
 }
 
 // Membership is what is known of the pool's servers and of earlier processes.
@@ -48,6 +51,7 @@
 
 	mutex   sync.Mutex
 	journal claim.Journal
+	learned atomic.Bool
 }
 
 // hold keeps a request's claim or finds out which run has it. It returns nil
@@ -148,7 +152,7 @@
 		return firmness(c.isFirm(time.Now()))
 	}
 	reply, err := c.Peers.Claim(ctx, server, peerpb.ClaimRequest_builder{
-		Claim: request.GetClaim(), Server: c.Server, Pool: c.Pool, Epoch: epoch, Id: request.GetId(),
+		Claim: request.GetClaim(), Server: c.Server, Pool: c.Pool, Epoch: epoch, Id: request.GetId(), Digest: digest(request),
 	}.Build())
 	switch {
 	case err != nil || reply.HasRefusal():
@@ -180,12 +184,12 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	record, isNew, err := c.keep(request.GetClaim(), claim.NewRecord(request.GetId(), request.GetServer(), ""))
+	record, isNew, err := c.keep(request.GetClaim(), claim.NewRecord(request.GetId(), request.GetServer(), request.GetDigest()))
 	if err != nil {
 		return refuseClaim("memory_full", "%v", err)
 	}
 	if known := find(record.ID()); !isNew && record.Server() == c.Server && known != nil && known.isNotRun() {
-		record, isNew = c.journal.Replace(request.GetClaim(), claim.NewRecord(request.GetId(), request.GetServer(), ""), time.Now()), true
+		record, isNew = c.journal.Replace(request.GetClaim(), claim.NewRecord(request.GetId(), request.GetServer(), request.GetDigest()), time.Now()), true
 	}
 	reply := peerpb.ClaimReply_builder{Recorded: isNew, Id: record.ID(), Server: record.Server()}.Build()
 	if !c.isFirm(time.Now()) {
@@ -201,9 +205,10 @@
 
 // isFirm reports whether this process knows every claim that its backend
 // server may have run within the window. One that was started again has lost
-// those of the process before it until their time is over.
+// those of the process before it until it has learned them from the others, or
+// their time is over.
 func (c *Claims) isFirm(now time.Time) bool {
-	return now.Sub(c.Started) >= claim.Window(c.Remember) || c.Members.IsFirst()
+	return c.learned.Load() || now.Sub(c.Started) >= claim.Window(c.Remember) || c.Members.IsFirst()
 }
 
 // hasAllMemory reads the start of a witness's memory; 0 is that of its server.
--- a/internal/entry/claims_test.go
+++ b/internal/entry/claims_test.go
@@ -1,10 +1,13 @@
 package entry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/claim"
 )
 
 const postingAnswer = `{"posting":1}`
@@ -59,6 +62,32 @@
 	must.Eq(t, 1, p.runs.Load())
 }
 
+// Both sidecars of a pool are replaced one after the other within minutes, as
+// in an upgrade. Each has to learn from the other what it kept: the key that was
+// used must not run again, and a new key must not be refused.
+func TestRollingReplacement(t *testing.T) {
+	p := newPool(t, newService(t, false, answerPosting), bound)
+	home, witness := p.home()
+	mustBeWhole(t, postingAnswer, p.send(home, "r1"))
+	p.restart(home)
+	p.restart(witness)
+	p.restart(home)
+	mustBeRefused(t, unknown, "not_known", p.send(home, "r2"))
+	other := p.posting("r3")
+	other.SetClaim(keyOfHome(p, home))
+	mustBeWhole(t, postingAnswer, send(p.clients[home], other))
+	must.Eq(t, 2, p.runs.Load())
+}
+
+// keyOfHome returns another key with the same home.
+func keyOfHome(p *pool, home string) string {
+	for i := 0; ; i++ {
+		if other := fmt.Sprintf("other-%d", i); claim.Home(other, p.fleet.Load()) == home {
+			return other
+		}
+	}
+}
+
 // The witness doesn't answer. A posting that ran now could not be told from a
 // new one after the loss of its home, so it waits; once the witness is back the
 // same key runs.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -13,8 +13,12 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 )
 
-// claimTimeout is the longest wait for a witness.
-const claimTimeout = time.Second
+const (
+	// claimTimeout is the longest wait for a witness.
+	claimTimeout = time.Second
+	// recallTimeout is the longest wait for all claims that a sidecar keeps.
+	recallTimeout = 5 * time.Second
+)
 
 // ProcessTable knows the processes of the system.
 type ProcessTable interface {
@@ -52,6 +56,18 @@
 	return reply, eris.Wrapf(err, "claim at %s", server)
 }
 
+// Recall asks a server's sidecar for the claims that it keeps.
+func (s *Sidecars) Recall(ctx context.Context, server string, request *peerpb.RecallRequest) (*peerpb.RecallReply, error) {
+	connection, err := s.connect(server)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	reply, err := peerpb.NewSidecarClient(connection).Recall(ctx, request)
+	return reply, eris.Wrapf(err, "recall from %s", server)
+}
+
 func (s *Sidecars) connect(server string) (*grpc.ClientConn, error) {
 	address := s.address(server)
 	if address == "" {
--- a/internal/entry/pool_test.go
+++ b/internal/entry/pool_test.go
@@ -33,11 +33,12 @@
 	mutex   sync.Mutex
 	address map[string]string
 	clients map[string]peerpb.SidecarClient
+	claims  map[string]*entry.Claims
 }
 
 func newPool(t *testing.T, service *service, silence time.Duration) *pool {
 	t.Helper()
-	p := &pool{service: service, t: t, silence: silence, address: map[string]string{}, clients: map[string]peerpb.SidecarClient{}}
+	p := &pool{service: service, t: t, silence: silence, address: map[string]string{}, clients: map[string]peerpb.SidecarClient{}, claims: map[string]*entry.Claims{}}
 	p.setFleet("live", "live")
 	p.start("s1", true)
 	p.start("s2", true)
@@ -71,9 +72,25 @@
 		Server: id, Pool: "ledger", Members: &members{pool: p, isFirst: isFirst}, Peers: &lossy{Sidecars: &entry.Sidecars{Members: p}, pool: p},
 		Remember: time.Minute, Started: time.Now().Add(-claim.Slack), RunAlone: true,
 	}
+	p.claims[id] = server.Claims
 	p.serve(id, server)
 }
 
+// restart starts a sidecar again without memory and waits until it has learned.
+func (p *pool) restart(id string) {
+	p.start(id, false)
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	p.t.Cleanup(cancel)
+	go func() { _ = p.claims[id].Learn(ctx) }()
+	for {
+		reply, err := p.clients[id].Recall(ctx, peerpb.RecallRequest_builder{Pool: "ledger"}.Build())
+		must.NoError(p.t, err)
+		if reply.GetWhole() {
+			return
+		}
+	}
+}
+
 func (p *pool) serve(id string, server *entry.Server) {
 	server.Open()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -104,6 +104,15 @@
 	return reply, nil
 }
 
+// Recall returns the claims that are kept here.
+func (s *Server) Recall(_ context.Context, request *peerpb.RecallRequest) (*peerpb.RecallReply, error) {
+	if s.Claims == nil || request.GetPool() != s.Pool {
+		refused := refusal.NotRun(http.StatusServiceUnavailable, "no_claims", "%s keeps no claims of %s", s.Name, request.GetPool())
+		return peerpb.RecallReply_builder{Refusal: refused.ToMessage()}.Build(), nil
+	}
+	return s.Claims.all(time.Now()), nil
+}
+
 // Run starts a request, or joins the one known under its identity, and streams
 // its frames from a position.
 func (s *Server) Run(request *peerpb.RunRequest, stream grpc.ServerStreamingServer[peerpb.Frame]) error {
