Leave postings that were passed on to their end, and answers to their entry

Cause: a caller that gave up stopped a posting in its middle, so that nobody knew whether it had run and a retry with its key got an unknown outcome; it could also stop a posting that another caller had joined by its key. A planned stop forgot answers whose entry was just coming back. A home that is cut off may know an old fleet.

--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -29,6 +29,8 @@
 	Fleet(pool string) *statepb.Fleet
 	// IsFirst reports whether no earlier process stood beside this backend server.
 	IsFirst() bool
+	// Isolated reports whether neither the store nor most processes answer.
+	Isolated(now time.Time) bool
 	// Others returns the number of other sidecars of the pool that are known.
 	Others(pool string) int
 }
@@ -95,6 +97,9 @@
 // keep it. It is called just before the request is passed on.
 func (c *Claims) confirm(ctx context.Context, request *peerpb.RunRequest) *refusal.Error {
 	now := time.Now()
+	if c.Members.Isolated(now) {
+		return refusal.NotRun(http.StatusServiceUnavailable, "isolated", "the sidecar of %s is cut off and may know an old fleet", c.Server).After(retryElsewhere)
+	}
 	if !c.isFirm(now) && now.Sub(c.Started) < claim.Slack {
 		return refusal.NotRun(http.StatusServiceUnavailable, "restarted", "the sidecar of %s has just started and learns what ran before", c.Server).After(retryElsewhere)
 	}
--- a/internal/entry/claims_test.go
+++ b/internal/entry/claims_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/claim"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 )
 
 const postingAnswer = `{"posting":1}`
@@ -160,6 +162,36 @@
 	mustBeRefused(t, notRun, "cancelled", receive(t, waiting))
 }
 
+// A sidecar is cut off from the store and the other processes, and an entry
+// that is cut off with it sends a posting. The fleet may have changed twice
+// outside, so the posting must not run here.
+func TestIsolated(t *testing.T) {
+	p := newPool(t, newService(t, false, answerPosting), bound)
+	home, _ := p.home()
+	p.isolated.Store(true)
+	mustBeRefused(t, notRun, "isolated", p.send(home, "r1"))
+	p.isolated.Store(false)
+	mustBeWhole(t, postingAnswer, p.send(home, "r1"))
+}
+
+// Two callers sent the same posting; the first gives up while it waits. The
+// other one must still get its answer.
+func TestCancelOfSharedRun(t *testing.T) {
+	p := newPool(t, newService(t, true, answerPosting), bound)
+	home, _ := p.home()
+	running := sendAsync(p.clients[home], posting("running"))
+	receive(t, p.arrived)
+	first := sendAsync(p.clients[home], p.posting("r1"))
+	mustBecomeKnown(t, p.clients[home], "r1")
+	second := sendAsync(p.clients[home], p.posting("r2"))
+	mustBeJoined(t, p, home)
+	mustCancel(t, p.clients[home], "r1")
+	close(p.release)
+	receive(t, running)
+	mustBeWhole(t, postingAnswer, receive(t, first))
+	mustBeWhole(t, postingAnswer, receive(t, second))
+}
+
 func TestKeyReused(t *testing.T) {
 	p := newPool(t, newService(t, false, answerPosting), bound)
 	home, _ := p.home()
@@ -179,3 +211,34 @@
 	states := map[string][]string{"s1": {"removed", "live"}, "s2": {"live", "removed"}}
 	p.setFleet(states[server]...)
 }
+
+// mustBecomeKnown waits until the sidecar knows a run, without starting it.
+func mustBecomeKnown(t *testing.T, client peerpb.SidecarClient, id string) {
+	t.Helper()
+	probe := posting(id)
+	probe.SetResend(true)
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	for ctx.Err() == nil {
+		stream, err := client.Run(ctx, probe)
+		must.NoError(t, err)
+		frame, err := stream.Recv()
+		must.NoError(t, err)
+		if frame.HasBeat() {
+			return
+		}
+	}
+	t.Fatalf("%s is not known", id)
+}
+
+// mustBeJoined sends a third posting with the key and waits until it has joined.
+func mustBeJoined(t *testing.T, p *pool, home string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	stream, err := p.clients[home].Run(ctx, p.posting("r3"))
+	must.NoError(t, err)
+	frame, err := stream.Recv()
+	must.NoError(t, err)
+	must.True(t, frame.HasBeat())
+}
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -52,7 +52,9 @@
 // before: a sidecar that noted it afterwards could say "not run" of a request
 // that the backend server is running.
 func (s *Server) pass(ctx context.Context, run *run) (*peerpb.End, error) {
-	run.markPassed()
+	if !run.pass() {
+		return nil, refusal.NotRun(statusCancelled, "cancelled", "the request was cancelled before it was passed on")
+	}
 	s.Decisions.Record(run.id, "backend", "passed to %s for %s", s.Name, run.request.GetAccount())
 	end, err := s.Backend.Run(ctx, run.request, run.add)
 	switch {
--- a/internal/entry/orders_test.go
+++ b/internal/entry/orders_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"google.golang.org/grpc"
@@ -87,6 +88,36 @@
 	mustBeWhole(t, postingAnswer, receive(t, running))
 }
 
+// The entry's connection is lost while a posting runs, and the sidecar gets
+// SIGTERM. The posting ends before the entry is back; its answer must wait for
+// it, or a planned stop would turn a whole answer into an unknown outcome.
+func TestDrainWaitsForLostReader(t *testing.T) {
+	service := newService(t, true, answerPosting)
+	server := newServer(service.URL)
+	client := serve(t, server)
+	ctx, cancel := context.WithCancel(context.Background())
+	stream, err := client.Run(ctx, posting("r1"))
+	must.NoError(t, err)
+	receive(t, service.arrived)
+	cancel()
+	must.Error(t, read(stream).err)
+	drained := make(chan struct{})
+	go func() {
+		server.Drain(context.Background())
+		close(drained)
+	}()
+	close(service.release)
+	select {
+	case <-drained:
+		t.Fatal("drained before the answer was fetched")
+	case <-time.After(200 * time.Millisecond):
+	}
+	again := posting("r1")
+	again.SetResend(true)
+	mustBeWhole(t, postingAnswer, send(client, again))
+	receive(t, drained)
+}
+
 func mustBecomeDraining(t *testing.T, client peerpb.SidecarClient) {
 	t.Helper()
 	for i := range 1000 {
--- a/internal/entry/pool_test.go
+++ b/internal/entry/pool_test.go
@@ -28,12 +28,14 @@
 	t       *testing.T
 	silence time.Duration
 	// losing makes the answers of witnesses get lost.
-	losing  atomic.Bool
-	fleet   atomic.Pointer[statepb.Fleet]
-	mutex   sync.Mutex
-	address map[string]string
-	clients map[string]peerpb.SidecarClient
-	claims  map[string]*entry.Claims
+	losing atomic.Bool
+	// isolated makes every sidecar cut off.
+	isolated atomic.Bool
+	fleet    atomic.Pointer[statepb.Fleet]
+	mutex    sync.Mutex
+	address  map[string]string
+	clients  map[string]peerpb.SidecarClient
+	claims   map[string]*entry.Claims
 }
 
 func newPool(t *testing.T, service *service, silence time.Duration) *pool {
@@ -159,6 +161,7 @@
 func (m *members) Fleet(string) *statepb.Fleet { return m.fleet.Load() }
 func (m *members) IsFirst() bool               { return m.isFirst }
 func (m *members) Others(string) int           { return 1 }
+func (m *members) Isolated(time.Time) bool     { return m.isolated.Load() }
 
 // lossy reaches the other sidecar; the answer gets lost while the pool says so.
 type lossy struct {
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -61,6 +61,20 @@
 	return r.runs[id]
 }
 
+// isDelivered reports whether the answers of runs that ended lately were sent.
+func (r *registry) isDelivered(now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, list := range []*endedList{&r.answers, &r.postings} {
+		for _, ended := range list.runs {
+			if now.Sub(ended.time) < lingerTime && !ended.run.isDelivered() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // join returns the run with the request's identity; a new one if there is none
 // or if the one there was proved not to have run.
 func (r *registry) join(request *peerpb.RunRequest) (known *run, isNew bool, refused *refusal.Error) {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -36,6 +36,7 @@
 	read     uint64
 	produced uint64
 	passed   bool
+	shared   bool
 	closed   bool
 	refusal  *refusal.Error
 	readers  int
@@ -70,14 +71,30 @@
 	}
 }
 
-// cancel stops the run; the backend server's connection is closed.
-func (r *run) cancel() {
+// cancel stops the run; the backend server's connection is closed. It reports
+// whether it does.
+//
+// A request that may not be repeated and was passed on is left to end: stopped
+// in its middle, nobody would know whether it ran, while its answer tells a
+// retry with the same key. One that another caller has joined is left too.
+func (r *run) cancel() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if r.shared || r.passed && !r.idempotent {
+		return false
+	}
 	r.stopped = true
 	if r.stop != nil {
 		r.stop()
 	}
+	return true
+}
+
+// share notes that another caller's request with the same claim has joined.
+func (r *run) share() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.shared = true
 }
 
 // end closes the run with a whole answer.
@@ -162,10 +179,19 @@
 	return len(r.frames) + int(r.first)
 }
 
-func (r *run) markPassed() {
+// pass notes that the request is passed on; it reports false if it was cancelled.
+func (r *run) pass() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.passed = !r.stopped
+	return r.passed
+}
+
+// isDelivered reports whether a reader was sent the whole answer.
+func (r *run) isDelivered() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.passed = true
+	return r.read >= r.next()
 }
 
 func (r *run) size() int {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -89,8 +89,8 @@
 	if run == nil {
 		return &peerpb.CancelReply{}, nil
 	}
-	s.Decisions.Record(request.GetId(), "backend", "cancelled: %s", request.GetReason())
-	run.cancel()
+	isStopped := run.cancel()
+	s.Decisions.Record(request.GetId(), "backend", "given up by its caller, stopped %t: %s", isStopped, request.GetReason())
 	return peerpb.CancelReply_builder{Known: true}.Build(), nil
 }
 
@@ -178,6 +178,7 @@
 		s.Decisions.Record(request.GetId(), "backend", "refused, %v", refused)
 		return nil, refused
 	case run != nil:
+		run.share()
 		s.Decisions.Record(request.GetId(), "backend", "joined %s by its claim", run.id)
 		return run, nil
 	default:
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -31,12 +31,17 @@
 		return 1
 	}
 	var body struct {
-		MaxTokens float64 `json:"max_tokens"`
+		Completion float64 `json:"max_completion_tokens"`
+		Tokens     float64 `json:"max_tokens"`
 	}
-	if json.Unmarshal(request.GetBody(), &body) != nil || body.MaxTokens <= 0 {
-		body.MaxTokens = usualTokens
+	longest := 0.0
+	if json.Unmarshal(request.GetBody(), &body) == nil {
+		longest = max(body.Completion, body.Tokens)
 	}
-	return body.MaxTokens + float64(len(request.GetBody())/bytesAToken)
+	if longest <= 0 {
+		longest = usualTokens
+	}
+	return longest + float64(len(request.GetBody())/bytesAToken)
 }
 
 // trueCost returns what an answer has cost; the expected cost if that isn't told.
