--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -89,8 +89,8 @@
 	if run == nil {
 		return &peerpb.CancelReply{}, nil
 	}
-	s.Decisions.Record(request.GetId(), "backend", "cancelled: %s", request.GetReason())
-	run.cancel()
+	isStopped := run.cancel()
+	s.Decisions.Record(request.GetId(), "backend", "given up by its caller, stopped %t: %s", isStopped, request.GetReason())
 	return peerpb.CancelReply_builder{Known: true}.Build(), nil
 }
 
@@ -104,6 +104,15 @@
 	return reply, nil
 }
 
+// Recall returns the claims that are kept here.
+func (s *Server) Recall(_ context.Context, request *peerpb.RecallRequest) (*peerpb.RecallReply, error) {
+	if s.Claims == nil || request.GetPool() != s.Pool {
+		refused := refusal.NotRun(http.StatusServiceUnavailable, "no_claims", "%s keeps no claims of %s", s.Name, request.GetPool())
+		return peerpb.RecallReply_builder{Refusal: refused.ToMessage()}.Build(), nil
+	}
+	return s.Claims.all(time.Now()), nil
+}
+
 // Run starts a request, or joins the one known under its identity, and streams
 // its frames from a position.
 func (s *Server) Run(request *peerpb.RunRequest, stream grpc.ServerStreamingServer[peerpb.Frame]) error {
@@ -169,6 +178,7 @@
 		s.Decisions.Record(request.GetId(), "backend", "refused, %v", refused)
 		return nil, refused
 	case run != nil:
+		run.share()
 		s.Decisions.Record(request.GetId(), "backend", "joined %s by its claim", run.id)
 		return run, nil
 	default:
