--- /dev/null
+++ b/internal/fleet/orders.go
@@ -0,0 +1,313 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/decision"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+// Actions of an order.
+const (
+	ActionStart = "start"
+	ActionStop  = "stop"
+)
+
+// States of an order.
+const (
+	orderIntended = "intended"
+	orderDone     = "done"
+	orderRefused  = "refused"
+)
+
+const (
+	orderPrefix = "order/"
+	// maxOrders bounds the orders that a zone's key remembers.
+	maxOrders = 32
+	// readBackPause is the wait before the store is asked again.
+	readBackPause = 200 * time.Millisecond
+)
+
+// SupersededError says that a newer holder has written a zone's orders.
+type SupersededError struct {
+	Zone  string
+	Fence uint64
+	Newer uint64
+}
+
+// Error names the zone and both fencing numbers.
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("order: zone %s: term %d is superseded by %d", e.Zone, e.Fence, e.Newer)
+}
+
+// EndedError says that a term ended before an order was sent.
+type EndedError struct {
+	Zone  string
+	Fence uint64
+}
+
+// Error names the zone and the term.
+func (e *EndedError) Error() string {
+	return "order: zone " + e.Zone + ": term " + strconv.FormatUint(e.Fence, 10) + " has ended"
+}
+
+// OrderPlatform is what an Orderer needs of the platform.
+type OrderPlatform interface {
+	Get(ctx context.Context, key string) (platform.Value, error)
+	Order(ctx context.Context, order platform.Order, guard func() error) error
+	Swap(ctx context.Context, key string, expect uint64, data []byte, lease uint64) (uint64, error)
+}
+
+// Term is the time during which a process holds a zone's duty.
+type Term interface {
+	Fence() uint64
+	Until() time.Time
+	Valid(now time.Time) bool
+}
+
+// Orderer sends a zone's orders during one term.
+// Exported fields are set before Begin. It is not safe for concurrent use.
+//
+// An order passes four guards: its intent is written by compare-and-swap, which
+// fails once a newer holder has written; the term is checked just before it
+// goes out; the order carries the fencing number and a time after which it must
+// not be taken; and a successor waits until every earlier order has ended.
+type Orderer struct {
+	Zone      string
+	Process   string
+	Platform  OrderPlatform
+	Term      Term
+	Decisions *decision.Log
+	// Lease is the length of the duty's lease.
+	Lease time.Duration
+	// Bound is the longest time that an order may be under way.
+	Bound time.Duration
+
+	orders   *statepb.Orders
+	revision uint64
+}
+
+// Begin makes this term the newest of the zone and waits until no order of an
+// earlier one can be under way. The first order of a zone waits for nothing.
+//
+// The wait guards against receivers that check nothing: an earlier holder may
+// have been paused between its last check and its write to the connection.
+func (o *Orderer) Begin(ctx context.Context) error {
+	if err := o.read(ctx); err != nil {
+		return err
+	}
+	earlier := o.orders.GetFence()
+	if err := o.write(ctx, func(*statepb.Orders) {}); err != nil {
+		return err
+	}
+	if earlier == 0 {
+		return nil
+	}
+	o.Decisions.Record(o.Zone, "order", "term %d waits %s for orders of term %d", o.Term.Fence(), o.Lease+o.Bound, earlier)
+	return wait(ctx, o.Lease+o.Bound)
+}
+
+// Pending returns the orders whose outcome is not known.
+func (o *Orderer) Pending() []*statepb.Order {
+	var pending []*statepb.Order
+	for _, order := range o.orders.GetOrders() {
+		if order.GetState() == orderIntended {
+			pending = append(pending, order)
+		}
+	}
+	return pending
+}
+
+// New returns an order for a server; an order to start gives the server its identity.
+func (o *Orderer) New(action, pool, server, reason string) *statepb.Order {
+	id := fmt.Sprintf("%s-%d", o.Zone, o.orders.GetNumber()+1)
+	if server == "" {
+		server = pool + "-" + id
+	}
+	return statepb.Order_builder{Id: id, Zone: o.Zone, Pool: pool, Action: action, Server: server, Reason: reason}.Build()
+}
+
+// Send sends an order, or one of the pending ones again. The platform runs an
+// order's identity once, so an order whose answer was lost is sent again under
+// the same identity, by this term or a later one.
+func (o *Orderer) Send(ctx context.Context, order *statepb.Order) error {
+	order.SetState(orderIntended)
+	order.SetFence(o.Term.Fence())
+	order.SetTime(time.Now().Unix())
+	if err := o.write(ctx, func(orders *statepb.Orders) { put(orders, order) }); err != nil {
+		return err
+	}
+	err := o.send(ctx, order)
+	state := outcome(err)
+	o.Decisions.Record(order.GetId(), "order", "%s %s of pool %s by term %d: %s, now %s (%v)",
+		order.GetAction(), order.GetServer(), order.GetPool(), order.GetFence(), order.GetReason(), state, err)
+	if state == orderIntended {
+		return err
+	}
+	order.SetState(state)
+	return errors.Join(err, o.write(ctx, func(orders *statepb.Orders) { put(orders, order) }))
+}
+
+// send checks the term and sends; the same check is the last thing before the write.
+func (o *Orderer) send(ctx context.Context, order *statepb.Order) error {
+	until := time.Now().Add(o.Bound)
+	if end := o.Term.Until(); end.Before(until) {
+		until = end
+	}
+	guard := func() error {
+		now := time.Now()
+		if !o.Term.Valid(now) || !now.Before(until) {
+			return &EndedError{Zone: o.Zone, Fence: o.Term.Fence()}
+		}
+		return nil
+	}
+	if err := guard(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	return o.Platform.Order(ctx, platform.Order{
+		ID:       order.GetId(),
+		Zone:     order.GetZone(),
+		Pool:     order.GetPool(),
+		Action:   order.GetAction(),
+		Server:   order.GetServer(),
+		Fence:    order.GetFence(),
+		NotAfter: until.UnixMilli(),
+		From:     o.Process,
+	}, guard)
+}
+
+// outcome returns the state of an order after an attempt to send it.
+func outcome(err error) string {
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		return orderDone
+	case errors.As(err, &conflict):
+		return orderRefused
+	default:
+		return orderIntended
+	}
+}
+
+// put replaces the order of the same identity or adds it; the oldest that have an outcome go first.
+func put(orders *statepb.Orders, order *statepb.Order) {
+	kept := []*statepb.Order{}
+	for _, known := range orders.GetOrders() {
+		if known.GetId() == order.GetId() {
+			continue
+		}
+		kept = append(kept, known)
+	}
+	if len(kept) == len(orders.GetOrders()) {
+		orders.SetNumber(orders.GetNumber() + 1)
+	}
+	kept = append(kept, order)
+	for i := 0; len(kept) > maxOrders && i < len(kept); {
+		if kept[i].GetState() == orderIntended {
+			i++
+			continue
+		}
+		kept = append(kept[:i], kept[i+1:]...)
+	}
+	orders.SetOrders(kept)
+}
+
+func (o *Orderer) read(ctx context.Context) error {
+	value, err := o.Platform.Get(ctx, orderPrefix+o.Zone)
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		o.orders, o.revision = &statepb.Orders{}, 0
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	orders := &statepb.Orders{}
+	if err := proto.Unmarshal(value.Data, orders); err != nil {
+		return eris.Wrap(err, "read "+value.Key)
+	}
+	o.orders, o.revision = orders, value.Revision
+	return nil
+}
+
+// write changes the zone's orders under this term's fence.
+//
+// Only holders of the zone's duty write the key, so another revision than the
+// one known is either a write of one's own whose answer was lost, or that of
+// another term. A newer term ends this one; its own lost write is the last.
+func (o *Orderer) write(ctx context.Context, change func(*statepb.Orders)) error {
+	for {
+		if o.orders.GetFence() > o.Term.Fence() {
+			return &SupersededError{Zone: o.Zone, Fence: o.Term.Fence(), Newer: o.orders.GetFence()}
+		}
+		if !o.Term.Valid(time.Now()) {
+			return &EndedError{Zone: o.Zone, Fence: o.Term.Fence()}
+		}
+		err := o.swap(ctx, change)
+		if err == nil {
+			return nil
+		}
+		if err := wait(ctx, readBackPause); err != nil {
+			return err
+		}
+		if err := o.readBack(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+func (o *Orderer) swap(ctx context.Context, change func(*statepb.Orders)) error {
+	next, ok := proto.Clone(o.orders).(*statepb.Orders)
+	if !ok {
+		next = &statepb.Orders{}
+	}
+	change(next)
+	next.SetFence(o.Term.Fence())
+	data, err := proto.Marshal(next)
+	if err != nil {
+		return eris.Wrap(err, "encode orders")
+	}
+	revision, err := o.Platform.Swap(ctx, orderPrefix+o.Zone, o.revision, data, 0)
+	if err != nil {
+		return err
+	}
+	o.orders, o.revision = next, revision
+	return nil
+}
+
+// readBack reads the key until the store answers or the term ends.
+func (o *Orderer) readBack(ctx context.Context) error {
+	for {
+		err := o.read(ctx)
+		if err == nil {
+			return nil
+		}
+		if !o.Term.Valid(time.Now()) {
+			return err
+		}
+		if err := wait(ctx, readBackPause); err != nil {
+			return err
+		}
+	}
+}
+
+func wait(ctx context.Context, length time.Duration) error {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -113,9 +113,19 @@
 	return reply, err
 }
 
-// Order sends an order for a backend server.
-func (c *Client) Order(ctx context.Context, order Order) error {
-	return c.call(ctx, http.MethodPost, PathOrder, nil, "order "+order.ID, order, nil)
+// Order sends an order for a backend server. The guard is asked as the last
+// thing before the order goes out; its error means that nothing was sent.
+func (c *Client) Order(ctx context.Context, order Order, guard func() error) error {
+	text, err := json.Marshal(order)
+	if err != nil {
+		return &UnavailableError{Operation: "order " + order.ID, Cause: err}
+	}
+	body := newGuardedBody(text, guard)
+	err = c.call(ctx, http.MethodPost, PathOrder, nil, "order "+order.ID, body, nil)
+	if refused := body.refusal(); refused != nil {
+		return refused
+	}
+	return err
 }
 
 // Renew lengthens a lease from now on, or returns a NotFoundError if it has lapsed.
@@ -190,7 +200,11 @@
 		address += "?" + query.Encode()
 	}
 	var reader io.Reader
-	if body != nil {
+	guarded, isGuarded := body.(*guardedBody)
+	switch {
+	case isGuarded:
+		reader = guarded
+	case body != nil:
 		text, err := json.Marshal(body)
 		if err != nil {
 			return nil, err
@@ -201,6 +215,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if isGuarded {
+		request.ContentLength = guarded.length()
+	}
 	// Without GetBody net/http never sends a change twice by itself.
 	request.GetBody = nil
 	if body != nil {
--- /dev/null
+++ b/internal/platform/order_test.go
@@ -0,0 +1,35 @@
+package platform_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+// Two processes order servers of one zone: one is paused while it waits for a
+// connection, after it checked its term, and sends its order when it is thawed.
+// The guard is asked after that wait, and the receiver must get no order.
+func TestOrderAsksGuardLast(t *testing.T) {
+	var orders atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err == nil {
+			orders.Add(1)
+		}
+		_, _ = io.WriteString(w, "{}")
+	}))
+	defer server.Close()
+	client := platform.NewClient(server.URL, time.Second)
+	ended := errors.New("term has ended")
+
+	must.ErrorIs(t, client.Order(t.Context(), platform.Order{ID: "o1"}, func() error { return ended }), ended)
+	must.NoError(t, client.Order(t.Context(), platform.Order{ID: "o2"}, func() error { return nil }))
+	must.Eq(t, 1, orders.Load())
+}
