Drain a backend server before it is stopped, and drain leaving hosts

Cause: nothing ordered a stop, and a leaving host's server got new work until it was gone. The zone's duty marks the server draining in fleet/POOL, tells its sidecar each round, and orders the stop once the sidecar shows no new work taken and none running, or after [duty] drain. The load comes with the sidecar's answer (OrderReply.load): loads passed between processes are a selection and late.

--- a/internal/bramleyhatch/entryduties.go
+++ b/internal/bramleyhatch/entryduties.go
@@ -58,16 +58,33 @@
 }
 
 func (e *Entry) runZone(ctx context.Context, name string) error {
+	settings := e.Settings.GetDuty()
 	zone := &fleet.Zone{
-		Name:      strings.TrimPrefix(name, fleet.DutyPrefix),
-		Platform:  e.platform,
-		Members:   e.members,
-		Decisions: e.Decisions,
-		Interval:  e.Settings.GetDuty().GetInterval().AsDuration(),
+		Name:       strings.TrimPrefix(name, fleet.DutyPrefix),
+		Process:    e.Process.Settings.GetName(),
+		Platform:   e.platform,
+		Members:    e.members,
+		Sidecars:   &fleet.Peers{},
+		Decisions:  e.Decisions,
+		Pools:      e.poolNames,
+		Interval:   settings.GetInterval().AsDuration(),
+		Lease:      settings.GetLease().AsDuration(),
+		OrderBound: settings.GetOrder().AsDuration(),
+		DrainBound: settings.GetDrain().AsDuration(),
 	}
 	return e.keeper(name).Run(ctx, zone.Run)
 }
 
+// poolNames returns the pools of the lists.
+func (e *Entry) poolNames() []string {
+	config, _ := e.view.Config()
+	var names []string
+	for _, pool := range config.GetPools() {
+		names = append(names, pool.GetName())
+	}
+	return names
+}
+
 // keeper returns this entry's part in a duty.
 func (e *Entry) keeper(name string) *duty.Keeper {
 	settings := e.Settings.GetDuty()
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -33,7 +33,7 @@
 // Order makes the sidecar drain or take work again, or passes an order on.
 func (s *Server) Order(ctx context.Context, order *peerpb.OrderRequest) (*peerpb.OrderReply, error) {
 	version, err := s.obey(ctx, order)
-	reply := peerpb.OrderReply_builder{Version: version}.Build()
+	reply := peerpb.OrderReply_builder{Version: version, Load: s.load()}.Build()
 	var refused *refusal.Error
 	switch {
 	case errors.As(err, &refused):
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -34,10 +35,20 @@
 // maxRemoved bounds the removed servers that a pool remembers.
 const maxRemoved = 64
 
+// Seen is what a zone's duty sees of its backend servers.
+type Seen struct {
+	// Listed are the servers in the platform's list.
+	Listed []platform.Server
+	// Addresses are those of the sidecars that are known, by server.
+	Addresses map[string]string
+	// Leaving are the servers that are to drain: their hosts leave, or they are too many.
+	Leaving map[string]bool
+}
+
 // Update returns a pool's servers after the platform has listed those of one
 // zone, and whether anything changed; a change raises the epoch by one.
-// Addresses are those of the sidecars that are known, by server.
-func Update(known *statepb.Fleet, pool, zone string, listed []platform.Server, addresses map[string]string, now time.Time) (*statepb.Fleet, bool) {
+// A server that leaves drains from then on.
+func Update(known *statepb.Fleet, pool, zone string, seen Seen, now time.Time) (*statepb.Fleet, bool) {
 	next, ok := proto.Clone(known).(*statepb.Fleet)
 	if !ok {
 		next = &statepb.Fleet{}
@@ -46,16 +57,16 @@
 	for _, server := range next.GetServers() {
 		servers[server.GetId()] = server
 	}
-	seen := map[string]bool{}
-	for _, server := range listed {
+	listed := map[string]bool{}
+	for _, server := range seen.Listed {
 		if server.Pool != pool || server.Zone != zone {
 			continue
 		}
-		seen[server.ID] = true
-		take(servers, server, addresses[server.ID], now)
+		listed[server.ID] = true
+		take(servers, server, seen, now)
 	}
 	for id, server := range servers {
-		if server.GetZone() == zone && !seen[id] {
+		if server.GetZone() == zone && !listed[id] {
 			setState(server, StateRemoved, now)
 		}
 	}
@@ -67,16 +78,22 @@
 	return next, true
 }
 
-func take(servers map[string]*statepb.Server, listed platform.Server, address string, now time.Time) {
+func take(servers map[string]*statepb.Server, listed platform.Server, seen Seen, now time.Time) {
 	server := servers[listed.ID]
 	if server == nil {
 		server = statepb.Server_builder{Id: listed.ID, Pool: listed.Pool, Zone: listed.Zone}.Build()
 		servers[listed.ID] = server
 	}
-	if address != "" {
+	if address := seen.Addresses[listed.ID]; address != "" {
 		server.SetAddress(address)
 	}
+	if server.GetState() == StateRemoved {
+		server.SetBorn(0)
+	}
 	setState(server, nextState(server.GetState(), listed.State), now)
+	if seen.Leaving[listed.ID] {
+		setState(server, StateDraining, now)
+	}
 	if server.GetState() == StateLive && server.GetBorn() == 0 {
 		server.SetBorn(now.Unix())
 	}
@@ -118,3 +135,15 @@
 	slices.SortFunc(present, func(a, b *statepb.Server) int { return strings.Compare(a.GetId(), b.GetId()) })
 	return present
 }
+
+// summary counts a zone's servers by state, for the log.
+func summary(fleet *statepb.Fleet, zone string) string {
+	counts := map[string]int{}
+	for _, server := range fleet.GetServers() {
+		if server.GetZone() == zone {
+			counts[server.GetState()]++
+		}
+	}
+	return fmt.Sprintf("%d starting, %d live, %d draining, %d removed",
+		counts[StateStarting], counts[StateLive], counts[StateDraining], counts[StateRemoved])
+}
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -93,10 +93,11 @@
 
 	orders   *statepb.Orders
 	revision uint64
+	ready    time.Time
 }
 
-// Begin makes this term the newest of the zone and waits until no order of an
-// earlier one can be under way. The first order of a zone waits for nothing.
+// Begin makes this term the newest of the zone. Its first order waits until no
+// order of an earlier term can be under way; that of the first term does not.
 //
 // The wait guards against receivers that check nothing: an earlier holder may
 // have been paused between its last check and its write to the connection.
@@ -108,11 +109,11 @@
 	if err := o.write(ctx, func(*statepb.Orders) {}); err != nil {
 		return err
 	}
-	if earlier == 0 {
-		return nil
+	if earlier != 0 {
+		o.ready = time.Now().Add(o.Lease + o.Bound)
+		o.Decisions.Record(o.Zone, "order", "term %d waits %s for orders of term %d", o.Term.Fence(), o.Lease+o.Bound, earlier)
 	}
-	o.Decisions.Record(o.Zone, "order", "term %d waits %s for orders of term %d", o.Term.Fence(), o.Lease+o.Bound, earlier)
-	return wait(ctx, o.Lease+o.Bound)
+	return nil
 }
 
 // Pending returns the orders whose outcome is not known.
@@ -135,10 +136,16 @@
 	return statepb.Order_builder{Id: id, Zone: o.Zone, Pool: pool, Action: action, Server: server, Reason: reason}.Build()
 }
 
+// Ready reports whether Send would not wait.
+func (o *Orderer) Ready() bool { return !time.Now().Before(o.ready) }
+
 // Send sends an order, or one of the pending ones again. The platform runs an
 // order's identity once, so an order whose answer was lost is sent again under
 // the same identity, by this term or a later one.
 func (o *Orderer) Send(ctx context.Context, order *statepb.Order) error {
+	if err := wait(ctx, time.Until(o.ready)); err != nil {
+		return err
+	}
 	order.SetState(orderIntended)
 	order.SetFence(o.Term.Fence())
 	order.SetTime(time.Now().Unix())
--- /dev/null
+++ b/internal/fleet/sidecars.go
@@ -0,0 +1,42 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+)
+
+const askTimeout = time.Second
+
+// Peers gives orders to sidecars over gRPC. A connection is closed after each
+// order, since few servers drain at a time.
+type Peers struct {
+	Credentials credentials.TransportCredentials
+}
+
+var _ Sidecars = &Peers{}
+
+// Drain makes a sidecar take no new work and returns its load afterwards.
+func (p *Peers) Drain(ctx context.Context, process *peerpb.Process, order *peerpb.OrderRequest) (*peerpb.Load, error) {
+	connection, err := listen.Dial(process.GetAddress(), p.Credentials)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = connection.Close() }()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply, err := peerpb.NewSidecarClient(connection).Order(ctx, order)
+	if err != nil {
+		return nil, eris.Wrap(err, "drain "+process.GetServer())
+	}
+	if reply.HasRefusal() {
+		return nil, refusal.FromMessage(reply.GetRefusal())
+	}
+	return reply.GetLoad(), nil
+}
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -20,6 +20,7 @@
 	values   map[string]platform.Value
 	leases   map[uint64]time.Time
 	servers  map[string]platform.Server
+	hosts    []platform.Host
 	arrived  []platform.Order
 	fence    uint64
 	// checksFence and checksTime are what the receiver of orders checks.
@@ -169,17 +170,13 @@
 	return lease, err
 }
 
-func (p *process) List(_ context.Context, prefix string) (platform.ListReply, error) {
-	var reply platform.ListReply
+func (p *process) Hosts(context.Context) ([]platform.Host, error) {
+	var hosts []platform.Host
 	err := p.call(func() error {
-		for key, value := range p.values {
-			if len(key) >= len(prefix) && key[:len(prefix)] == prefix {
-				reply.Values = append(reply.Values, value)
-			}
-		}
+		hosts = append(hosts, p.hosts...)
 		return nil
 	})
-	return reply, err
+	return hosts, err
 }
 
 func (p *process) Order(_ context.Context, order platform.Order, guard func() error) error {
