--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -27,7 +27,9 @@
 	checksFence bool
 	checksTime  bool
 	down        bool
-	loseOrders  int
+	// loseOrders loses answers of orders, cutOrders the orders themselves.
+	loseOrders int
+	cutOrders  int
 	// exposed is set if a process was paused between its last check and its write.
 	exposed bool
 }
@@ -65,6 +67,10 @@
 func (w *world) take(order platform.Order) error {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if w.cutOrders > 0 {
+		w.cutOrders--
+		return errCut
+	}
 	if w.checksFence && order.Fence < w.fence {
 		return &platform.ConflictError{Key: order.ID}
 	}
--- a/internal/fleet/zone_test.go
+++ b/internal/fleet/zone_test.go
@@ -185,3 +185,18 @@
 		must.Eq(t, map[string]string{"s1": "removed", "s2": "live"}, zone.states(t))
 	})
 }
+
+// The order to stop is lost on its way, twice. It must be sent under one
+// identity until it arrives, since none of the earlier ones is known to be lost.
+func TestStopLostOnTheWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		zone := newZone()
+		zone.start(t)
+		zone.set(func() { zone.cutOrders = 2 })
+		zone.leave("10.0.0.1:1")
+		rounds(5)
+		orders := zone.orders()
+		must.Len(t, 1, orders)
+		must.Eq(t, "a-1", orders[0].ID)
+	})
+}
