Remember a stop that was sent again

A pending order that was sent again was not remembered, so the server, still in the list read before, was ordered to stop a second time. TestStopLostOnTheWay failed before this; it also fails without the check for a pending order.

--- a/internal/fleet/drain.go
+++ b/internal/fleet/drain.go
@@ -70,11 +70,7 @@
 	if !z.orderer.Ready() || z.isPending(server.GetId()) {
 		return nil
 	}
-	err := z.orderer.Send(ctx, z.orderer.New(ActionStop, server.GetPool(), server.GetId(), reason))
-	if err == nil {
-		z.stopping[server.GetId()] = true
-	}
-	return err
+	return z.send(ctx, z.orderer.New(ActionStop, server.GetPool(), server.GetId(), reason))
 }
 
 func (z *Zone) isPending(server string) bool {
--- a/internal/fleet/zone.go
+++ b/internal/fleet/zone.go
@@ -123,13 +123,23 @@
 		return nil
 	}
 	for _, order := range z.orderer.Pending() {
-		if err := z.orderer.Send(ctx, order); err != nil {
+		if err := z.send(ctx, order); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// send sends an order and remembers stops: the list read before the order
+// still shows the server, which would be stopped a second time.
+func (z *Zone) send(ctx context.Context, order *statepb.Order) error {
+	err := z.orderer.Send(ctx, order)
+	if err == nil && order.GetAction() == ActionStop {
+		z.stopping[order.GetServer()] = true
+	}
+	return err
+}
+
 // leaving returns the servers whose hosts are about to go.
 func (z *Zone) leaving(ctx context.Context) map[string]bool {
 	hosts, err := z.Platform.Hosts(ctx)
--- a/internal/fleet/zone_test.go
+++ b/internal/fleet/zone_test.go
@@ -97,8 +97,8 @@
 	})
 }
 
-func (z *zone) leave(address string) {
-	z.set(func() { z.hosts = []platform.Host{{Name: "h1", Address: address, State: "leaving"}} })
+func (z *zone) leave() {
+	z.set(func() { z.hosts = []platform.Host{{Name: "h1", Address: "10.0.0.1:1", State: "leaving"}} })
 }
 
 // states returns the servers' states in the fact that other processes see.
@@ -140,7 +140,7 @@
 		zone.sidecars.run("s1", 1)
 		zone.start(t)
 		rounds(1)
-		zone.leave("10.0.0.1:1")
+		zone.leave()
 		rounds(2)
 		must.Eq(t, map[string]string{"s1": "draining", "s2": "live"}, zone.states(t))
 		must.True(t, zone.sidecars.isDraining("s1"))
@@ -162,7 +162,7 @@
 		zone := newZone()
 		zone.sidecars.run("s1", 1)
 		zone.start(t)
-		zone.leave("10.0.0.1:1")
+		zone.leave()
 		rounds(int(drainBound/time.Second) - 2)
 		must.Len(t, 0, zone.orders())
 		rounds(4)
@@ -176,7 +176,7 @@
 		zone := newZone()
 		zone.start(t)
 		zone.set(func() { zone.loseOrders = 2 })
-		zone.leave("10.0.0.1:1")
+		zone.leave()
 		rounds(5)
 		orders := zone.orders()
 		must.Len(t, 3, orders)
@@ -193,7 +193,7 @@
 		zone := newZone()
 		zone.start(t)
 		zone.set(func() { zone.cutOrders = 2 })
-		zone.leave("10.0.0.1:1")
+		zone.leave()
 		rounds(5)
 		orders := zone.orders()
 		must.Len(t, 1, orders)
