--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -3,6 +3,7 @@
 package scenario_test
 
 import (
+	"flag"
 	"os"
 	"testing"
 
@@ -12,7 +13,15 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/cmd"
 )
 
+// atOnce is the number of scenarios that run at the same time: each starts some
+// fifteen processes, and their bounds on silence must not fire for want of processor time.
+const atOnce = "3"
+
 func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("test.parallel", atOnce); err != nil {
+		panic(err)
+	}
 	testscript.Main(m, map[string]func(){
 		"bramleyhatch": func() { os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 		"standin":      func() { os.Exit(standin.Main(os.Args[1:], os.Stdout, os.Stderr)) },
