--- a/internal/cmd/settingscmd.go
+++ b/internal/cmd/settingscmd.go
@@ -11,7 +11,8 @@
 
 // settingsCmd groups the commands for settings files.
 type settingsCmd struct {
-	Check settingsCheckCmd `cmd:"" help:"Check a settings file without running anything."`
+	Check     settingsCheckCmd     `cmd:"" help:"Check a settings file without running anything."`
+	Reference settingsReferenceCmd `cmd:"" help:"Print the page of all settings."`
 }
 
 // settingsCheckCmd checks one settings file.
@@ -37,3 +38,19 @@
 	fmt.Fprintf(c.stdout, "%s: no faults\n", s.File)
 	return nil
 }
+
+// settingsReferenceCmd prints all settings with defaults and bounds.
+type settingsReferenceCmd struct{}
+
+// Help gives an example.
+func (settingsReferenceCmd) Help() string {
+	return "Example:\n  bramleyhatch settings reference > docs/reference/settings.md"
+}
+
+// Run prints the page in Markdown.
+func (settingsReferenceCmd) Run(c *config) error {
+	fmt.Fprint(c.stdout, "# Settings\n\nGenerated from the schema by `bramleyhatch settings reference`.\n\n")
+	fmt.Fprint(c.stdout, settings.Reference("Entry", &settingspb.Entry{}))
+	fmt.Fprint(c.stdout, "\n"+settings.Reference("Sidecar", &settingspb.Sidecar{}))
+	return nil
+}
