--- a/internal/measure/membership.go
+++ b/internal/measure/membership.go
@@ -74,6 +74,11 @@
 
 // MemberLoop drives the membership of many processes with a clock of its own.
 type MemberLoop struct {
+	// NoPush leaves all news to the probes, for comparison.
+	NoPush bool
+	// Cut reports whether two processes can't reach each other; nil cuts nothing.
+	Cut func(a, b *peerpb.Process) bool
+
 	now    time.Time
 	random *rand.Rand
 	nodes  []*memberNode
@@ -212,7 +217,8 @@
 
 func (l *MemberLoop) send(from, to *memberNode, message *peerpb.Gossip, arrived, lost func()) {
 	from.bytes += proto.Size(message) + callBytes
-	if to.dead || from.dead {
+	cut := l.Cut != nil && l.Cut(from.members.Self(), to.members.Self())
+	if to.dead || from.dead || cut {
 		// One try on the open connection and one on a new one.
 		l.after(2*memberTimeout, lost)
 		return
@@ -226,7 +232,7 @@
 	default:
 		return
 	}
-	if node.pushing {
+	if node.pushing || l.NoPush {
 		return
 	}
 	node.pushing = true
@@ -239,7 +245,7 @@
 	if node.dead {
 		return
 	}
-	for _, target := range node.prober.Neighbours() {
+	for _, target := range node.prober.Push(l.now) {
 		l.exchange(node, l.byName[target.GetName()], func() {}, func() {})
 	}
 }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -2,6 +2,8 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -38,28 +40,31 @@
 	hash    uint64
 	// version rises with each change.
 	version uint64
+	// unsettled names the processes that are suspected, have failed or left.
+	unsettled map[string]bool
+	// servers names the processes by their backend server.
+	servers map[string][]string
 }
 
 func newTable() table {
-	return table{records: map[string]record{}}
+	return table{records: map[string]record{}, unsettled: map[string]bool{}, servers: map[string][]string{}}
 }
 
 // clone returns a table that shares the records.
 func (t *table) clone() table {
 	next := *t
-	next.records = make(map[string]record, len(t.records))
-	for name, known := range t.records {
-		next.records[name] = known
-	}
+	next.records = maps.Clone(t.records)
+	next.unsettled = maps.Clone(t.unsettled)
+	next.servers = maps.Clone(t.servers)
 	return next
 }
 
 // ended returns records of processes that failed or left, a bounded number.
 func (t *table) ended() []*peerpb.Process {
 	var found []*peerpb.Process
-	for _, known := range t.records {
-		if !isPresent(known.process.GetState()) && len(found) < sentEnded {
-			found = append(found, known.process)
+	for name := range t.unsettled {
+		if process := t.get(name); !isPresent(process.GetState()) && len(found) < sentEnded {
+			found = append(found, process)
 		}
 	}
 	return found
@@ -87,6 +92,7 @@
 		known.hash = hashName(name)
 	}
 	t.toggle(known)
+	t.index(known.process, process)
 	known.process, known.since = process, now
 	t.records[name] = known
 	t.toggle(known)
@@ -95,10 +101,42 @@
 
 func (t *table) remove(name string) {
 	t.toggle(t.records[name])
+	t.index(t.records[name].process, nil)
 	delete(t.records, name)
 	t.version++
 }
 
+// index keeps the names of unsettled processes and those by server.
+func (t *table) index(old, next *peerpb.Process) {
+	delete(t.unsettled, old.GetName())
+	if next != nil && severity(next.GetState()) > 0 {
+		t.unsettled[next.GetName()] = true
+	}
+	if old.GetServer() == next.GetServer() {
+		return
+	}
+	if server := old.GetServer(); server != "" {
+		// The slices may be shared with a clone, so they are never changed in place.
+		t.servers[server] = without(t.servers[server], old.GetName())
+		if len(t.servers[server]) == 0 {
+			delete(t.servers, server)
+		}
+	}
+	if server := next.GetServer(); server != "" {
+		t.servers[server] = append(slices.Clip(t.servers[server]), next.GetName())
+	}
+}
+
+func without(names []string, gone string) []string {
+	var left []string
+	for _, name := range names {
+		if name != gone {
+			left = append(left, name)
+		}
+	}
+	return left
+}
+
 // toggle takes a record into the hashes, or out of them.
 func (t *table) toggle(known record) {
 	if known.process == nil || !isPresent(known.process.GetState()) {
