--- a/internal/backend/plain.go
+++ b/internal/backend/plain.go
@@ -11,6 +11,9 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
+// userAgent names the system to backend servers.
+const userAgent = "bramleyhatch"
+
 // partBytes is the largest chunk of a plain service's answer.
 const partBytes = 32 << 10
 
@@ -29,6 +32,9 @@
 // Plain speaks to a plain service.
 type Plain struct {
 	Server
+
+	// Keys refuses requests that hold a caller's key; nil refuses none.
+	Keys Keys
 }
 
 // Version returns 0: a plain service has no weights.
@@ -37,7 +43,16 @@
 // Run passes a request on and gives the answer's parts to sink. The error is a
 // *refusal.Error unless sink failed.
 func (p *Plain) Run(ctx context.Context, request *peerpb.RunRequest, sink Sink) (*peerpb.End, error) {
-	answer, err := p.exchange(ctx, request.GetMethod(), request.GetPath(), plainHeader(request), request.GetBody())
+	if holdsKey(request, p.Keys) {
+		return nil, refusal.NotRun(http.StatusBadRequest, "key_in_request", "the path, query or a header holds a key")
+	}
+	answer, err := p.exchange(ctx, call{
+		method:  request.GetMethod(),
+		path:    request.GetPath(),
+		header:  plainHeader(request),
+		body:    request.GetBody(),
+		silence: p.Silence,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -94,7 +109,7 @@
 func baseHeader(request *peerpb.RunRequest) http.Header {
 	return http.Header{
 		"Accept-Encoding": {"identity"},
-		"User-Agent":      {"bramleyhatch"},
+		"User-Agent":      {userAgent},
 		"X-Request-Id":    {request.GetId()},
 	}
 }
--- a/internal/measure/experiments.go
+++ b/internal/measure/experiments.go
@@ -3,6 +3,9 @@
 // Experiments returns all experiments in the order of docs/MEASUREMENTS.md.
 func Experiments() []Experiment {
 	return []Experiment{
+		Fairness(),
+		Stragglers(),
+		Weights(),
 		Membership(),
 		MembershipSlope(),
 	}
