--- a/internal/bramleyhatch/entryduties.go
+++ b/internal/bramleyhatch/entryduties.go
@@ -9,8 +9,6 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/fleet"
-	"github.com/bramleyhatch/bramleyhatch/internal/lists"
-	"github.com/bramleyhatch/bramleyhatch/internal/member"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/usage"
 )
@@ -29,8 +27,6 @@
 
 // addZones adds one duty a zone, which orders its backend servers.
 func (e *Entry) addZones() {
-	watcher := &lists.Watcher{Store: e.platform, Prefix: member.FactFleet, Offer: e.members.Offer}
-	e.AddDuty("fleet", watcher.Run)
 	group := &duty.Group{
 		Names:    e.zoneDuties,
 		Run:      e.runZone,
--- a/internal/measure/experiments.go
+++ b/internal/measure/experiments.go
@@ -6,5 +6,7 @@
 		Fairness(),
 		Stragglers(),
 		Weights(),
+		Membership(),
+		MembershipSlope(),
 	}
 }
--- a/internal/member/fixture_test.go
+++ b/internal/member/fixture_test.go
@@ -39,12 +39,12 @@
 	}.Build()
 }
 
-func startNode(t *testing.T, name string, incarnation uint64, seeds ...string) *node {
+func startNode(t testing.TB, name string, incarnation uint64, seeds ...string) *node {
 	t.Helper()
 	return startNodeWith(t, name, incarnation, &member.Exchanger{Seeds: seeds})
 }
 
-func startNodeWith(t *testing.T, name string, incarnation uint64, exchanger *member.Exchanger) *node {
+func startNodeWith(t testing.TB, name string, incarnation uint64, exchanger *member.Exchanger) *node {
 	t.Helper()
 	members := member.NewMembers(entryRecord(name, incarnation))
 	exchanger.Members = members
