--- a/internal/measure/stragglers.go
+++ b/internal/measure/stragglers.go
@@ -101,6 +101,7 @@
 	useful   float64
 	stale    uint64
 	times    []float64
+	leasts   []float64
 	lags     []float64
 }
 
@@ -132,6 +133,7 @@
 	return Result{Policy: r.policy.name, Figures: []Figure{
 		{Name: "trainer idle share", Value: r.idle.Seconds() / r.now.Sub(begin).Seconds()},
 		{Name: "step p50 s", Value: quantileOf(r.times, 0.5)},
+		{Name: "least p50 s", Value: quantileOf(r.leasts, 0.5)},
 		{Name: "step p99 s", Value: quantileOf(r.times, 0.99)},
 		{Name: "added work share", Value: r.tokens/r.useful - 1},
 		{Name: "dropped as stale", Value: float64(r.stale)},
@@ -149,10 +151,23 @@
 	if r.policy.without {
 		r.step.WithoutSeconds()
 	}
+	r.leasts = append(r.leasts, r.least())
 	r.opened, r.whole = r.now, false
 	r.crashAt = r.now.Add(crashAfter)
 }
 
+// least is the time that no policy can beat: that of the longest answer at the
+// usual pace, or of all tokens on all samplers.
+func (r *stragglerRun) least() float64 {
+	longest, sum := 0.0, 0.0
+	for slot := range r.step.Slots() {
+		length := r.length(uint32(slot))
+		longest = max(longest, length)
+		sum += length
+	}
+	return max(longest/tokensPerSecond, sum/tokensPerSecond/stragglerSamplers/stragglerSlots)
+}
+
 // swap gives each sampler the newest version at its own time, and crashes one.
 func (r *stragglerRun) swap() {
 	for _, sampler := range r.samplers {
--- a/internal/measure/weights.go
+++ b/internal/measure/weights.go
@@ -66,11 +66,13 @@
 	start    time.Time
 	wave     *weight.Wave
 	samplers []*weightsSampler
-	done     []float64
-	least    float64
-	lost     float64
-	worst    float64
-	orders   int
+	// zones counts the samplers of each zone.
+	zones  map[string]int
+	done   []float64
+	least  float64
+	lost   float64
+	worst  float64
+	orders int
 }
 
 func newWeightsRun(policy weightsPolicy, seed uint64) *weightsRun {
@@ -80,13 +82,14 @@
 		now:    time.Unix(1000, 0),
 		start:  time.Unix(1000, 0),
 		wave:   &weight.Wave{Share: policy.share, Lag: weightsLag},
+		zones:  map[string]int{},
 		least:  1,
 		worst:  1,
 	}
 	for i := range weightsSamplers {
-		run.samplers = append(run.samplers, &weightsSampler{
-			server: fmt.Sprintf("s%04d", i), zone: fmt.Sprintf("z%d", i%weightsZones), version: 1,
-		})
+		zone := fmt.Sprintf("z%d", i%weightsZones)
+		run.zones[zone]++
+		run.samplers = append(run.samplers, &weightsSampler{server: fmt.Sprintf("s%04d", i), zone: zone, version: 1})
 	}
 	return run
 }
@@ -199,7 +202,7 @@
 	}
 	r.lost += float64(busy) * weightsTick.Seconds()
 	r.least = min(r.least, 1-float64(busy)/weightsSamplers)
-	for _, count := range zones {
-		r.worst = min(r.worst, 1-float64(count)*weightsZones/weightsSamplers)
+	for zone, count := range zones {
+		r.worst = min(r.worst, 1-float64(count)/float64(r.zones[zone]))
 	}
 }
