--- a/internal/measure/experiments.go
+++ b/internal/measure/experiments.go
@@ -2,5 +2,9 @@
 
 // Experiments returns all experiments in the order of docs/MEASUREMENTS.md.
 func Experiments() []Experiment {
-	return []Experiment{Stragglers(), Weights()}
+	return []Experiment{
+		Fairness(),
+		Stragglers(),
+		Weights(),
+	}
 }
