--- a/internal/rollout/holder.go
+++ b/internal/rollout/holder.go
@@ -149,6 +149,11 @@
 	h.running = map[string]context.CancelFunc{}
 	h.step = step
 	h.forget = nil
+	if step == nil {
+		h.Metrics.forget(h.Trainer)
+	} else {
+		h.Metrics.observe(step)
+	}
 	h.notify()
 }
 
