--- a/internal/backend/fuzz_test.go
+++ b/internal/backend/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"slices"
 	"strings"
 	"testing"
@@ -41,7 +42,7 @@
 		for {
 			event, err := events.next()
 			if err != nil {
-				must.True(t, err != errDone || strings.Contains(text, doneMark))
+				must.True(t, !errors.Is(err, errDone) || strings.Contains(text, doneMark))
 				return
 			}
 			event.chunk()
--- a/internal/bramleyhatch/sidecar.go
+++ b/internal/bramleyhatch/sidecar.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
@@ -27,5 +31,19 @@
 	s.addMembers(peerpb.Role_ROLE_SIDECAR, s.Settings.GetBackend(), s.Settings.GetMember(), s.platform)
 	s.addUsage()
 	s.addBackend()
-	return s.run(ctx, nil)
+	return s.run(ctx, s.metricsListener())
+}
+
+// metricsListener returns where health and metrics are served; nil serves none.
+func (s *Sidecar) metricsListener() *settingspb.Caller {
+	address := s.Settings.GetBackend().GetMetrics()
+	if address == "" {
+		return nil
+	}
+	metrics := promhttp.HandlerFor(s.Metrics, promhttp.HandlerOpts{})
+	s.AddRoutes(
+		rest.Route{Method: http.MethodGet, Path: "/healthz", Handler: answerOK},
+		rest.Route{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP},
+	)
+	return settingspb.Caller_builder{Listen: address}.Build()
 }
--- a/internal/bramleyhatch/sidecarbackend.go
+++ b/internal/bramleyhatch/sidecarbackend.go
@@ -31,6 +31,7 @@
 		Pool:      settings.GetPool(),
 		Backend:   s.newBackend(),
 		Decisions: s.Decisions,
+		Metrics:   s.Metrics,
 		Loads:     s.members,
 		Slots:     int(settings.GetSlots()),
 		Queue:     int(settings.GetQueue()),
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -16,6 +16,7 @@
 
 // Open lets requests through; it is called once before the service is served.
 func (s *Server) Open() {
+	s.metrics = newMetrics(s)
 	s.gate.open(s.Slots, s.Queue)
 }
 
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -15,10 +15,12 @@
 	end, err := s.perform(ctx, run)
 	if err == nil {
 		run.end(end)
+		s.metrics.ended()
 		s.Decisions.Record(run.id, "backend", "ended, %s, %d tokens", end.GetFinish(), end.GetOutputTokens())
 	} else {
 		refused := run.classify(err)
 		run.refuse(refused)
+		s.metrics.refused(refused)
 		s.Decisions.Record(run.id, "backend", "refused, %v", refused)
 	}
 	s.registry.ended(run, time.Now())
@@ -28,10 +30,12 @@
 // perform waits for a slot and passes the request on.
 func (s *Server) perform(ctx context.Context, run *run) (*peerpb.End, error) {
 	request := run.request
-	share := newShare(request, time.Now().Add(timeLeft(request)))
+	began := time.Now()
+	share := newShare(request, began.Add(timeLeft(request)))
 	if refused := s.gate.enter(ctx, share); refused != nil {
 		return nil, refused
 	}
+	s.metrics.waited(time.Since(began))
 	end, err := s.confirmAndPass(ctx, run)
 	s.gate.leave(share, trueCost(share, end))
 	return end, err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/grpc"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
@@ -58,7 +59,9 @@
 
 	Backend   Backend
 	Decisions *decision.Log
-	Loads     LoadTable
+	// Metrics may be nil.
+	Metrics prometheus.Registerer
+	Loads   LoadTable
 	// Claims keeps the claims of idempotency keys; without it requests that come
 	// with one are refused.
 	Claims *Claims
@@ -79,6 +82,7 @@
 	registry registry
 	loads    loadSequence
 	orders   orders
+	metrics  *metrics
 }
 
 var _ peerpb.SidecarServer = &Server{}
@@ -119,6 +123,7 @@
 	reader := s.newReader(request, stream)
 	run, err := s.join(request)
 	if err != nil {
+		s.metrics.refused(err)
 		return reader.refuse(err)
 	}
 	return reader.follow(run)
