--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -19,6 +19,8 @@
 	// fewProcesses is the number up to which loads of others are passed on.
 	fewProcesses = 64
 	sentLoads    = 8
+	// someDemands is the number of demands in a message among many processes.
+	someDemands = 12
 	// expectTime is how long an answer with facts is waited for before another
 	// process is asked.
 	expectTime = 300 * time.Millisecond
@@ -103,8 +105,8 @@
 		Sender:    m.self,
 		Processes: m.updates.take(&m.table),
 		Loads:     m.someLoads(),
+		Demands:   m.someDemands(now),
 		Stamps:    m.stamps.newest(now),
-		Demands:   m.demands.newest(now, sentDemands),
 		Table:     m.table.hash,
 		Held:      m.facts.hash,
 	}.Build()
@@ -140,6 +142,16 @@
 	return found
 }
 
+// someDemands returns fewer demands where there are many processes, to stay
+// within the bytes of a message.
+func (m *Members) someDemands(now time.Time) []*peerpb.Demand {
+	most := sentDemands
+	if len(m.table.records) > fewProcesses {
+		most = someDemands
+	}
+	return m.demands.newest(now, most)
+}
+
 func (m *Members) someLoads() []*peerpb.Load {
 	var sent []*peerpb.Load
 	if own := m.loads[m.self.GetServer()]; own != nil {
