--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -14,13 +14,13 @@
 func (s *Server) execute(ctx context.Context, run *run) {
 	end, err := s.perform(ctx, run)
 	if err == nil {
-		run.end(end)
 		s.metrics.ended()
+		run.end(end)
 		s.Decisions.Record(run.id, "backend", "ended, %s, %d tokens", end.GetFinish(), end.GetOutputTokens())
 	} else {
 		refused := run.classify(err)
-		run.refuse(refused)
 		s.metrics.refused(refused)
+		run.refuse(refused)
 		s.Decisions.Record(run.id, "backend", "refused, %v", refused)
 	}
 	s.registry.ended(run, time.Now())
