--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -14,6 +14,12 @@
 
 // flags are the command line.
 type flags struct {
+	Tables tablesCmd `cmd:"" default:"withargs" help:"Run experiments and print their tables."`
+	Slopes slopesCmd `cmd:"" help:"Run growing numbers of idle processes and print what each costs."`
+}
+
+// tablesCmd prints the tables of experiments.
+type tablesCmd struct {
 	Experiments []string `arg:"" optional:"" help:"Experiments to run; none runs all."`
 	Seeds       int      `default:"5" help:"Seeds of each experiment."`
 	CSV         string   `help:"File to which the tables are written too."`
@@ -21,31 +27,32 @@
 }
 
 // Help gives an example.
-func (flags) Help() string {
+func (tablesCmd) Help() string {
 	return "Example:\n  go run ./cmd/measure routing --seeds 5 --csv routing.csv"
 }
 
 func main() {
 	var options flags
-	kong.Parse(&options, kong.Name("measure"), kong.Description("Measures decisions beside their baselines."))
-	if err := run(options); err != nil {
+	parsed := kong.Parse(&options, kong.Name("measure"), kong.Description("Measures decisions beside their baselines, and what processes cost."))
+	if err := parsed.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "measure:", err)
 		os.Exit(1)
 	}
 }
 
-func run(options flags) error {
-	tables, err := tables(options)
+// Run prints the tables and writes them as CSV if asked.
+func (t *tablesCmd) Run() error {
+	tables, err := tables(*t)
 	if err != nil {
 		return err
 	}
-	if options.CSV == "" {
+	if t.CSV == "" {
 		return nil
 	}
-	return writeCSV(options.CSV, tables)
+	return writeCSV(t.CSV, tables)
 }
 
-func tables(options flags) ([]measure.Table, error) {
+func tables(options tablesCmd) ([]measure.Table, error) {
 	var tables []measure.Table
 	for _, experiment := range measure.Experiments() {
 		if options.List {
--- a/internal/bramleyhatch/entry.go
+++ b/internal/bramleyhatch/entry.go
@@ -39,6 +39,7 @@
 	if err := e.addOperators(); err != nil {
 		return err
 	}
+	e.addMetrics()
 	e.addDuties()
 	e.addCallers()
 	e.addTrainers()
