--- a/cmd/measure/observe.go
+++ b/cmd/measure/observe.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		for line := range strings.SplitSeq(string(text), "\n") {
-			if value, ok := strings.CutPrefix(line, "bramleyhatch_lists_revision "); ok {
+			if value, ok := strings.CutPrefix(line, "bramleyhatch_config_revision "); ok {
 				found[i] = value
 			}
 		}
--- a/internal/bramleyhatch/entry.go
+++ b/internal/bramleyhatch/entry.go
@@ -39,7 +39,6 @@
 	if err := e.addOperators(); err != nil {
 		return err
 	}
-	e.addMetrics()
 	e.addDuties()
 	e.addCallers()
 	e.addTrainers()
