Add mutual TLS between processes and TLS for callers

Cause: the settings [secure] did nothing; any host of the network could speak to a process, and any process for all others. Weighed: names of hosts in certificates (addresses are numbers and hosts are replaced), skipping the check of names (a linter's warning for good reason), or one DNS name for all processes and one for the role (chosen). Change: certificates are read again when their files change; what was read before stays in use if the new files can't be read; only entries give orders and send requests; a message's sender must be the certificate's name. go-zero serves plain HTTP unless files are named, whatever its TLS settings say, so they are. Proved by taking each out, test seen to fail, put back: role, order and sender checks and the client's certificate (TestWhoMayCall), the server's (TestServerIsChecked), reading again (TestCertificateIsReplaced, TestCallersTLS), the named files (TestCallersTLS). Not proved: the whole path with TLS as separate processes.

--- a/internal/bramleyhatch/entry.go
+++ b/internal/bramleyhatch/entry.go
@@ -27,13 +27,17 @@
 // Run serves until the context ends and all running requests have ended.
 func (e *Entry) Run(ctx context.Context) error {
 	e.Process = newProcess(e.Settings.GetProcess(), e.Settings.GetSecure())
+	if err := e.identify(); err != nil {
+		return err
+	}
 	e.platform = newPlatform(e.Settings.GetPlatform())
 	e.view = &lists.View{}
 	e.addMembers(peerpb.Role_ROLE_ENTRY, nil, e.Settings.GetMember(), e.platform)
 	e.pool = &sidecar.Pool{
-		Members:   e.members,
-		Decisions: e.Decisions,
-		Silence:   e.Settings.GetCaller().GetSilence().AsDuration(),
+		Members:     e.members,
+		Credentials: e.credentials(),
+		Decisions:   e.Decisions,
+		Silence:     e.Settings.GetCaller().GetSilence().AsDuration(),
 	}
 	e.AddRoutes(e.healthRoutes()...)
 	if err := e.addOperators(); err != nil {
--- a/internal/bramleyhatch/entrytrainers.go
+++ b/internal/bramleyhatch/entrytrainers.go
@@ -47,7 +47,7 @@
 	t.draining = draining
 	t.drain = func(context.Context) { startDraining() }
 	shelf := &rollout.Shelf{}
-	t.peers = &rollout.Peers{Directory: e.members, Shelf: shelf}
+	t.peers = &rollout.Peers{Directory: e.members, Shelf: shelf, Credentials: e.credentials()}
 	t.service = &rollout.Service{
 		New:     t.newHolder,
 		Shelf:   shelf,
@@ -181,7 +181,7 @@
 		Model:     model,
 		Record:    &record.Record{Store: t.entry.platform, Key: weight.Key(model)},
 		Directory: t.entry.members,
-		Orderer:   &weight.Sidecars{Directory: t.entry.members},
+		Orderer:   &weight.Sidecars{Directory: t.entry.members, Credentials: t.entry.credentials()},
 		Decisions: t.entry.Decisions,
 		Share:     float64(settings.GetSwapsPercent()) / percent,
 		Timeout:   settings.GetSwap().AsDuration(),
--- a/internal/bramleyhatch/members.go
+++ b/internal/bramleyhatch/members.go
@@ -31,12 +31,13 @@
 	p.members.Isolation = settings.GetIsolated().AsDuration()
 	client.Heard = func() { p.members.StoreHeard(time.Now()) }
 	exchanger := &member.Exchanger{
-		Members:   p.members,
-		Seeds:     settings.GetSeeds(),
-		Interval:  settings.GetInterval().AsDuration(),
-		Suspect:   settings.GetSuspect().AsDuration(),
-		Hosts:     client.Hosts,
-		Decisions: p.Decisions,
+		Members:     p.members,
+		Credentials: p.credentials(),
+		Seeds:       settings.GetSeeds(),
+		Interval:    settings.GetInterval().AsDuration(),
+		Suspect:     settings.GetSuspect().AsDuration(),
+		Hosts:       client.Hosts,
+		Decisions:   p.Decisions,
 	}
 	p.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterMemberServer(registrar, exchanger) })
 	p.AddDuty("member", func(ctx context.Context) error {
--- a/internal/bramleyhatch/process.go
+++ b/internal/bramleyhatch/process.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -22,6 +23,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/member"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
+	"github.com/bramleyhatch/bramleyhatch/internal/secure"
 )
 
 // Duty is one thing that a process does until its context ends.
@@ -53,6 +55,11 @@
 	notAllowed http.Handler
 
 	addresses Addresses
+
+	// identity is nil where processes speak without TLS.
+	identity *secure.Identity
+	// callerTLS is nil where callers are served plain HTTP.
+	callerTLS *tls.Config
 }
 
 // Addresses are the addresses on which a process listens, as written to its ready file.
@@ -205,9 +212,11 @@
 	p.addresses.Name = p.Settings.GetName()
 	peers := make(chan string, 1)
 	peerServer := &listen.GRPC{
-		Address:   p.Settings.GetPeer(),
-		Register:  p.register,
-		Listening: func(address string) { peers <- address },
+		Address:     p.Settings.GetPeer(),
+		Register:    p.register,
+		Credentials: p.credentials(),
+		Options:     p.serverOptions(),
+		Listening:   func(address string) { peers <- address },
 	}
 	address, err := serve(ctx, peerServer, peers, p.Grace(), stopped)
 	if err != nil {
@@ -219,11 +228,14 @@
 	}
 	callers := make(chan string, 1)
 	callerServer := &listen.HTTP{
-		Address:    caller.GetListen(),
-		Routes:     p.routes,
-		NotFound:   p.notFound,
-		NotAllowed: p.notAllowed,
-		Listening:  func(address string) { callers <- address },
+		Address:     caller.GetListen(),
+		Routes:      p.routes,
+		NotFound:    p.notFound,
+		NotAllowed:  p.notAllowed,
+		TLS:         p.callerTLS,
+		Certificate: p.Secure.GetCallerCertificate(),
+		Key:         p.Secure.GetCallerKey(),
+		Listening:   func(address string) { callers <- address },
 	}
 	address, err = serve(ctx, callerServer, callers, p.Grace(), stopped)
 	if err != nil {
--- a/internal/bramleyhatch/sidecar.go
+++ b/internal/bramleyhatch/sidecar.go
@@ -23,6 +23,9 @@
 // Run serves until the context ends and all running requests have ended.
 func (s *Sidecar) Run(ctx context.Context) error {
 	s.Process = newProcess(s.Settings.GetProcess(), s.Settings.GetSecure())
+	if err := s.identify(); err != nil {
+		return err
+	}
 	s.platform = newPlatform(s.Settings.GetPlatform())
 	s.addMembers(peerpb.Role_ROLE_SIDECAR, s.Settings.GetBackend(), s.Settings.GetMember(), s.platform)
 	s.addUsage()
--- a/internal/bramleyhatch/sidecarbackend.go
+++ b/internal/bramleyhatch/sidecarbackend.go
@@ -76,7 +76,7 @@
 		Server:   settings.GetServer(),
 		Pool:     settings.GetPool(),
 		Members:  &membership{Members: s.members},
-		Peers:    &entry.Sidecars{Members: s.members},
+		Peers:    &entry.Sidecars{Members: s.members, Credentials: s.credentials()},
 		Remember: settings.GetRemember().AsDuration(),
 		Started:  time.Now(),
 		RunAlone: settings.GetAlone() == aloneRun,
--- a/internal/cmd/configapplycmd.go
+++ b/internal/cmd/configapplycmd.go
@@ -55,7 +55,10 @@
 	if err != nil {
 		return err
 	}
-	client := c.client()
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
 	reply, err := c.put(client, wanted)
 	var refused *operator.Error
 	if errors.As(err, &refused) && refused.Status == http.StatusConflict {
--- a/internal/cmd/configcmd.go
+++ b/internal/cmd/configcmd.go
@@ -73,7 +73,11 @@
 	if err != nil {
 		return err
 	}
-	present, err := c.client().Config(context.Background())
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	present, err := client.Config(context.Background())
 	if err != nil {
 		return err
 	}
@@ -103,7 +107,11 @@
 
 // Run prints the lists, or writes them to files.
 func (c *configShowCmd) Run(config *config) error {
-	reply, err := c.client().Config(context.Background())
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	reply, err := client.Config(context.Background())
 	if err != nil {
 		return err
 	}
@@ -136,7 +144,11 @@
 
 // Run prints the newest changes, oldest first.
 func (c *configHistoryCmd) Run(config *config) error {
-	reply, err := c.client().Config(context.Background())
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	reply, err := client.Config(context.Background())
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/draincmd.go
+++ b/internal/cmd/draincmd.go
@@ -31,7 +31,11 @@
 // Run tells the process.
 func (d *drainCmd) Run(c *config) error {
 	request := operatorpb.DrainRequest_builder{Name: d.Name, Resume: d.Resume}.Build()
-	reply, err := d.client().Drain(context.Background(), request)
+	client, err := d.client()
+	if err != nil {
+		return err
+	}
+	reply, err := client.Drain(context.Background(), request)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/explaincmd.go
+++ b/internal/cmd/explaincmd.go
@@ -21,7 +21,11 @@
 
 // Run prints the decisions, oldest first, and the processes that did not answer.
 func (e *explainCmd) Run(c *config) error {
-	reply, err := e.client().Explain(context.Background(), e.Request)
+	client, err := e.client()
+	if err != nil {
+		return err
+	}
+	reply, err := client.Explain(context.Background(), e.Request)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/keycmd.go
+++ b/internal/cmd/keycmd.go
@@ -50,9 +50,11 @@
 func (k *keyGrantCmd) Run(c *config) error {
 	key := keyPrefix + rand.Text()
 	request := operatorpb.GrantRequest_builder{Account: k.Account, Hash: lists.HashKey(key)}.Build()
-	client := k.client()
+	client, err := k.client()
+	if err != nil {
+		return err
+	}
 	var reply *operatorpb.ChangeReply
-	var err error
 	for range grantTries {
 		reply, err = client.Grant(context.Background(), request)
 		if !isUncertain(err) {
@@ -104,7 +106,11 @@
 	if hash == "" {
 		return &UsageError{Problem: "give the hash of the key, or the key"}
 	}
-	reply, err := k.client().Withdraw(context.Background(), operatorpb.WithdrawRequest_builder{Hash: hash}.Build())
+	client, err := k.client()
+	if err != nil {
+		return err
+	}
+	reply, err := client.Withdraw(context.Background(), operatorpb.WithdrawRequest_builder{Hash: hash}.Build())
 	if err != nil {
 		return err
 	}
@@ -130,7 +136,11 @@
 
 // Run prints account, hash, time and state of each key.
 func (k *keyListCmd) Run(c *config) error {
-	reply, err := k.client().Config(context.Background())
+	client, err := k.client()
+	if err != nil {
+		return err
+	}
+	reply, err := client.Config(context.Background())
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/statuscmd.go
+++ b/internal/cmd/statuscmd.go
@@ -24,7 +24,11 @@
 
 // Run prints processes, revisions in force and holders of duties.
 func (s *statusCmd) Run(c *config) error {
-	reply, err := s.client().Status(context.Background())
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	reply, err := client.Status(context.Background())
 	if err != nil {
 		return err
 	}
--- a/internal/listen/client.go
+++ b/internal/listen/client.go
@@ -1,6 +1,7 @@
 package listen
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -21,6 +22,11 @@
 // GetBody and without an Idempotency-Key header is never sent twice by
 // net/http; callers that send a request which may not be repeated clear both.
 func Client(name string) httpc.Service {
+	return ClientTLS(name, nil)
+}
+
+// ClientTLS returns a Client with TLS settings of its own; nil takes the system's.
+func ClientTLS(name string, config *tls.Config) httpc.Service {
 	setupOnce.Do(setup)
 	logx.SetWriter(klogWriter{})
 	breaker.NoBreakerFor(name)
@@ -28,6 +34,7 @@
 	client := &http.Client{
 		Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
+			TLSClientConfig:     config,
 			MaxIdleConnsPerHost: idleConnections,
 			IdleConnTimeout:     idleConnectionAt,
 		},
--- a/internal/listen/grpc.go
+++ b/internal/listen/grpc.go
@@ -26,6 +26,8 @@
 	Address string
 	// Credentials hold this process's certificate; nil runs without TLS.
 	Credentials credentials.TransportCredentials
+	// Options are added to the server's own.
+	Options []grpc.ServerOption
 	// Register adds the services.
 	Register func(grpc.ServiceRegistrar)
 	// Listening is called once with the address in use.
@@ -58,12 +60,13 @@
 	if transport == nil {
 		transport = insecure.NewCredentials()
 	}
-	server := grpc.NewServer(
+	options := append([]grpc.ServerOption{
 		grpc.Creds(transport),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: aliveTime, Timeout: aliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: leastAliveTime, PermitWithoutStream: true}),
-	)
+	}, g.Options...)
+	server := grpc.NewServer(options...)
 	g.Register(server)
 	return server
 }
--- a/internal/listen/http.go
+++ b/internal/listen/http.go
@@ -55,8 +55,11 @@
 	NotFound http.Handler
 	// NotAllowed answers methods without a route; nil answers a plain 405.
 	NotAllowed http.Handler
-	// TLS is used where it is not nil.
-	TLS *tls.Config
+	// TLS is used where it is not nil; Certificate and Key then name PEM files,
+	// without which go-zero would serve plain HTTP whatever TLS says.
+	TLS         *tls.Config
+	Certificate string
+	Key         string
 	// Listening is called once with the address in use.
 	Listening func(address string)
 
@@ -100,7 +103,7 @@
 	if h.TLS != nil {
 		options = append(options, rest.WithTLSConfig(h.TLS))
 	}
-	conf := rest.RestConf{Host: host, Port: port}
+	conf := rest.RestConf{Host: host, Port: port, CertFile: h.Certificate, KeyFile: h.Key}
 	conf.Middlewares = rest.MiddlewaresConf{Recover: true}
 	server, err := rest.NewServer(conf, options...)
 	if err != nil {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"io"
 	"net/http"
 	"net/url"
@@ -53,13 +54,13 @@
 }
 
 // NewClient returns a client for the entry at an address (host and port, or a
-// base URL) that shows the token.
-func NewClient(address, token string, timeout time.Duration) *Client {
+// base URL) that shows the token. config is for https; nil takes the system's.
+func NewClient(address, token string, timeout time.Duration, config *tls.Config) *Client {
 	if !strings.Contains(address, "://") {
 		address = "http://" + address
 	}
 	address = strings.TrimSuffix(address, "/")
-	return &Client{address: address, token: token, timeout: timeout, service: listen.Client("operator " + address)}
+	return &Client{address: address, token: token, timeout: timeout, service: listen.ClientTLS("operator "+address, config)}
 }
 
 // Config returns the configuration in the store.
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -62,7 +62,7 @@
 }
 
 func (f *fixture) client(token string) *operator.Client {
-	return operator.NewClient(f.address, token, 5*time.Second)
+	return operator.NewClient(f.address, token, 5*time.Second, nil)
 }
 
 func putRequest(plan, id string) *operatorpb.PutRequest {
