--- a/internal/entry/pool_test.go
+++ b/internal/entry/pool_test.go
@@ -28,16 +28,19 @@
 	t       *testing.T
 	silence time.Duration
 	// losing makes the answers of witnesses get lost.
-	losing  atomic.Bool
-	fleet   atomic.Pointer[statepb.Fleet]
-	mutex   sync.Mutex
-	address map[string]string
-	clients map[string]peerpb.SidecarClient
+	losing atomic.Bool
+	// isolated makes every sidecar cut off.
+	isolated atomic.Bool
+	fleet    atomic.Pointer[statepb.Fleet]
+	mutex    sync.Mutex
+	address  map[string]string
+	clients  map[string]peerpb.SidecarClient
+	claims   map[string]*entry.Claims
 }
 
 func newPool(t *testing.T, service *service, silence time.Duration) *pool {
 	t.Helper()
-	p := &pool{service: service, t: t, silence: silence, address: map[string]string{}, clients: map[string]peerpb.SidecarClient{}}
+	p := &pool{service: service, t: t, silence: silence, address: map[string]string{}, clients: map[string]peerpb.SidecarClient{}, claims: map[string]*entry.Claims{}}
 	p.setFleet("live", "live")
 	p.start("s1", true)
 	p.start("s2", true)
@@ -71,9 +74,25 @@
 		Server: id, Pool: "ledger", Members: &members{pool: p, isFirst: isFirst}, Peers: &lossy{Sidecars: &entry.Sidecars{Members: p}, pool: p},
 		Remember: time.Minute, Started: time.Now().Add(-claim.Slack), RunAlone: true,
 	}
+	p.claims[id] = server.Claims
 	p.serve(id, server)
 }
 
+// restart starts a sidecar again without memory and waits until it has learned.
+func (p *pool) restart(id string) {
+	p.start(id, false)
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	p.t.Cleanup(cancel)
+	go func() { _ = p.claims[id].Learn(ctx) }()
+	for {
+		reply, err := p.clients[id].Recall(ctx, peerpb.RecallRequest_builder{Pool: "ledger"}.Build())
+		must.NoError(p.t, err)
+		if reply.GetWhole() {
+			return
+		}
+	}
+}
+
 func (p *pool) serve(id string, server *entry.Server) {
 	server.Open()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -142,6 +161,7 @@
 func (m *members) Fleet(string) *statepb.Fleet { return m.fleet.Load() }
 func (m *members) IsFirst() bool               { return m.isFirst }
 func (m *members) Others(string) int           { return 1 }
+func (m *members) Isolated(time.Time) bool     { return m.isolated.Load() }
 
 // lossy reaches the other sidecar; the answer gets lost while the pool says so.
 type lossy struct {
