--- a/internal/bramleyhatch/entryduties.go
+++ b/internal/bramleyhatch/entryduties.go
@@ -18,13 +18,53 @@
 // addDuties adds the platform's client, duties under leases and usage.
 func (e *Entry) addDuties() {
 	e.addLedger()
+	e.addReporter()
 	e.addZones()
 }
 
+// addLedger adds the counters that this entry holds for others. It hands them
+// on when it stops, since the processes that they came from may be gone.
 func (e *Entry) addLedger() {
+	settings := e.Settings.GetUsage()
 	e.ledger = &usage.Ledger{}
+	e.pool.Counted = e.ledger.Merge
 	server := &usage.Server{Ledger: e.ledger}
 	e.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterUsageServer(registrar, server) })
+	pusher := &usage.Pusher{
+		Source:    e.ledger,
+		Directory: e.members,
+		Peers:     &usage.GRPCPeers{},
+		Retain:    settings.GetRetain().AsDuration(),
+		Keep:      settings.GetKeep().AsDuration(),
+	}
+	e.AddDuty("usage", pusher.Run)
+}
+
+// addReporter adds the duty that closes and reports usage windows.
+func (e *Entry) addReporter() {
+	e.AddDuty("report", func(ctx context.Context) error {
+		return e.keeper(usage.DutyName).Run(ctx, func(ctx context.Context, term *duty.Term) error {
+			return e.newReporter().Run(ctx, term)
+		})
+	})
+}
+
+func (e *Entry) newReporter() *usage.Reporter {
+	settings, duties := e.Settings.GetUsage(), e.Settings.GetDuty()
+	return &usage.Reporter{
+		Process:   e.Process.Settings.GetName(),
+		Platform:  e.platform,
+		Collector: &usage.Collector{Directory: e.members, Peers: &usage.GRPCPeers{}},
+		Offer:     e.members.Offer,
+		Decisions: e.Decisions,
+		Window:    settings.GetWindow().AsDuration(),
+		Settle:    settings.GetSettle().AsDuration(),
+		Retain:    settings.GetRetain().AsDuration(),
+		Keep:      settings.GetKeep().AsDuration(),
+		Interval:  duties.GetInterval().AsDuration(),
+		Lease:     duties.GetLease().AsDuration(),
+		Bound:     duties.GetOrder().AsDuration(),
+	}
 }
 
 // addZones adds one duty a zone, which orders its backend servers.
@@ -92,7 +132,7 @@
 		Store:     e.platform,
 		Name:      name,
 		Process:   e.Process.Settings.GetName(),
-		Address:   e.Addresses().Peer,
+		Address:   e.advertised(),
 		Lease:     settings.GetLease().AsDuration(),
 		Margin:    settings.GetMargin().AsDuration(),
 		Rank:      func() int { return e.rank(name) },
--- a/internal/bramleyhatch/sidecarusage.go
+++ b/internal/bramleyhatch/sidecarusage.go
@@ -7,13 +7,23 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/usage"
 )
 
-// addUsage adds the usage counters.
+// addUsage adds the usage counters and pushes them to entries that hold copies.
 func (s *Sidecar) addUsage() {
+	settings := s.Settings.GetUsage()
 	s.counter = &usage.Counter{
 		Process:     s.Process.Settings.GetName(),
 		Incarnation: s.Incarnation,
-		Window:      s.Settings.GetUsage().GetWindow().AsDuration(),
+		Window:      settings.GetWindow().AsDuration(),
 	}
 	server := &usage.Server{Ledger: &usage.Ledger{}, Counter: s.counter}
 	s.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterUsageServer(registrar, server) })
+	pusher := &usage.Pusher{
+		Source:    s.counter,
+		Directory: s.members,
+		Peers:     &usage.GRPCPeers{},
+		Interval:  settings.GetPush().AsDuration(),
+		Retain:    settings.GetRetain().AsDuration(),
+		Keep:      settings.GetKeep().AsDuration(),
+	}
+	s.AddDuty("usage", pusher.Run)
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -116,16 +116,7 @@
 // Order sends an order for a backend server. The guard is asked as the last
 // thing before the order goes out; its error means that nothing was sent.
 func (c *Client) Order(ctx context.Context, order Order, guard func() error) error {
-	text, err := json.Marshal(order)
-	if err != nil {
-		return &UnavailableError{Operation: "order " + order.ID, Cause: err}
-	}
-	body := newGuardedBody(text, guard)
-	err = c.call(ctx, http.MethodPost, PathOrder, nil, "order "+order.ID, body, nil)
-	if refused := body.refusal(); refused != nil {
-		return refused
-	}
-	return err
+	return c.guarded(ctx, PathOrder, "order "+order.ID, order, guard)
 }
 
 // Renew lengthens a lease from now on, or returns a NotFoundError if it has lapsed.
@@ -134,9 +125,9 @@
 	return c.call(ctx, http.MethodPut, PathLease, nil, "lease", request, &LeaseReply{})
 }
 
-// Report sends the figures of a usage window.
-func (c *Client) Report(ctx context.Context, usage Usage) error {
-	return c.call(ctx, http.MethodPost, PathUsage, nil, "usage", usage, nil)
+// Report sends the figures of a usage window under a guard, as Order does.
+func (c *Client) Report(ctx context.Context, usage Usage, guard func() error) error {
+	return c.guarded(ctx, PathUsage, "usage", usage, guard)
 }
 
 // Servers returns the backend servers of a zone as the platform sees them.
@@ -170,6 +161,19 @@
 	return reply, err
 }
 
+func (c *Client) guarded(ctx context.Context, path, key string, message any, guard func() error) error {
+	text, err := json.Marshal(message)
+	if err != nil {
+		return &UnavailableError{Operation: key, Cause: err}
+	}
+	body := newGuardedBody(text, guard)
+	err = c.call(ctx, http.MethodPost, path, nil, key, body, nil)
+	if refused := body.refusal(); refused != nil {
+		return refused
+	}
+	return err
+}
+
 func (c *Client) call(ctx context.Context, method, path string, query url.Values, key string, body, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
--- a/internal/platform/guardedbody.go
+++ b/internal/platform/guardedbody.go
@@ -5,13 +5,13 @@
 	"sync"
 )
 
-// guardedBody is the body of an order that asks a guard before it is read.
+// guardedBody is the body of an order or report that asks a guard before it is read.
 //
 // A holder that is paused after it checked its term, and thawed once another
-// process holds the duty, would send an order all the same. net/http reads the
+// process holds the duty, would send it all the same. net/http reads the
 // body after it has a connection and before it flushes the request, so the
 // check is made here: only the write itself comes after it. Headers that went
-// out already are no order, since the body that they announce never comes.
+// out already are nothing, since the body that they announce never comes.
 type guardedBody struct {
 	text  *bytes.Reader
 	guard func() error
--- a/internal/platform/platformtest/store.go
+++ b/internal/platform/platformtest/store.go
@@ -40,6 +40,21 @@
 	return s.calls
 }
 
+// Delete removes a key that has the expected revision.
+func (s *Store) Delete(_ context.Context, key string, expect uint64) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.call("delete"); err != nil {
+		return err
+	}
+	if present := s.values[key].Revision; present != expect {
+		return &platform.ConflictError{Key: key, Revision: present}
+	}
+	s.revision++
+	delete(s.values, key)
+	return nil
+}
+
 // Get returns the value of a key.
 func (s *Store) Get(_ context.Context, key string) (platform.Value, error) {
 	s.mutex.Lock()
