--- a/internal/usage/fleet_test.go
+++ b/internal/usage/fleet_test.go
@@ -94,6 +94,12 @@
 	f.dead[name] = true
 }
 
+func (f *fleet) revive(name string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.dead[name] = false
+}
+
 // sent returns the reports that arrived.
 func (f *fleet) sent() []platform.Usage {
 	f.mutex.Lock()
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -29,6 +29,9 @@
 	}
 }
 
+// fences are those of the reporters in these tests.
+var fences = map[string]uint64{"e1": 1, "e2": 2}
+
 // billed returns the requests that the reports bill, each window once.
 func billed(t *testing.T, reports []platform.Usage) uint64 {
 	t.Helper()
@@ -37,6 +40,7 @@
 	for _, report := range reports {
 		must.GreaterEq(t, fence, report.Fence)
 		fence = report.Fence
+		must.Eq(t, fences[report.From], report.Fence)
 		known, again := windows[report.Start]
 		windows[report.Start] = report
 		if again {
@@ -146,6 +150,80 @@
 	})
 }
 
+// Two processes report one window and both believe that they are in charge: the
+// first is paused within a report, its lease lapses, the second takes over, and
+// the first is thawed. No report may arrive after one of the second.
+func TestReporterPaused(t *testing.T) {
+	tests := map[string]paused{
+		"before the last check": {before: 10 * lease},
+		"after the last check":  {after: lease + bound + 2*time.Second},
+	}
+	for name, first := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newFleet(entry("e1", "a"), entry("e2", "b"))
+				serve(fleet, newCounter(), "e1")
+				first.fleet = fleet
+				ended := make(chan error, 1)
+				term := duty.NewTerm(1, time.Now().Add(length+2*settle))
+				go func() { ended <- newReporter(fleet, &first, "e1").Run(t.Context(), term) }()
+				// The term ends three seconds, the margin, before the lease lapses.
+				time.Sleep(length + 2*settle + 3*time.Second)
+				stop := start(t, newReporter(fleet, fleet, "e2"), 2)
+				time.Sleep(3 * length)
+				stop()
+				must.Error(t, <-ended)
+				must.Eq(t, uint64(1), billed(t, fleet.sent()))
+			})
+		})
+	}
+}
+
+// paused is a reporter's way to the platform on which it stands still.
+type paused struct {
+	*fleet
+
+	before time.Duration
+	after  time.Duration
+}
+
+func (p *paused) Report(ctx context.Context, usage platform.Usage, guard func() error) error {
+	time.Sleep(p.before)
+	if err := guard(); err != nil {
+		return err
+	}
+	time.Sleep(p.after)
+	return p.fleet.Report(ctx, usage, func() error { return nil })
+}
+
+// A process that can't be reached for a moment must not make counts late.
+func TestWaitsForSilentProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(entry("e1", "a"), entry("e2", "b"))
+		stop := start(t, newReporter(fleet, fleet, "e1"), 1)
+		serve(fleet, newCounter(), "e2")
+		fleet.kill("e2")
+		time.Sleep(length + settle + 2*time.Second)
+		fleet.revive("e2")
+		time.Sleep(2 * length)
+		stop()
+		must.Eq(t, uint64(1), billed(t, fleet.sent()))
+		must.Len(t, 0, lateFigures(fleet.sent()))
+	})
+}
+
+func lateFigures(reports []platform.Usage) []platform.Figure {
+	var late []platform.Figure
+	for _, report := range reports {
+		for _, figure := range report.Figures {
+			if figure.Late != 0 {
+				late = append(late, figure)
+			}
+		}
+	}
+	return late
+}
+
 // A count comes in after its window was reported, since the process that held
 // it could not be reached. It goes into a later window, marked with its own.
 func TestLateCount(t *testing.T) {
@@ -158,22 +236,12 @@
 		fleet.kill("e2")
 		serve(fleet, counter, "e2")
 		time.Sleep(length + 4*settle)
-		fleet.mutex.Lock()
-		fleet.dead["e2"] = false
-		fleet.mutex.Unlock()
+		fleet.revive("e2")
 		time.Sleep(3 * length)
 		stop()
 		reports := fleet.sent()
 		must.Eq(t, uint64(2), billed(t, reports))
-		var late []platform.Figure
-		for _, report := range reports {
-			for _, figure := range report.Figures {
-				if figure.Late != 0 {
-					late = append(late, figure)
-				}
-			}
-		}
-		must.Eq(t, []platform.Figure{{Account: "a", Pool: "m", Requests: 1, PromptTokens: 10, OutputTokens: 20, Late: window}}, late)
+		must.Eq(t, []platform.Figure{{Account: "a", Pool: "m", Requests: 1, PromptTokens: 10, OutputTokens: 20, Late: window}}, lateFigures(reports))
 	})
 }
 
@@ -197,7 +265,7 @@
 					time.Sleep(2 * time.Second)
 				}
 				fleet.kill(dies)
-				stop := start(t, newReporter(fleet, fleet, "e2"), 1)
+				stop := start(t, newReporter(fleet, fleet, "e1"), 1)
 				time.Sleep(3 * length)
 				stop()
 				cancel()
