--- a/internal/member/prober.go
+++ b/internal/member/prober.go
@@ -15,6 +15,10 @@
 	// retryEvery is the number of probes between two of a failed process, so
 	// that the two sides of a healed cut find each other.
 	retryEvery = 5
+	// pushRate and pushBurst bound the messages with changes of others: messages
+	// a second, and messages at once.
+	pushRate  = 4
+	pushBurst = 24
 	// pauseFactor intervals without a call mean that this process was paused.
 	pauseFactor = 4
 )
@@ -29,8 +33,10 @@
 	Suspect time.Duration
 	Rand    *rand.Rand
 
-	turn int
-	last time.Time
+	turn     int
+	last     time.Time
+	tokens   float64
+	refilled time.Time
 }
 
 // Expire takes suspected processes as failed once their time is over and
@@ -46,7 +52,8 @@
 	paused := !p.last.IsZero() && now.Sub(p.last) > max(pauseFactor*p.Interval, p.Suspect/2)
 	p.last = now
 	m.forgetElders(now)
-	for name, known := range m.table.records {
+	for name := range m.table.unsettled {
+		known := m.table.records[name]
 		age := now.Sub(known.since)
 		switch state := known.process.GetState(); {
 		case name == m.self.GetName():
@@ -96,7 +103,7 @@
 	}
 }
 
-// Neighbours returns the processes to which news is sent at once.
+// Neighbours returns the successors and predecessors on all rings.
 func (p *Prober) Neighbours() []*peerpb.Process {
 	m := p.Members
 	m.mutex.Lock()
@@ -105,6 +112,31 @@
 	return m.rings.all()
 }
 
+// Push returns the processes to which news is sent at once: all neighbours for
+// facts, withdrawals and this process's own state, for changes of others as
+// many as the rate allows.
+//
+// Where a zone fails, hundreds of processes change within seconds. Sent at once
+// by everybody to all neighbours, that would take many times the bytes that a
+// process may spend; so what goes beyond the rate waits for the next exchange.
+func (p *Prober) Push(now time.Time) []*peerpb.Process {
+	targets := p.Neighbours()
+	m := p.Members
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	passed := now.Sub(p.refilled).Seconds()
+	p.tokens = min(pushBurst, p.tokens+pushRate*passed)
+	p.refilled = now
+	if m.important {
+		m.important = false
+		return targets
+	}
+	allowed := min(len(targets), int(p.tokens))
+	p.tokens -= float64(allowed)
+	p.Rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	return targets[:allowed]
+}
+
 // Next returns the process to ask now: each of the successors in turn, now and
 // then one that has failed. It returns nil if no other is known.
 func (p *Prober) Next(now time.Time) *peerpb.Process {
@@ -128,13 +160,14 @@
 func (p *Prober) lost() *peerpb.Process {
 	var chosen *peerpb.Process
 	seen := 0
-	for _, known := range p.Members.table.records {
-		if known.process.GetState() != peerpb.State_STATE_FAILED {
+	for name := range p.Members.table.unsettled {
+		process := p.Members.table.get(name)
+		if process.GetState() != peerpb.State_STATE_FAILED {
 			continue
 		}
 		seen++
 		if p.Rand.IntN(seen) == 0 {
-			chosen = known.process
+			chosen = process
 		}
 	}
 	return chosen
