--- a/internal/rollout/step_test.go
+++ b/internal/rollout/step_test.go
@@ -254,3 +254,51 @@
 	step.Fail(mustNext(t, step, now), time.Minute, now)
 	must.Eq(t, time.Minute, step.slots[0].notBefore.Sub(now))
 }
+
+// benchmarkStep returns the letter's step with half of its slots fixed.
+func benchmarkStep(b *testing.B) *Step {
+	b.Helper()
+	step := NewStep(openRequest(1, 128, 8, 1), 0, 1, 1)
+	for range 512 {
+		attempt, _ := step.Next(start)
+		step.Progress(attempt, 1, 1, start)
+		sample := peerpb.Sample_builder{Versions: []*peerpb.Range{peerpb.Range_builder{Until: 1, Version: 1}.Build()}}.Build()
+		step.Finish(attempt, sample, start.Add(time.Second))
+		step.Kept(attempt, []string{"a", "b"})
+	}
+	commit(step)
+	for range 512 {
+		step.Next(start)
+	}
+	return step
+}
+
+// BenchmarkPropose is one write of the state, of which there are ten a second at most.
+func BenchmarkPropose(b *testing.B) {
+	step := benchmarkStep(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		step.Renew(1)
+		b.SetBytes(int64(len(encode(step.Propose()))))
+		step.Commit()
+	}
+}
+
+// BenchmarkNext is the look for an attempt while none is to be started.
+func BenchmarkNext(b *testing.B) {
+	step := benchmarkStep(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		step.Next(start.Add(time.Second))
+	}
+}
+
+// BenchmarkProgress is what each chunk of an answer costs under the holder's lock.
+func BenchmarkProgress(b *testing.B) {
+	step := NewStep(openRequest(1, 1, 1, 1), 0, 1, 1)
+	attempt, _ := step.Next(start)
+	b.ReportAllocs()
+	for b.Loop() {
+		step.Progress(attempt, 1, 1, start)
+	}
+}
--- /dev/null
+++ b/internal/weight/conductor_test.go
@@ -0,0 +1,188 @@
+package weight
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+)
+
+// fakeSamplers are the samplers of a model, their load reports and orders.
+type fakeSamplers struct {
+	mutex   sync.Mutex
+	shown   map[string]uint64
+	orders  map[string]int
+	fences  []uint64
+	failing int
+}
+
+var (
+	_ Directory = &fakeSamplers{}
+	_ Orderer   = &fakeSamplers{}
+)
+
+func newFakeSamplers(servers ...string) *fakeSamplers {
+	samplers := &fakeSamplers{shown: map[string]uint64{}, orders: map[string]int{}}
+	for _, server := range servers {
+		samplers.shown[server] = 1
+	}
+	return samplers
+}
+
+func (f *fakeSamplers) Processes(peerpb.Role) []*peerpb.Process {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var found []*peerpb.Process
+	for server := range f.shown {
+		found = append(found, peerpb.Process_builder{Server: server, Pool: "draft", Zone: "1", State: peerpb.State_STATE_LIVE}.Build())
+	}
+	return found
+}
+
+func (f *fakeSamplers) Load(server string) *peerpb.Load {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return peerpb.Load_builder{Server: server, Version: f.shown[server]}.Build()
+}
+
+func (f *fakeSamplers) Order(_ context.Context, server string, order *peerpb.OrderRequest) (uint64, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.orders[server]++
+	f.fences = append(f.fences, order.GetFence())
+	if f.failing > 0 {
+		f.failing--
+		return 0, errors.New("swap failed")
+	}
+	f.shown[server] = order.GetVersion()
+	return order.GetVersion(), nil
+}
+
+func (f *fakeSamplers) show(t *testing.T, version uint64) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		f.mutex.Lock()
+		behind := 0
+		for _, shown := range f.shown {
+			if shown != version {
+				behind++
+			}
+		}
+		f.mutex.Unlock()
+		if behind == 0 {
+			return
+		}
+		must.True(t, time.Now().Before(deadline), must.Sprintf("%d samplers don't show version %d", behind, version))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// fakeRecord is the version wanted as the store holds it.
+type fakeRecord struct {
+	mutex sync.Mutex
+	data  []byte
+	away  bool
+}
+
+var _ Record = &fakeRecord{}
+
+func (r *fakeRecord) Load(context.Context) ([]byte, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.away {
+		return nil, errors.New("away")
+	}
+	return r.data, nil
+}
+
+func (r *fakeRecord) Write(_ context.Context, data []byte) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.away {
+		return errors.New("away")
+	}
+	r.data = data
+	return nil
+}
+
+func (r *fakeRecord) setAway(away bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.away = away
+}
+
+// fakeTerm is over or not.
+type fakeTerm struct {
+	fence uint64
+	over  bool
+}
+
+var _ Term = fakeTerm{}
+
+func (f fakeTerm) Fence() uint64        { return f.fence }
+func (f fakeTerm) Valid(time.Time) bool { return !f.over }
+
+func runConductor(t *testing.T, samplers *fakeSamplers, record Record, term fakeTerm) *Conductor {
+	t.Helper()
+	conductor := &Conductor{Model: "draft", Record: record, Directory: samplers, Orderer: samplers, Share: 0.5, Timeout: time.Second}
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = conductor.Run(ctx, term) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return conductor
+}
+
+// announce repeats the announcement of version 2 until the store holds it, as
+// trainers do.
+func announce(t *testing.T, conductor *Conductor) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for conductor.Announce(t.Context(), 2) != nil {
+		must.True(t, time.Now().Before(deadline))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestConductor(t *testing.T) {
+	t.Run("orders all samplers, failed ones again", func(t *testing.T) {
+		samplers := newFakeSamplers("a", "b", "c")
+		samplers.failing = 2
+		conductor := runConductor(t, samplers, &fakeRecord{}, fakeTerm{fence: 7})
+		announce(t, conductor)
+		samplers.show(t, 2)
+		must.Eq(t, 7, samplers.fences[0])
+	})
+	t.Run("a successor goes on with the version kept", func(t *testing.T) {
+		record := &fakeRecord{}
+		announce(t, runConductor(t, newFakeSamplers(), record, fakeTerm{fence: 1}))
+		samplers := newFakeSamplers("a", "b")
+		runConductor(t, samplers, record, fakeTerm{fence: 2})
+		samplers.show(t, 2)
+	})
+	t.Run("a term that is over orders nothing", func(t *testing.T) {
+		samplers := newFakeSamplers("a")
+		conductor := runConductor(t, samplers, &fakeRecord{}, fakeTerm{fence: 1, over: true})
+		announce(t, conductor)
+		conductor.next()
+		conductor.order(t.Context(), fakeTerm{over: true}, "a")
+		must.MapEmpty(t, samplers.orders)
+	})
+	t.Run("while the store is away the version is ordered, but not acknowledged", func(t *testing.T) {
+		samplers := newFakeSamplers("a")
+		record := &fakeRecord{}
+		conductor := runConductor(t, samplers, record, fakeTerm{fence: 1})
+		announce(t, conductor)
+		record.setAway(true)
+		must.Error(t, conductor.Announce(t.Context(), 3))
+		samplers.show(t, 3)
+	})
+}
--- a/internal/weight/wave_test.go
+++ b/internal/weight/wave_test.go
@@ -104,3 +104,19 @@
 		must.LessEq(t, 4, count, must.Sprint(zone))
 	}
 }
+
+// BenchmarkWave is one round of the conductor over the letter's samplers, of
+// which it runs ten a second.
+func BenchmarkWave(b *testing.B) {
+	wave := newWave(930, 1)
+	live := samplers(930, 1)
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Second)
+		wave.Observe(live, now)
+		for _, server := range wave.Next(now) {
+			wave.Failed(server, now)
+		}
+	}
+}
