--- a/internal/bramleyhatch/entrytrainers.go
+++ b/internal/bramleyhatch/entrytrainers.go
@@ -32,6 +32,7 @@
 	service    *rollout.Service
 	peers      *rollout.Peers
 	conductors *weight.Conductors
+	sidecars   *weight.Sidecars
 	metrics    *rollout.Metrics
 	// draining ends when the entry is to stop: it gives its duties up while it
 	// still serves, so that other entries take them before it is gone.
@@ -43,6 +44,7 @@
 // the weights of samplers.
 func (e *Entry) addTrainers() {
 	t := &trainers{entry: e, conductors: &weight.Conductors{}, metrics: rollout.NewMetrics(e.Metrics)}
+	t.sidecars = &weight.Sidecars{Directory: e.members}
 	draining, startDraining := context.WithCancel(context.Background())
 	t.draining = draining
 	t.drain = func(context.Context) { startDraining() }
@@ -177,15 +179,13 @@
 // conduct orders the samplers of a model for one term.
 func (t *trainers) conduct(ctx context.Context, model string, term *duty.Term) error {
 	settings := t.entry.Settings.GetTrainer()
-	conductor := &weight.Conductor{
-		Model:     model,
-		Record:    &record.Record{Store: t.entry.platform, Key: weight.Key(model)},
-		Directory: t.entry.members,
-		Orderer:   &weight.Sidecars{Directory: t.entry.members},
-		Decisions: t.entry.Decisions,
-		Share:     float64(settings.GetSwapsPercent()) / percent,
-		Timeout:   settings.GetSwap().AsDuration(),
-	}
+	conductor := weight.NewConductor(model)
+	conductor.Record = &record.Record{Store: t.entry.platform, Key: weight.Key(model)}
+	conductor.Directory = t.entry.members
+	conductor.Orderer = t.sidecars
+	conductor.Decisions = t.entry.Decisions
+	conductor.Share = float64(settings.GetSwapsPercent()) / percent
+	conductor.Timeout = settings.GetSwap().AsDuration()
 	defer t.conductors.Add(conductor)()
 	return conductor.Run(ctx, term)
 }
--- a/internal/rollout/proposal.go
+++ b/internal/rollout/proposal.go
@@ -91,7 +91,7 @@
 		Temperature:  s.open.GetTemperature(),
 		Weight:       s.open.GetWeight(),
 		Priority:     s.open.GetPriority(),
-		Prompts:      promptsDigest(EncodePrompts(s.open)),
+		Prompts:      s.prompts,
 		Place:        s.place,
 		Acknowledged: s.acknowledged,
 		Version:      s.newest,
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -33,10 +33,12 @@
 	changed      bool
 	proposal     *proposal
 	budget       budget
-	lengths      spread
-	paces        spread
-	waits        spread
-	counts       Counts
+	// prompts is the digest of the encoded prompts.
+	prompts []byte
+	lengths spread
+	paces   spread
+	waits   spread
+	counts  Counts
 }
 
 // Counts is what happened to the attempts of a step.
@@ -82,6 +84,7 @@
 		}
 	}
 	step.budget = newBudget(len(step.slots))
+	step.prompts = promptsDigest(EncodePrompts(open))
 	return step
 }
 
--- a/internal/weight/conductor.go
+++ b/internal/weight/conductor.go
@@ -13,7 +13,12 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 )
 
-const lookInterval = 100 * time.Millisecond
+const (
+	// lookInterval is the time between two rounds while samplers are behind.
+	lookInterval = 100 * time.Millisecond
+	// idleInterval is that time while none is.
+	idleInterval = time.Second
+)
 
 // Orderer passes an order to a sampler through its sidecar. It returns the
 // version that the engine shows afterwards.
@@ -74,6 +79,13 @@
 	loaded  bool
 	whole   uint64
 	started time.Time
+	// announced wakes Run.
+	announced chan struct{}
+}
+
+// NewConductor returns a conductor of a model's samplers.
+func NewConductor(model string) *Conductor {
+	return &Conductor{Model: model, announced: make(chan struct{}, 1)}
 }
 
 // Announce sets the version wanted. It is ordered at once; an error says that
@@ -94,10 +106,15 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	newer := c.wave.Announce(version)
-	if newer {
-		c.started = time.Now()
+	if !newer {
+		return false
 	}
-	return newer
+	c.started = time.Now()
+	select {
+	case c.announced <- struct{}{}:
+	default:
+	}
+	return true
 }
 
 func (c *Conductor) write(ctx context.Context) error {
@@ -119,21 +136,33 @@
 	c.wave.Lag = DefaultLag
 	c.fence = term.Fence()
 	c.mutex.Unlock()
-	ticker := time.NewTicker(lookInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	var group sync.WaitGroup
 	defer group.Wait()
 	for {
-		c.load(ctx)
-		for _, server := range c.next() {
-			group.Go(func() { c.order(ctx, term, server) })
-		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
+		case <-c.announced:
 		}
+		c.load(ctx)
+		for _, server := range c.next() {
+			group.Go(func() { c.order(ctx, term, server) })
+		}
+		timer.Reset(c.interval())
+	}
+}
+
+// interval returns the time until the next round.
+func (c *Conductor) interval() time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.wave.Behind() > 0 {
+		return lookInterval
 	}
+	return idleInterval
 }
 
 // load reads the version wanted, until the store has answered once.
--- a/internal/weight/conductor_test.go
+++ b/internal/weight/conductor_test.go
@@ -130,7 +130,12 @@
 
 func runConductor(t *testing.T, samplers *fakeSamplers, record Record, term fakeTerm) *Conductor {
 	t.Helper()
-	conductor := &Conductor{Model: "draft", Record: record, Directory: samplers, Orderer: samplers, Share: 0.5, Timeout: time.Second}
+	conductor := NewConductor("draft")
+	conductor.Record = record
+	conductor.Directory = samplers
+	conductor.Orderer = samplers
+	conductor.Share = 0.5
+	conductor.Timeout = time.Second
 	ctx, cancel := context.WithCancel(t.Context())
 	var group sync.WaitGroup
 	group.Go(func() { _ = conductor.Run(ctx, term) })
--- a/internal/weight/wave.go
+++ b/internal/weight/wave.go
@@ -137,14 +137,17 @@
 	if free <= 0 {
 		return nil
 	}
-	waiting := w.waiting(now)
+	waiting := w.waitingByZone(now)
 	changing := w.changingByZone()
 	var chosen []string
 	for len(chosen) < free && len(waiting) > 0 {
-		best := w.pick(waiting, changing)
-		sampler := waiting[best]
-		waiting = slices.Delete(waiting, best, best+1)
-		changing[sampler.zone]++
+		zone := leastChanging(waiting, changing)
+		sampler := waiting[zone][0]
+		waiting[zone] = waiting[zone][1:]
+		if len(waiting[zone]) == 0 {
+			delete(waiting, zone)
+		}
+		changing[zone]++
 		sampler.changing = true
 		sampler.since = now
 		sampler.ordered = w.target
@@ -190,16 +193,19 @@
 // Target returns the version wanted.
 func (w *Wave) Target() uint64 { return w.target }
 
-func (w *Wave) waiting(now time.Time) []*sampler {
-	var waiting []*sampler
+// waitingByZone returns the samplers that may be ordered, the least busy first.
+func (w *Wave) waitingByZone(now time.Time) map[string][]*sampler {
+	waiting := map[string][]*sampler{}
 	for _, sampler := range w.samplers {
 		if sampler.shown < w.target && !sampler.changing && !now.Before(sampler.notBefore) {
-			waiting = append(waiting, sampler)
+			waiting[sampler.zone] = append(waiting[sampler.zone], sampler)
 		}
 	}
-	slices.SortFunc(waiting, func(a, b *sampler) int {
-		return cmp.Or(cmp.Compare(a.running, b.running), cmp.Compare(a.server, b.server))
-	})
+	for _, zone := range waiting {
+		slices.SortFunc(zone, func(a, b *sampler) int {
+			return cmp.Or(cmp.Compare(a.running, b.running), cmp.Compare(a.server, b.server))
+		})
+	}
 	return waiting
 }
 
@@ -213,12 +219,12 @@
 	return changing
 }
 
-// pick returns the position of the first sampler in the zone where the fewest change.
-func (w *Wave) pick(waiting []*sampler, changing map[string]int) int {
-	best := 0
-	for i, sampler := range waiting {
-		if changing[sampler.zone] < changing[waiting[best].zone] {
-			best = i
+// leastChanging returns the zone with waiting samplers where the fewest change.
+func leastChanging(waiting map[string][]*sampler, changing map[string]int) string {
+	best, found := "", false
+	for zone := range waiting {
+		if !found || changing[zone] < changing[best] || changing[zone] == changing[best] && zone < best {
+			best, found = zone, true
 		}
 	}
 	return best
