--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -14,10 +14,12 @@
 func (s *Server) execute(ctx context.Context, run *run) {
 	end, err := s.perform(ctx, run)
 	if err == nil {
+		s.metrics.ended()
 		run.end(end)
 		s.Decisions.Record(run.id, "backend", "ended, %s, %d tokens", end.GetFinish(), end.GetOutputTokens())
 	} else {
 		refused := run.classify(err)
+		s.metrics.refused(refused)
 		run.refuse(refused)
 		s.Decisions.Record(run.id, "backend", "refused, %v", refused)
 	}
@@ -28,10 +30,12 @@
 // perform waits for a slot and passes the request on.
 func (s *Server) perform(ctx context.Context, run *run) (*peerpb.End, error) {
 	request := run.request
-	share := newShare(request, time.Now().Add(timeLeft(request)))
+	began := time.Now()
+	share := newShare(request, began.Add(timeLeft(request)))
 	if refused := s.gate.enter(ctx, share); refused != nil {
 		return nil, refused
 	}
+	s.metrics.waited(time.Since(began))
 	end, err := s.confirmAndPass(ctx, run)
 	s.gate.leave(share, trueCost(share, end))
 	return end, err
--- a/internal/member/ancestry.go
+++ b/internal/member/ancestry.go
@@ -58,10 +58,10 @@
 // memory for whole.
 func (m *Members) elders(process *peerpb.Process) []*peerpb.Process {
 	var found []*peerpb.Process
-	for name, known := range m.table.records {
-		isSame := name == process.GetName() || process.GetServer() != "" && known.process.GetServer() == process.GetServer()
-		if isSame && known.process.GetIncarnation() < process.GetIncarnation() {
-			found = append(found, known.process)
+	for _, name := range append([]string{process.GetName()}, m.table.servers[process.GetServer()]...) {
+		known := m.table.get(name)
+		if known != nil && known.GetIncarnation() < process.GetIncarnation() {
+			found = appendOnce(found, known)
 		}
 	}
 	if elder := m.replacedBy[process.GetName()]; elder != nil {
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -200,7 +200,7 @@
 		if !wait(ctx, pushDelay) {
 			return
 		}
-		e.sendAll(ctx, e.neighbours())
+		e.sendAll(ctx, e.pushTargets())
 		if !wait(ctx, pushPause) {
 			return
 		}
@@ -223,6 +223,12 @@
 	return e.prober.Neighbours()
 }
 
+func (e *Exchanger) pushTargets() []*peerpb.Process {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.prober.Push(time.Now())
+}
+
 func (e *Exchanger) leave() {
 	e.Members.SetState(peerpb.State_STATE_LEFT)
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
--- a/internal/member/rings.go
+++ b/internal/member/rings.go
@@ -29,10 +29,9 @@
 	if !found {
 		return
 	}
-	for ring := range uint64(ringCount) {
-		next, before := neighbours(t, own, ring)
-		r.successors = appendOnce(r.successors, next)
-		r.predecessors = appendOnce(r.predecessors, before)
+	for _, ring := range place(t, own) {
+		r.successors = appendOnce(r.successors, ring.next)
+		r.predecessors = appendOnce(r.predecessors, ring.before)
 	}
 }
 
@@ -48,23 +47,35 @@
 	return found
 }
 
-func neighbours(t *table, own record, ring uint64) (next, before *peerpb.Process) {
-	place := mix(own.hash ^ mix(ring))
-	var least, greatest uint64
+// neighbour holds the two neighbours found so far on one ring.
+type neighbour struct {
+	next, before    *peerpb.Process
+	least, greatest uint64
+}
+
+// place finds the neighbours on all rings in one pass.
+func place(t *table, own record) [ringCount]neighbour {
+	var found [ringCount]neighbour
 	for _, known := range t.records {
 		if known.hash == own.hash || !isPresent(known.process.GetState()) {
 			continue
 		}
-		// Distances go round the ring, so they wrap.
-		distance := mix(known.hash^mix(ring)) - place
-		if next == nil || distance < least {
-			next, least = known.process, distance
-		}
-		if before == nil || distance > greatest {
-			before, greatest = known.process, distance
+		for ring := range found {
+			salt := mix(uint64(ring))
+			// Distances go round the ring, so they wrap.
+			found[ring].try(known.process, mix(known.hash^salt)-mix(own.hash^salt))
 		}
 	}
-	return next, before
+	return found
+}
+
+func (n *neighbour) try(process *peerpb.Process, distance uint64) {
+	if n.next == nil || distance < n.least {
+		n.next, n.least = process, distance
+	}
+	if n.before == nil || distance > n.greatest {
+		n.before, n.greatest = process, distance
+	}
 }
 
 func appendOnce(processes []*peerpb.Process, process *peerpb.Process) []*peerpb.Process {
