Spread a prefix by its popularity, and count a rise of demand bit by bit

Change: a prefix gets as many servers as its share of this entry's requests needs, at least two, and the less loaded of two of them is taken; a rise counts by the square of its average over the settle time, which grows with the logarithm of the number of entries.

--- a/internal/limit/account.go
+++ b/internal/limit/account.go
@@ -157,8 +157,13 @@
 	return limit == 0 || total+1 <= limit
 }
 
-// settled returns the least own demand told within the settle time: a rise
-// counts once all entries have heard it, a fall at once.
+// settled returns the part of the own demand that counts: its average over the
+// settle time, and no more than it is now. A rise counts bit by bit, as the
+// other entries hear of it; a fall counts at once.
+//
+// A rise that counted at once would let each of many entries take what one of
+// them may, until each has heard the others; one that waited until all have
+// heard it would leave the limit unused for that long.
 func (a *account) settled(settle time.Duration, now time.Time) *peerpb.Demand {
 	if a.told == nil {
 		return nil
@@ -166,16 +171,38 @@
 	for len(a.earlier) > 1 && now.Sub(a.earlier[1].time) >= settle {
 		a.earlier = a.earlier[1:]
 	}
-	if len(a.earlier) == 0 || now.Sub(a.earlier[0].time) < settle {
-		return nil
+	var rate, running, tokens float64
+	for i, one := range a.earlier {
+		until := now
+		if i+1 < len(a.earlier) {
+			until = a.earlier[i+1].time
+		}
+		part := float64(until.Sub(later(one.time, now.Add(-settle)))) / float64(settle)
+		rate += part * one.demand.GetRate()
+		running += part * one.demand.GetRunning()
+		tokens += part * one.demand.GetTokens()
+	}
+	return peerpb.Demand_builder{
+		Rate:    ramp(rate, a.told.GetRate()),
+		Running: ramp(running, a.told.GetRunning()),
+		Tokens:  ramp(tokens, a.told.GetTokens()),
+	}.Build()
+}
+
+// ramp returns the part of a demand that counts by its average over the settle
+// time: slowly at first, while the others have heard nothing, then faster.
+func ramp(average, now float64) float64 {
+	if average >= now {
+		return now
 	}
-	least := peerpb.Demand_builder{Rate: a.told.GetRate(), Running: a.told.GetRunning(), Tokens: a.told.GetTokens()}.Build()
-	for _, one := range a.earlier {
-		least.SetRate(min(least.GetRate(), one.demand.GetRate()))
-		least.SetRunning(min(least.GetRunning(), one.demand.GetRunning()))
-		least.SetTokens(min(least.GetTokens(), one.demand.GetTokens()))
+	return average * average / now
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return least
+	return b
 }
 
 // tell renews the own demand if it has changed or was told long ago.
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// DefaultSettle is the time that a demand takes to reach all entries.
-	DefaultSettle = 3 * time.Second
+	// settleBase and settleStep give the settle time by the number of entries: a
+	// demand that is passed on each second reaches twice as many with each pass.
+	settleBase = time.Second
+	settleStep = 250 * time.Millisecond
 	// forget is how long a demand counts after it was last heard.
 	forget = 45 * time.Second
 	// repeatAfter is how often an unchanged demand is told again.
@@ -64,7 +66,8 @@
 type Limiter struct {
 	// Self names this entry.
 	Self string
-	// Settle is the time that a demand takes to reach all entries; 0 takes DefaultSettle.
+	// Settle is the time over which a rise of the demand comes to count; 0 takes
+	// one that fits the number of entries.
 	Settle time.Duration
 	// Entries is the number of entries; it may change between calls.
 	Entries int
@@ -143,7 +146,7 @@
 
 func (l *Limiter) settle() time.Duration {
 	if l.Settle == 0 {
-		return DefaultSettle
+		return settleBase + time.Duration(math.Log2(float64(l.entries()))*float64(settleStep))
 	}
 	return l.Settle
 }
--- a/internal/route/chooser.go
+++ b/internal/route/chooser.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"math/rand/v2"
 )
 
@@ -10,10 +11,10 @@
 	DefaultPrefixBytes = 256
 	// DefaultBound is how much above the mean utilization a server of a prefix may be.
 	DefaultBound = 1.25
-	// ranks is the number of servers that a prefix may spill over to.
-	ranks = 3
-	// draws is the number of random servers compared.
-	draws = 2
+	// DefaultSpread is how much more servers a prefix gets than its share of the requests.
+	DefaultSpread = 2
+	// leastReplicas of a prefix share its requests.
+	leastReplicas = 2
 	// zoneMargin is the utilization by which another zone must be better.
 	zoneMargin = 0.25
 )
@@ -24,8 +25,7 @@
 // Reasons.
 const (
 	ReasonNone    Reason = "none gets new work"
-	ReasonPrefix  Reason = "first for the prefix"
-	ReasonSpill   Reason = "next for the prefix, the first is above the bound"
+	ReasonPrefix  Reason = "less loaded of two for the prefix"
 	ReasonDraws   Reason = "less loaded of two random ones"
 	ReasonZone    Reason = "less loaded of two random ones of the zone"
 	ReasonAway    Reason = "of another zone, this one is loaded"
@@ -58,17 +58,21 @@
 	// Bound is how much above the mean utilization a prefix's server may be;
 	// 0 takes DefaultBound.
 	Bound float64
+	// Spread is how much more servers a prefix gets than its share of the
+	// requests; 0 takes DefaultSpread.
+	Spread float64
 	// Random draws; nil takes the process's own.
 	Random *rand.Rand
 
-	eligible []*Server
-	near     []*Server
+	popularity Popularity
+	eligible   []*Server
+	near       []*Server
 }
 
 // Choose returns the server for a request. With a prefix it prefers the servers
-// that rank first for it, which all entries agree on without a word; with none,
-// or where those are loaded, it takes the less loaded of two random servers,
-// of this zone first.
+// that score highest for it, which all entries agree on without a word; where
+// those are loaded it takes the less loaded of two random servers. Without a
+// prefix it does so too, in this zone first.
 func (c *Chooser) Choose(servers []*Server, request Request) Choice {
 	c.gather(servers, request, Open)
 	if len(c.eligible) == 0 {
@@ -123,26 +127,34 @@
 	return Choice{Server: c.draw(c.eligible), Reason: ReasonSuspect}
 }
 
-// byPrefix returns the first server by rank that is within the bound, or none.
+// byPrefix returns the less loaded of two replicas of the prefix if it is within
+// the bound, or none.
 func (c *Chooser) byPrefix(prefix uint64) Choice {
-	ranked := rank(c.eligible, prefix)
-	limit := c.limit()
-	for i, server := range ranked {
-		if server == nil {
-			break
-		}
-		if server.Load() < server.Slots() && i == 0 || server.Utilization() <= limit {
-			return Choice{Server: server, Reason: prefixReason(i)}
-		}
+	replicas := c.replicas(c.popularity.Add(prefix))
+	first := c.random(replicas)
+	second := (first + 1 + c.random(replicas-1)) % replicas
+	one, other := rank(c.eligible, mix(prefix, uint64(first)), mix(prefix, uint64(second)))
+	if other.Utilization() < one.Utilization() {
+		one = other
+	}
+	if one.Load() < one.Slots() || one.Utilization() <= c.limit() {
+		return Choice{Server: one, Reason: ReasonPrefix}
 	}
 	return Choice{}
 }
 
-func prefixReason(rank int) Reason {
-	if rank == 0 {
-		return ReasonPrefix
-	}
-	return ReasonSpill
+// replicas returns over how many servers a prefix is spread: as many as its
+// share of the requests needs, and at least two.
+//
+// A fixed number fails either way: reports lag, so many entries send a prefix
+// that all want to the same few servers long before they hear of the queue
+// there, while rare prefixes spread over many would be cached nowhere.
+func (c *Chooser) replicas(share float64) int {
+	spread := c.Spread
+	if spread == 0 {
+		spread = DefaultSpread
+	}
+	return max(leastReplicas, int(math.Ceil(spread*share*float64(len(c.eligible)))))
 }
 
 // limit returns the utilization up to which a prefix keeps its server.
@@ -159,23 +171,19 @@
 	return bound * float64(load+1) / float64(slots)
 }
 
-// rank returns the servers that score highest with a prefix. When a server
-// comes or goes, only the prefixes that it ranks first for move.
-func rank(servers []*Server, prefix uint64) [ranks]*Server {
-	var best [ranks]*Server
-	var scores [ranks]uint64
+// rank returns the server that scores highest with each of two keys. When a
+// server comes or goes, only the keys that it scores highest for move.
+func rank(servers []*Server, key, otherKey uint64) (one, other *Server) {
+	var score, otherScore uint64
 	for _, server := range servers {
-		score := mix(server.hash, prefix)
-		for at := range best {
-			if best[at] == nil || score > scores[at] {
-				copy(best[at+1:], best[at:])
-				copy(scores[at+1:], scores[at:])
-				best[at], scores[at] = server, score
-				break
-			}
+		if next := mix(server.hash, key); one == nil || next > score {
+			one, score = server, next
+		}
+		if next := mix(server.hash, otherKey); other == nil || next > otherScore {
+			other, otherScore = server, next
 		}
 	}
-	return best
+	return one, other
 }
 
 // byZone draws in this zone, and elsewhere if that is clearly less loaded.
@@ -193,14 +201,16 @@
 
 // draw returns the less loaded of two random servers.
 func (c *Chooser) draw(servers []*Server) *Server {
-	best := servers[c.random(len(servers))]
-	for range draws - 1 {
-		other := servers[c.random(len(servers))]
-		if other.Utilization() < best.Utilization() {
-			best = other
-		}
+	first := c.random(len(servers))
+	one := servers[first]
+	if len(servers) == 1 {
+		return one
+	}
+	other := servers[(first+1+c.random(len(servers)-1))%len(servers)]
+	if other.Utilization() < one.Utilization() {
+		return other
 	}
-	return best
+	return one
 }
 
 func (c *Chooser) random(n int) int {
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -79,6 +79,9 @@
 // Own returns the number of this entry's running requests.
 func (s *Server) Own() int64 { return s.own }
 
+// Reported returns the requests that run or wait by the last report.
+func (s *Server) Reported() int64 { return s.report.Running + s.report.Queued }
+
 // SetStanding sets whether the server gets new work.
 func (s *Server) SetStanding(standing Standing) { s.standing = standing }
 
@@ -95,7 +98,7 @@
 
 // TakeReport takes a report if it is newer than the last one.
 func (s *Server) TakeReport(report Report) {
-	if report.Seq == s.report.Seq {
+	if report.Seq <= s.report.Seq {
 		return
 	}
 	s.report = report
