--- a/internal/bramleyhatch/sidecarbackend.go
+++ b/internal/bramleyhatch/sidecarbackend.go
@@ -31,6 +31,7 @@
 		Pool:      settings.GetPool(),
 		Backend:   s.newBackend(),
 		Decisions: s.Decisions,
+		Metrics:   s.Metrics,
 		Loads:     s.members,
 		Slots:     int(settings.GetSlots()),
 		Queue:     int(settings.GetQueue()),
@@ -40,6 +41,7 @@
 	server.Open()
 	s.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterSidecarServer(registrar, server) })
 	s.AddDuty("backend", server.Maintain)
+	s.AddDuty("claim", server.Claims.Learn)
 	s.AddDrain(server.Drain)
 }
 
--- a/internal/measure/experiments.go
+++ b/internal/measure/experiments.go
@@ -10,5 +10,7 @@
 		Limits(),
 		Stragglers(),
 		Weights(),
+		Membership(),
+		MembershipSlope(),
 	}
 }
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -42,18 +42,19 @@
 	facts     facts
 	loads     map[string]*peerpb.Load
 	stamps    stamps
+	demands   keptDemands
 	watchers  map[string][]func(*peerpb.Fact)
 	withdrawn []func(*peerpb.Withdrawal)
 	roles     map[peerpb.Role][]*peerpb.Process
 	rolesAt   uint64
 	urgent    chan struct{}
+	important bool
 	exchanged time.Time
 	started   time.Time
 	synced    time.Time
 	differs   bool
 	replaced  bool
 	ancestry  ancestry
-	demands   keptDemands
 	// replacedBy holds, by name, the records that a later process has replaced.
 	replacedBy map[string]*peerpb.Process
 
@@ -130,6 +131,7 @@
 		return false
 	}
 	watchers := m.matching(fact.GetName())
+	m.important = true
 	m.hurry()
 	m.mutex.Unlock()
 	for _, watcher := range watchers {
@@ -172,6 +174,13 @@
 	m.withdrawn = append(m.withdrawn, watcher)
 }
 
+// Process returns the record of a process in whatever state, or nil.
+func (m *Members) Process(name string) *peerpb.Process {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.table.get(name)
+}
+
 // Processes returns the processes of a role that are not known to have failed
 // or left, by name; draining and suspected ones are among them. The slice is
 // shared and must not be changed.
@@ -227,6 +236,7 @@
 		return false
 	}
 	watchers := slices.Clone(m.withdrawn)
+	m.important = true
 	m.hurry()
 	m.mutex.Unlock()
 	for _, watcher := range watchers {
@@ -342,6 +352,7 @@
 	m.self = next
 	m.table.put(next, time.Time{})
 	m.updates.add(next.GetName())
+	m.important = true
 	m.hurry()
 }
 
--- a/internal/member/updates.go
+++ b/internal/member/updates.go
@@ -13,9 +13,6 @@
 const (
 	// updateBytes bounds the changes of processes in one message.
 	updateBytes = 700
-	// repeatFactor times the logarithm of the number of processes is how often
-	// a process sends one change on.
-	repeatFactor = 3
 )
 
 // updates are the changes of processes that are still to be sent on, with the
@@ -63,6 +60,9 @@
 	}
 }
 
+// limit is how often a process sends one change on: to each neighbour, or as
+// often as the number of processes can be halved if that is more. What still
+// misses someone is found by comparing tables.
 func limit(size int) int {
-	return repeatFactor * bits.Len(uint(size))
+	return max(2*ringCount, bits.Len(uint(size)))
 }
