--- a/internal/listen/grpc.go
+++ b/internal/listen/grpc.go
@@ -17,6 +17,10 @@
 	aliveTime       = 10 * time.Second
 	aliveTimeout    = 3 * time.Second
 	leastAliveTime  = time.Second
+	// idleClose is how long a connection without calls stays open. An entry
+	// reaches hundreds of sidecars; pings and buffers of all of them would take
+	// more than a process may spend on control.
+	idleClose = 30 * time.Second
 )
 
 // GRPC is the server for other processes of the system.
@@ -91,6 +95,7 @@
 	connection, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(transport),
 		grpc.WithDisableRetry(),
+		grpc.WithIdleTimeout(idleClose),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: aliveTime, Timeout: aliveTimeout, PermitWithoutStream: true}),
