--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -116,12 +116,11 @@
 }
 
 // checkHome refuses a claim whose home is another server by this process's view.
+// The entry's epoch need not be the same: whom to ask is decided by the view
+// here, so an entry that is behind does no harm as long as it found the home.
 func (c *Claims) checkHome(request *peerpb.RunRequest, fleet *statepb.Fleet) *refusal.Error {
 	if home := claim.Home(request.GetClaim(), fleet); home != c.Server {
-		return refusal.NotRun(http.StatusServiceUnavailable, "wrong_home", "requests with this idempotency key go to %q by epoch %d", home, fleet.GetEpoch()).After(retryElsewhere)
-	}
-	if request.GetEpoch() != fleet.GetEpoch() {
-		return refusal.NotRun(http.StatusServiceUnavailable, "wrong_epoch", "sent by epoch %d, now is %d", request.GetEpoch(), fleet.GetEpoch()).After(retryElsewhere)
+		return refusal.NotRun(http.StatusServiceUnavailable, "wrong_home", "requests with this idempotency key go to %q by epoch %d, sent by epoch %d", home, fleet.GetEpoch(), request.GetEpoch()).After(retryElsewhere)
 	}
 	return nil
 }
