Relay the answer of the sidecar that has a claim

Cause: after a change of the pool's servers a retry with a key came to a new home and was told that the outcome is unknown, though the sidecar that ran the posting still had its answer. Found on the way: a request refused as another one under the same key left its own digest at the home, so that the true retry was refused as another one and "not run"; a claim that was given up now takes the digest of who takes it over. TestRetryAfterHomeRemoved now also takes the home's sidecar away, as its story says; TestRetryWhileHomeDrains asks for the answer where it is still there. Guards taken out, each failing its test: the relay in place of passing, both comparisons of digests, the refusal to relay to itself.

--- a/internal/claim/journal.go
+++ b/internal/claim/journal.go
@@ -100,13 +100,14 @@
 
 // Renew gives a claim to a new request of the same server, once the one that
 // had it was proved not to have run.
-func (j *Journal) Renew(claim, id string, now time.Time) {
+func (j *Journal) Renew(claim, id, digest string, now time.Time) {
 	record := j.records[claim]
 	if record == nil {
 		return
 	}
 	record.void = append(record.void, record.id)
 	record.id = id
+	record.digest = digest
 	j.extend(claim, now)
 }
 
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"github.com/bramleyhatch/bramleyhatch/internal/claim"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
@@ -19,6 +21,8 @@
 type Peers interface {
 	// Claim asks a server's sidecar to keep a claim.
 	Claim(ctx context.Context, server string, request *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
+	// Join joins a run at a server's sidecar; it starts none.
+	Join(ctx context.Context, server string, request *peerpb.RunRequest) (grpc.ServerStreamingClient[peerpb.Frame], error)
 	// Recall asks a server's sidecar for the claims that it keeps.
 	Recall(ctx context.Context, server string, request *peerpb.RecallRequest) (*peerpb.RecallReply, error)
 }
@@ -57,7 +61,7 @@
 }
 
 // hold keeps a request's claim or finds out which run has it. It returns nil
-// and no refusal if the request itself has the claim.
+// and no refusal if the request itself has the claim, or a sidecar elsewhere.
 func (c *Claims) hold(request *peerpb.RunRequest, find func(id string) *run) (*run, *refusal.Error) {
 	if refused := c.checkNew(request); refused != nil {
 		return nil, refused
@@ -70,15 +74,15 @@
 	switch {
 	case isNew:
 		return nil, nil
+	case record.Server() == c.Server && known != nil && known.isNotRun():
+		c.journal.Renew(request.GetClaim(), request.GetId(), digest(request), time.Now())
+		return nil, nil
+	case isOther(record.Digest(), request):
+		return nil, keyReused()
 	case record.Server() != c.Server:
-		return nil, refusal.Unknown(http.StatusConflict, "claimed_elsewhere", "the idempotency key was used for a request to %s", record.Server())
-	case record.Digest() != digest(request):
-		return nil, refusal.NotRun(http.StatusUnprocessableEntity, "key_reused", "the idempotency key was used for another request")
+		return nil, nil
 	case known == nil:
 		return nil, refusal.Unknown(http.StatusBadGateway, "not_known", "the idempotency key was used and its answer is not known any more")
-	case known.isNotRun():
-		c.journal.Renew(request.GetClaim(), request.GetId(), time.Now())
-		return nil, nil
 	default:
 		return known, nil
 	}
@@ -94,8 +98,36 @@
 }
 
 // confirm asks the other sidecars that may know the claim, and its witness to
-// keep it. It is called just before the request is passed on.
-func (c *Claims) confirm(ctx context.Context, request *peerpb.RunRequest) *refusal.Error {
+// keep it. It is called just before the request is passed on. It returns the
+// holder if the claim is known elsewhere; the request then must not run here.
+func (c *Claims) confirm(ctx context.Context, request *peerpb.RunRequest) (*holder, *refusal.Error) {
+	if known := c.holder(request.GetClaim()); known != nil {
+		return known, nil
+	}
+	inquiry := &inquiry{claims: c, request: request}
+	refused := c.inquire(ctx, inquiry)
+	switch {
+	case inquiry.holder == nil:
+		return nil, refused
+	case isOther(inquiry.holder.digest, request):
+		return nil, keyReused()
+	default:
+		return inquiry.holder, nil
+	}
+}
+
+// holder returns the other server that has a claim by the journal here, or nil.
+func (c *Claims) holder(key string) *holder {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	record, known := c.journal.Find(key)
+	if !known || record.Server() == c.Server {
+		return nil
+	}
+	return &holder{server: record.Server(), id: record.ID()}
+}
+
+func (c *Claims) inquire(ctx context.Context, inquiry *inquiry) *refusal.Error {
 	now := time.Now()
 	if c.Members.Isolated(now) {
 		return refusal.NotRun(http.StatusServiceUnavailable, "isolated", "the sidecar of %s is cut off and may know an old fleet", c.Server).After(retryElsewhere)
@@ -107,12 +139,12 @@
 	if fleet == nil {
 		return c.confirmWithoutFleet(now)
 	}
-	if refused := c.checkHome(request, fleet); refused != nil {
+	if refused := c.checkHome(inquiry.request, fleet); refused != nil {
 		return refused
 	}
-	plan := claim.NewPlan(request.GetClaim(), fleet, now, c.Remember)
-	verdict := plan.Check(func(server string) claim.Answer { return c.ask(ctx, request, server, fleet.GetEpoch()) })
-	return c.refuse(verdict)
+	inquiry.epoch = fleet.GetEpoch()
+	plan := claim.NewPlan(inquiry.request.GetClaim(), fleet, now, c.Remember)
+	return c.refuse(plan.Check(func(server string) claim.Answer { return inquiry.ask(ctx, server) }))
 }
 
 // checkHome refuses a claim whose home is another server by this process's view.
@@ -150,24 +182,6 @@
 	}
 }
 
-// ask asks a server's sidecar, which may be this one, to keep the claim.
-func (c *Claims) ask(ctx context.Context, request *peerpb.RunRequest, server string, epoch uint64) claim.Answer {
-	if server == c.Server {
-		return firmness(c.isFirm(time.Now()))
-	}
-	reply, err := c.Peers.Claim(ctx, server, peerpb.ClaimRequest_builder{
-		Claim: request.GetClaim(), Server: c.Server, Pool: c.Pool, Epoch: epoch, Id: request.GetId(), Digest: digest(request),
-	}.Build())
-	switch {
-	case err != nil || reply.HasRefusal():
-		return claim.Silent
-	case !reply.GetRecorded() && !c.isOwnVoid(request.GetClaim(), reply):
-		return claim.KnownThere
-	default:
-		return firmness(c.hasAllMemory(reply.GetSince()))
-	}
-}
-
 // isOwnVoid reports whether a witness knows the claim from a request of this
 // process that was proved not to have run.
 func (c *Claims) isOwnVoid(key string, reply *peerpb.ClaimReply) bool {
@@ -195,7 +209,7 @@
 	if known := find(record.ID()); !isNew && record.Server() == c.Server && known != nil && known.isNotRun() {
 		record, isNew = c.journal.Replace(request.GetClaim(), claim.NewRecord(request.GetId(), request.GetServer(), request.GetDigest()), time.Now()), true
 	}
-	reply := peerpb.ClaimReply_builder{Recorded: isNew, Id: record.ID(), Server: record.Server()}.Build()
+	reply := peerpb.ClaimReply_builder{Recorded: isNew, Id: record.ID(), Server: record.Server(), Digest: record.Digest()}.Build()
 	if !c.isFirm(time.Now()) {
 		reply.SetSince(uint64(c.Started.UnixNano()))
 	}
@@ -242,6 +256,16 @@
 	return hex.EncodeToString(sum.Sum(nil))
 }
 
+// isOther reports whether a known digest is that of another request; one that
+// isn't known tells nothing.
+func isOther(known string, request *peerpb.RunRequest) bool {
+	return known != "" && known != digest(request)
+}
+
+func keyReused() *refusal.Error {
+	return refusal.NotRun(http.StatusUnprocessableEntity, "key_reused", "the idempotency key was used for another request")
+}
+
 func isClaimed(request *peerpb.RunRequest) bool {
 	return request.GetClaim() != "" && !request.GetIdempotent()
 }
--- a/internal/entry/claims_test.go
+++ b/internal/entry/claims_test.go
@@ -37,6 +37,9 @@
 	home, _ := p.home()
 	mustBeWhole(t, postingAnswer, p.send(home, "r1"))
 	p.start(home, false)
+	other := p.posting("r3")
+	other.SetBody([]byte("{}"))
+	mustBeRefused(t, notRun, "key_reused", send(p.clients[home], other))
 	mustBeRefused(t, unknown, "claimed_elsewhere", p.send(home, "r2"))
 	must.Eq(t, 1, p.runs.Load())
 }
@@ -48,10 +51,26 @@
 	home, witness := p.home()
 	mustBeWhole(t, postingAnswer, p.send(home, "r1"))
 	p.remove(home)
+	p.setAddress(home, "127.0.0.1:1")
 	mustBeRefused(t, unknown, "claimed_elsewhere", p.send(witness, "r2"))
 	must.Eq(t, 1, p.runs.Load())
 }
 
+// The home leaves the pool after the posting ran and its sidecar still drains.
+// The retry comes to the new home and must get the posting's answer.
+func TestRetryWhileHomeDrains(t *testing.T) {
+	p := newPool(t, newService(t, false, answerPosting), bound)
+	home, witness := p.home()
+	mustBeWhole(t, postingAnswer, p.send(home, "r1"))
+	p.remove(home)
+	mustBeWhole(t, postingAnswer, p.send(witness, "r2"))
+	mustBeWhole(t, postingAnswer, p.send(witness, "r3"))
+	other := p.posting("r4")
+	other.SetBody([]byte("{}"))
+	mustBeRefused(t, notRun, "key_reused", send(p.clients[witness], other))
+	must.Eq(t, 1, p.runs.Load())
+}
+
 // Home and witness lose their memory within minutes. Nobody knows whether the
 // key was used, so it must not run, and the refusal must not say "not run".
 func TestRetryAfterBothRestarted(t *testing.T) {
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -42,14 +42,20 @@
 }
 
 // confirmAndPass passes the request on once its claim, if it has one, is kept
-// by its witness.
+// by its witness, or relays the answer of the sidecar that has the claim.
 func (s *Server) confirmAndPass(ctx context.Context, run *run) (*peerpb.End, error) {
-	if isClaimed(run.request) {
-		if refused := s.Claims.confirm(ctx, run.request); refused != nil {
-			return nil, refused
-		}
+	if !isClaimed(run.request) {
+		return s.pass(ctx, run)
+	}
+	holder, refused := s.Claims.confirm(ctx, run.request)
+	switch {
+	case refused != nil:
+		return nil, refused
+	case holder != nil:
+		return s.relay(ctx, run, holder)
+	default:
+		return s.pass(ctx, run)
 	}
-	return s.pass(ctx, run)
 }
 
 // pass gives the request to the backend server. That it was passed is noted
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -68,6 +68,16 @@
 	return reply, eris.Wrapf(err, "recall from %s", server)
 }
 
+// Join joins a run at a server's sidecar; it starts none.
+func (s *Sidecars) Join(ctx context.Context, server string, request *peerpb.RunRequest) (grpc.ServerStreamingClient[peerpb.Frame], error) {
+	connection, err := s.connect(server)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := peerpb.NewSidecarClient(connection).Run(ctx, request)
+	return stream, eris.Wrapf(err, "join at %s", server)
+}
+
 func (s *Sidecars) connect(server string) (*grpc.ClientConn, error) {
 	address := s.address(server)
 	if address == "" {
