--- a/internal/bramleyhatch/entrytrainers.go
+++ b/internal/bramleyhatch/entrytrainers.go
@@ -44,12 +44,12 @@
 // the weights of samplers.
 func (e *Entry) addTrainers() {
 	t := &trainers{entry: e, conductors: &weight.Conductors{}, metrics: rollout.NewMetrics(e.Metrics)}
-	t.sidecars = &weight.Sidecars{Directory: e.members}
+	t.sidecars = &weight.Sidecars{Directory: e.members, Credentials: e.credentials()}
 	draining, startDraining := context.WithCancel(context.Background())
 	t.draining = draining
 	t.drain = func(context.Context) { startDraining() }
 	shelf := &rollout.Shelf{}
-	t.peers = &rollout.Peers{Directory: e.members, Shelf: shelf}
+	t.peers = &rollout.Peers{Directory: e.members, Shelf: shelf, Credentials: e.credentials()}
 	t.service = &rollout.Service{
 		New:     t.newHolder,
 		Shelf:   shelf,
