--- a/cmd/standin/cmd/cmd.go
+++ b/cmd/standin/cmd/cmd.go
@@ -25,17 +25,18 @@
 }
 
 type commands struct {
-	Platform platformCmd `cmd:"" help:"Run the platform: key-value service, orders, usage reports, host list."`
-	Engine   engineCmd   `cmd:"" help:"Run a model engine."`
-	Ledger   ledgerCmd   `cmd:"" help:"Run a plain service with records and hour postings."`
-	Weights  weightsCmd  `cmd:"" help:"Run a weight store."`
-	Scorer   scorerCmd   `cmd:"" help:"Run a service that scores samples."`
-	Trainer  trainerCmd  `cmd:"" help:"Run a trainer through steps."`
-	Orders   ordersCmd   `cmd:"" help:"Check the orders that a platform got."`
-	Windows  windowsCmd  `cmd:"" help:"Check the usage reports that a platform got."`
-	Call     callCmd     `cmd:"" help:"Send one HTTP request and print the answer."`
-	Relay    relayCmd    `cmd:"" help:"Run a relay of TCP connections that can be cut or silenced."`
-	Demo     demoCmd     `cmd:"" help:"Run the whole path on loopback and print what happened."`
+	Platform     platformCmd     `cmd:"" help:"Run the platform: key-value service, orders, usage reports, host list."`
+	Engine       engineCmd       `cmd:"" help:"Run a model engine."`
+	Ledger       ledgerCmd       `cmd:"" help:"Run a plain service with records and hour postings."`
+	Weights      weightsCmd      `cmd:"" help:"Run a weight store."`
+	Scorer       scorerCmd       `cmd:"" help:"Run a service that scores samples."`
+	Trainer      trainerCmd      `cmd:"" help:"Run a trainer through steps."`
+	Orders       ordersCmd       `cmd:"" help:"Check the orders that a platform got."`
+	Windows      windowsCmd      `cmd:"" help:"Check the usage reports that a platform got."`
+	Certificates certificatesCmd `cmd:"" help:"Write an authority and certificates for trials."`
+	Call         callCmd         `cmd:"" help:"Send one HTTP request and print the answer."`
+	Relay        relayCmd        `cmd:"" help:"Run a relay of TCP connections that can be cut or silenced."`
+	Demo         demoCmd         `cmd:"" help:"Run the whole path on loopback and print what happened."`
 }
 
 // exited carries the exit code that kong asks for.
--- a/test/scenario/verbs_test.go
+++ b/test/scenario/verbs_test.go
@@ -39,6 +39,7 @@
 	"freeze":      signalVerb(syscall.SIGSTOP, false),
 	"thaw":        signalVerb(syscall.SIGCONT, false),
 	"control":     control,
+	"capture":     capture,
 	"await":       await,
 	"keys":        keys,
 	"host":        host,
@@ -265,3 +266,13 @@
 		ts.Fatalf("%s answers %d", address, response.StatusCode)
 	}
 }
+
+// capture sets a variable to the first group that matches in the last command's
+// output: capture NAME REGEXP.
+func capture(ts *testscript.TestScript, _ bool, args []string) {
+	found := regexp.MustCompile("(?m)" + args[1]).FindStringSubmatch(ts.ReadFile("stdout"))
+	if found == nil {
+		ts.Fatalf("no match for %s", args[1])
+	}
+	ts.Setenv(args[0], found[1])
+}
