--- /dev/null
+++ b/internal/fleet/sizer_test.go
@@ -0,0 +1,63 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/fleet"
+)
+
+func newSizer() *fleet.Sizer {
+	return &fleet.Sizer{Min: 2, Max: 20, Target: 0.7, StartTime: 3 * time.Minute, Calm: 10 * time.Minute, Smooth: time.Minute}
+}
+
+// feed decides every ten seconds for a while and returns the last decision.
+func feed(sizer *fleet.Sizer, now *time.Time, length time.Duration, running float64) int {
+	wanted := 0
+	for end := now.Add(length); now.Before(end); *now = now.Add(10 * time.Second) {
+		wanted = sizer.Decide(*now, fleet.Need{Running: running, Slots: 10})
+	}
+	return wanted
+}
+
+func TestSizer(t *testing.T) {
+	sizer, now := newSizer(), time.Unix(0, 0)
+	must.Eq(t, 2, feed(sizer, &now, time.Minute, 0))
+	must.Eq(t, 10, feed(sizer, &now, 30*time.Minute, 70))
+	t.Run("keeps servers while the need comes and goes", func(t *testing.T) {
+		must.Eq(t, 10, feed(sizer, &now, 5*time.Minute, 10))
+	})
+	t.Run("gives them up once it is calm", func(t *testing.T) {
+		must.Eq(t, 2, feed(sizer, &now, 30*time.Minute, 10))
+	})
+	t.Run("looks ahead while the need rises", func(t *testing.T) {
+		must.Greater(t, 6, feed(sizer, &now, time.Minute, 60))
+	})
+	t.Run("never passes its bounds", func(t *testing.T) {
+		must.Eq(t, 20, feed(sizer, &now, 30*time.Minute, 10000))
+	})
+}
+
+func TestSpread(t *testing.T) {
+	must.Eq(t, map[string]int{"a": 3, "b": 2, "c": 2}, fleet.Spread(7, map[string]int{"a": 0, "b": 0, "c": 0}))
+	must.Eq(t, map[string]int{"a": 2, "b": 2, "c": 3}, fleet.Spread(7, map[string]int{"a": 2, "b": 2, "c": 5}))
+	must.Eq(t, map[string]int{"a": 4, "c": 3}, fleet.Spread(7, map[string]int{"a": 2, "c": 2}))
+}
+
+func TestSpreadIsEven(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := rapid.IntRange(0, 1000).Draw(t, "servers")
+		present := rapid.MapOfN(rapid.StringMatching("[a-g]"), rapid.IntRange(0, 200), 1, 7).Draw(t, "present")
+		sum, least, most := 0, servers, 0
+		for _, share := range fleet.Spread(servers, present) {
+			sum += share
+			least, most = min(least, share), max(most, share)
+		}
+		if sum != servers || most-least > 1 {
+			t.Fatalf("%d servers in %d zones: sum %d, from %d to %d", servers, len(present), sum, least, most)
+		}
+	})
+}
--- a/internal/measure/experiments.go
+++ b/internal/measure/experiments.go
@@ -6,6 +6,7 @@
 		Fairness(),
 		Stragglers(),
 		Weights(),
+		Fleet(),
 		Membership(),
 		MembershipSlope(),
 	}
