--- a/internal/fleet/sizer.go
+++ b/internal/fleet/sizer.go
@@ -34,9 +34,12 @@
 	StartTime time.Duration
 	// Calm is how long fewer servers must have been enough before one is stopped.
 	Calm time.Duration
-	// Smooth is the time over which the need and its rise are averaged.
+	// Smooth is the time over which the need is averaged; its rise is averaged over StartTime.
 	Smooth time.Duration
+	// Slack is the share of servers that must be too many before any is stopped.
+	Slack float64
 
+	decided int
 	last    time.Time
 	need    float64
 	rise    float64
@@ -55,10 +58,19 @@
 	s.average(now, need.Running+need.Queued)
 	ahead := s.need + max(s.rise, 0)*s.StartTime.Seconds()
 	enough := int(math.Ceil(ahead/(max(need.Slots, 1)*s.Target) - tolerance))
-	return s.calm(now, min(max(enough, s.Min), s.Max))
+	s.decided = s.hold(s.calm(now, min(max(enough, s.Min), s.Max)))
+	return s.decided
 }
 
-// average follows the need and its rise a second; a jump upwards is taken at once.
+// hold keeps the last decision if few servers would be stopped.
+func (s *Sizer) hold(servers int) int {
+	if servers < s.decided && float64(servers) > float64(s.decided)*(1-s.Slack) {
+		return s.decided
+	}
+	return servers
+}
+
+// average follows the need and its rise a second.
 func (s *Sizer) average(now time.Time, need float64) {
 	if !s.started {
 		s.started, s.last, s.need = true, now, need
@@ -68,13 +80,17 @@
 	if elapsed <= 0 {
 		return
 	}
-	weight := 1 - math.Exp(-elapsed/s.Smooth.Seconds())
 	before := s.need
-	s.need += weight * (need - s.need)
-	s.rise += weight * ((s.need-before)/elapsed - s.rise)
+	s.need += weigh(elapsed, s.Smooth) * (need - s.need)
+	s.rise += weigh(elapsed, s.StartTime) * ((s.need-before)/elapsed - s.rise)
 	s.last = now
 }
 
+// weigh returns the weight of a new value in an average over a time.
+func weigh(elapsed float64, over time.Duration) float64 {
+	return 1 - math.Exp(-elapsed/over.Seconds())
+}
+
 // calm returns the most servers that were wanted within Calm. The list holds
 // only wishes that are larger than all later ones, so it stays short.
 func (s *Sizer) calm(now time.Time, servers int) int {
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -15,7 +15,7 @@
 	fleetDrain     = time.Minute
 	fleetService   = 20 * time.Second
 	fleetSlots     = 16
-	fleetQueue     = 16
+	fleetQueue     = 4
 	fleetPeak      = 800.0
 	fleetMin       = 7
 	fleetMax       = 120
@@ -29,8 +29,18 @@
 func Fleet() Experiment {
 	return Experiment{Name: "fleet size: one pool, 7 zones, a day, a zone lost at the peak", Run: func(seed uint64) []Result {
 		return []Result{
-			runFleet("sizer", seed, newSizerPolicy(10*time.Minute)),
-			runFleet("sizer, calm 1m", seed, newSizerPolicy(time.Minute)),
+			runFleet("s look0 0.7 10m 0.2", seed, newSizerPolicy(0.7, 10*time.Minute, 0.2, 0*time.Minute)),
+			runFleet("s look0 0.65 10m 0.2", seed, newSizerPolicy(0.65, 10*time.Minute, 0.2, 0*time.Minute)),
+			runFleet("s look0 0.7 10m 0.3", seed, newSizerPolicy(0.7, 10*time.Minute, 0.3, 0*time.Minute)),
+			runFleet("s look0 0.7 30m 0.2", seed, newSizerPolicy(0.7, 30*time.Minute, 0.2, 0*time.Minute)),
+			runFleet("s look1 0.7 10m 0.2", seed, newSizerPolicy(0.7, 10*time.Minute, 0.2, 1*time.Minute)),
+			runFleet("s look1 0.65 10m 0.2", seed, newSizerPolicy(0.65, 10*time.Minute, 0.2, 1*time.Minute)),
+			runFleet("s look1 0.7 10m 0.3", seed, newSizerPolicy(0.7, 10*time.Minute, 0.3, 1*time.Minute)),
+			runFleet("s look1 0.7 30m 0.2", seed, newSizerPolicy(0.7, 30*time.Minute, 0.2, 1*time.Minute)),
+			runFleet("s look3 0.7 10m 0.2", seed, newSizerPolicy(0.7, 10*time.Minute, 0.2, 3*time.Minute)),
+			runFleet("s look3 0.65 10m 0.2", seed, newSizerPolicy(0.65, 10*time.Minute, 0.2, 3*time.Minute)),
+			runFleet("s look3 0.7 10m 0.3", seed, newSizerPolicy(0.7, 10*time.Minute, 0.3, 3*time.Minute)),
+			runFleet("s look3 0.7 30m 0.2", seed, newSizerPolicy(0.7, 30*time.Minute, 0.2, 3*time.Minute)),
 			runFleet("fixed for the peak", seed, fixedPolicy(int(math.Ceil(fleetPeak*1.2/fleetSlots)))),
 			runFleet("fixed, one zone spare", seed, fixedPolicy(int(math.Ceil(fleetPeak*1.2/fleetSlots*7/6)))),
 			runFleet("threshold", seed, thresholdPolicy()),
@@ -41,8 +51,8 @@
 // sizePolicy returns the servers wanted, given those that are live or starting.
 type sizePolicy func(now time.Time, need fleet.Need, present int) int
 
-func newSizerPolicy(calm time.Duration) sizePolicy {
-	sizer := &fleet.Sizer{Min: fleetMin, Max: fleetMax, Target: 0.8, StartTime: fleetStart, Calm: calm, Smooth: time.Minute}
+func newSizerPolicy(target float64, calm time.Duration, slack float64, look time.Duration) sizePolicy {
+	sizer := &fleet.Sizer{Min: fleetMin, Max: fleetMax, Target: target, StartTime: look + 1, Calm: calm, Slack: slack, Smooth: 30 * time.Second}
 	return func(now time.Time, need fleet.Need, _ int) int { return sizer.Decide(now, need) }
 }
 
@@ -76,7 +86,7 @@
 	day := 0.5 - 0.45*math.Cos(2*math.Pi*elapsed.Hours()/24)
 	d.burst *= math.Exp(-fleetStep.Minutes() / 5)
 	if d.random.Float64() < fleetStep.Hours()*2 {
-		d.burst += 0.05 + 0.15*d.random.Float64()
+		d.burst += 0.2 + 0.5*d.random.Float64()
 	}
 	noise := 1 + 0.05*d.random.NormFloat64()
 	return max(0, (day+d.burst*day)*noise) * fleetPeak / fleetService.Seconds()
