--- a/internal/fleet/sizer.go
+++ b/internal/fleet/sizer.go
@@ -21,29 +21,21 @@
 // Sizer decides how many backend servers a pool needs. It has no clock and does
 // no input or output. Exported fields are set before the first Decide.
 //
-// It starts servers early and stops them late: a server takes a while to start,
-// so the need is looked at ahead by that time; and a need that comes and goes
-// within Calm keeps its servers, so that none is stopped and started in turns.
+// It follows a rise at once and a fall late: a need that comes and goes within
+// Calm keeps its servers, and a few servers too many are kept as well, so that
+// none is stopped and started in turns.
 type Sizer struct {
 	// Min and Max bound the servers over all zones.
 	Min int
 	Max int
 	// Target is the share of slots in use that is aimed at.
 	Target float64
-	// StartTime is how long a server takes to start.
-	StartTime time.Duration
 	// Calm is how long fewer servers must have been enough before one is stopped.
 	Calm time.Duration
-	// Smooth is the time over which the need is averaged; its rise is averaged over StartTime.
-	Smooth time.Duration
 	// Slack is the share of servers that must be too many before any is stopped.
 	Slack float64
 
 	decided int
-	last    time.Time
-	need    float64
-	rise    float64
-	started bool
 	wanted  []wish
 }
 
@@ -55,9 +47,8 @@
 
 // Decide returns the servers wanted over all zones.
 func (s *Sizer) Decide(now time.Time, need Need) int {
-	s.average(now, need.Running+need.Queued)
-	ahead := s.need + max(s.rise, 0)*s.StartTime.Seconds()
-	enough := int(math.Ceil(ahead/(max(need.Slots, 1)*s.Target) - tolerance))
+	slots := max(need.Slots, 1) * s.Target
+	enough := int(math.Ceil((need.Running+need.Queued)/slots - tolerance))
 	s.decided = s.hold(s.calm(now, min(max(enough, s.Min), s.Max)))
 	return s.decided
 }
@@ -70,27 +61,6 @@
 	return servers
 }
 
-// average follows the need and its rise a second.
-func (s *Sizer) average(now time.Time, need float64) {
-	if !s.started {
-		s.started, s.last, s.need = true, now, need
-		return
-	}
-	elapsed := now.Sub(s.last).Seconds()
-	if elapsed <= 0 {
-		return
-	}
-	before := s.need
-	s.need += weigh(elapsed, s.Smooth) * (need - s.need)
-	s.rise += weigh(elapsed, s.StartTime) * ((s.need-before)/elapsed - s.rise)
-	s.last = now
-}
-
-// weigh returns the weight of a new value in an average over a time.
-func weigh(elapsed float64, over time.Duration) float64 {
-	return 1 - math.Exp(-elapsed/over.Seconds())
-}
-
 // calm returns the most servers that were wanted within Calm. The list holds
 // only wishes that are larger than all later ones, so it stays short.
 func (s *Sizer) calm(now time.Time, servers int) int {
