--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -34,6 +34,7 @@
 	Status   statusCmd        `cmd:"" help:"Show processes, revisions in force and holders of duties."`
 	Explain  explainCmd       `cmd:"" help:"Show the decisions taken for a request, sample, order or usage window."`
 	Drain    drainCmd         `cmd:"" help:"Drain a backend server or an entry."`
+	Usage    usageCmd         `cmd:"" help:"Show the figures of closed usage windows."`
 }
 
 // UsageError says that a command was called with wrong arguments.
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -31,6 +31,7 @@
 	PathStatus   = "/operator/v1/status"
 	PathExplain  = "/operator/v1/explain"
 	PathDrain    = "/operator/v1/drain"
+	PathUsage    = "/operator/v1/usage"
 )
 
 // maxBodyBytes fits the largest lists that the store takes, as JSON.
@@ -77,6 +78,7 @@
 		{Method: http.MethodGet, Path: PathStatus, Handler: s.handle(s.status)},
 		{Method: http.MethodGet, Path: PathExplain, Handler: s.handle(s.explain)},
 		{Method: http.MethodPost, Path: PathDrain, Handler: s.handle(s.drain)},
+		{Method: http.MethodGet, Path: PathUsage, Handler: s.handle(s.usage)},
 	}
 }
 
--- /dev/null
+++ b/internal/operator/usage.go
@@ -0,0 +1,64 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/lists"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/operatorpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/usage"
+)
+
+// paramWindow is the query parameter for the start of a window.
+const paramWindow = "window"
+
+// Usage returns a closed usage window by its start, seconds since 1970 UTC; 0 returns all.
+func (c *Client) Usage(ctx context.Context, start int64) (*operatorpb.UsageReply, error) {
+	reply := &operatorpb.UsageReply{}
+	query := url.Values{paramWindow: {strconv.FormatInt(start, 10)}}
+	return reply, c.call(ctx, http.MethodGet, PathUsage, query, nil, reply)
+}
+
+// usage answers with closed windows. The figures are those in the store, which
+// are the ones that are reported.
+func (s *Server) usage(ctx context.Context, _ string, r *http.Request) (proto.Message, error) {
+	text := r.URL.Query().Get(paramWindow)
+	start, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return nil, &lists.InvalidError{Problem: strconv.Quote(text) + " is not a window's start in seconds since 1970"}
+	}
+	windows, err := s.windows(ctx, start)
+	if err != nil {
+		return nil, err
+	}
+	if start != 0 && len(windows) == 0 {
+		return nil, &NotFoundError{Name: usage.Key(start)}
+	}
+	return operatorpb.UsageReply_builder{Windows: windows}.Build(), nil
+}
+
+func (s *Server) windows(ctx context.Context, start int64) ([]*statepb.Window, error) {
+	reply, err := s.Store.List(ctx, usage.Prefix)
+	if err != nil {
+		return nil, err
+	}
+	var windows []*statepb.Window
+	for _, value := range reply.Values {
+		window, err := usage.ParseWindow(value)
+		if err != nil {
+			return nil, err
+		}
+		if start == 0 || window.GetStart() == start {
+			windows = append(windows, window)
+		}
+	}
+	slices.SortFunc(windows, func(a, b *statepb.Window) int { return cmp.Compare(a.GetStart(), b.GetStart()) })
+	return windows, nil
+}
