--- a/internal/cmd/usagecmd.go
+++ b/internal/cmd/usagecmd.go
@@ -27,7 +27,11 @@
 	if err != nil {
 		return err
 	}
-	reply, err := u.client().Usage(context.Background(), start)
+	client, err := u.client()
+	if err != nil {
+		return err
+	}
+	reply, err := client.Usage(context.Background(), start)
 	if err != nil {
 		return err
 	}
