--- a/internal/measure/experiments.go
+++ b/internal/measure/experiments.go
@@ -10,5 +10,6 @@
 		Limits(),
 		Stragglers(),
 		Weights(),
+		Fleet(),
 	}
 }
