Tell operators of a store that went back, and why a process is in its state

Cause: a store restored from a copy takes edits that nobody then takes; status showed neither failed processes nor backend servers. Proved: TestStoreThatWentBackIsNoticed and TestRacingOperators fail with their guard taken out.

--- a/internal/bramleyhatch/entryoperators.go
+++ b/internal/bramleyhatch/entryoperators.go
@@ -18,7 +18,7 @@
 	}
 	e.members.OnFact(member.FactConfig, e.view.Take)
 	e.members.OnWithdrawal(func(withdrawal *peerpb.Withdrawal) { e.view.Withdraw(withdrawal.GetKey()) })
-	editor := &lists.Editor{Store: e.platform, Accepted: e.members.Offer}
+	editor := &lists.Editor{Store: e.platform, Accepted: e.members.Offer, InForce: e.revision}
 	e.addWatchers(editor)
 	server := &operator.Server{
 		Editor:  editor,
@@ -33,6 +33,12 @@
 	return nil
 }
 
+// revision returns that of the configuration in force here.
+func (e *Entry) revision() uint64 {
+	_, revision := e.view.Config()
+	return revision
+}
+
 // addWatchers adds the duties between the store and the other processes.
 func (e *Entry) addWatchers(editor *lists.Editor) {
 	watches := func() bool { return e.members.InCharge("watch", watcherCount) }
--- a/internal/cmd/statuscmd.go
+++ b/internal/cmd/statuscmd.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/operatorpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 )
 
 // statusCmd shows what an entry knows of the system.
@@ -40,10 +42,15 @@
 
 func printStatus(w io.Writer, reply *operatorpb.StatusReply) error {
 	var processes []row
+	slices.SortStableFunc(reply.GetProcesses(), func(a, b *peerpb.Process) int { return strings.Compare(a.GetZone(), b.GetZone()) })
 	for _, process := range reply.GetProcesses() {
 		processes = append(processes, processRow(process))
 	}
-	if err := printTable(w, row{"PROCESS", "ROLE", "REGION", "ZONE", "STATE", "SERVER", "POOL", "ADDRESS"}, processes); err != nil {
+	if err := printTable(w, row{"ZONE", "PROCESS", "ROLE", "STATE", "REASON", "SERVER", "POOL", "ADDRESS"}, processes); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	if err := printServers(w, reply.GetServers()); err != nil {
 		return err
 	}
 	fmt.Fprintln(w)
@@ -65,17 +72,42 @@
 
 func processRow(process *peerpb.Process) row {
 	return row{
+		process.GetRegion() + "/" + process.GetZone(),
 		process.GetName(),
 		plainName(process.GetRole().String(), "ROLE_"),
-		process.GetRegion(),
-		process.GetZone(),
 		plainName(process.GetState().String(), "STATE_"),
+		stateReason(process),
 		process.GetServer(),
 		process.GetPool(),
 		process.GetAddress(),
 	}
 }
 
+// stateReason says why a process is in its state.
+func stateReason(process *peerpb.Process) string {
+	switch process.GetState() {
+	case peerpb.State_STATE_SUSPECT:
+		return "gives no answer"
+	case peerpb.State_STATE_FAILED:
+		return "gave no answer until " + formatTime(process.GetEnded())
+	case peerpb.State_STATE_LEFT:
+		return "stopped in good order at " + formatTime(process.GetEnded())
+	case peerpb.State_STATE_DRAINING:
+		return "asked to drain"
+	default:
+		return "answers"
+	}
+}
+
+func printServers(w io.Writer, servers []*statepb.Server) error {
+	var rows []row
+	slices.SortStableFunc(servers, func(a, b *statepb.Server) int { return strings.Compare(a.GetZone(), b.GetZone()) })
+	for _, server := range servers {
+		rows = append(rows, row{server.GetZone(), server.GetId(), server.GetPool(), server.GetState(), formatTime(server.GetSince())})
+	}
+	return printTable(w, row{"ZONE", "SERVER", "POOL", "STATE", "SINCE"}, rows)
+}
+
 func plainName(name, prefix string) string {
 	return strings.ToLower(strings.TrimPrefix(name, prefix))
 }
--- a/internal/lists/editor.go
+++ b/internal/lists/editor.go
@@ -78,10 +78,24 @@
 	// Accepted is called with each configuration that the store has accepted
 	// or shown, so that it is in force here at once; nil is allowed.
 	Accepted func(*peerpb.Fact) bool
+	// InForce returns the revision in force here; nil is none.
+	InForce func() uint64
 	// Now is the clock; nil is the system's.
 	Now func() time.Time
 }
 
+// BehindError says that the store shows an older configuration than the one in
+// force, as after it was restored from a copy.
+type BehindError struct {
+	Revision uint64
+	InForce  uint64
+}
+
+// Error names both revisions.
+func (e *BehindError) Error() string {
+	return fmt.Sprintf("the store shows revision %d, older than revision %d in force: a change would never be in force", e.Revision, e.InForce)
+}
+
 // Edit is a change of both lists.
 type Edit struct {
 	// Base is the number of the lists that the edit began from.
@@ -210,11 +224,12 @@
 		}
 		var conflict *platform.ConflictError
 		var away *platform.UnavailableError
+		var behind *BehindError
 		switch {
 		case err == nil:
 			return config, revision, nil
 		case errors.As(err, &conflict):
-		case errors.As(err, &away):
+		case errors.As(err, &away), errors.As(err, &behind):
 			unsure = err
 			silent++
 			klog.Warningf("lists: try %d: %v", try+1, err)
@@ -222,7 +237,7 @@
 			return nil, 0, err
 		}
 		if silent == mostSilent {
-			return nil, 0, &UncertainError{Cause: unsure}
+			return nil, 0, giveUp(err)
 		}
 	}
 	if unsure == nil {
@@ -232,6 +247,12 @@
 }
 
 func (e *Editor) try(ctx context.Context, config *listpb.Config, revision uint64, change func(*listpb.Config) (bool, error)) (uint64, error) {
+	// Revisions only ever rise, so a change of an older store would be accepted
+	// there and taken by nobody. Another's change may have come in between, so
+	// this is tried again too.
+	if inForce := e.inForce(); revision < inForce {
+		return 0, &BehindError{Revision: revision, InForce: inForce}
+	}
 	changed, err := change(config)
 	var stale *StaleError
 	if errors.As(err, &stale) {
@@ -261,6 +282,13 @@
 	}
 }
 
+func (e *Editor) inForce() uint64 {
+	if e.InForce == nil {
+		return 0
+	}
+	return e.InForce()
+}
+
 func (e *Editor) note(config *listpb.Config, operator, summary, id string) {
 	change := listpb.Change_builder{
 		Lists:    config.GetLists(),
@@ -299,6 +327,15 @@
 	return nil
 }
 
+// giveUp returns what an operator is told after the last try.
+func giveUp(err error) error {
+	var behind *BehindError
+	if errors.As(err, &behind) {
+		return behind
+	}
+	return &UncertainError{Cause: err}
+}
+
 func hasAccount(config *listpb.Config, name string) bool {
 	for _, account := range config.GetAccounts() {
 		if account.GetName() == name {
--- a/internal/lists/editor_test.go
+++ b/internal/lists/editor_test.go
@@ -57,6 +57,28 @@
 	mustHave(t, editor, 2, 2, 0)
 }
 
+// Two operators apply at the same moment through two entries: both have read
+// lists 1 before either writes. One is accepted, the other is told.
+func TestRacingOperators(t *testing.T) {
+	store := &platformtest.Store{}
+	editor := &lists.Editor{Store: store}
+	mustPut(t, editor, 0, 1)
+	store.Before(func() { mustPut(t, editor, 1, 2) })
+	_, _, err := editor.Put(ctx, lists.Edit{Base: 1, Lists: listsWith(3), Operator: "bob", ID: "x"})
+	var stale *lists.StaleError
+	must.True(t, errors.As(err, &stale))
+	mustHave(t, editor, 2, 2, 0)
+}
+
+// The store was restored from a copy and shows an older configuration. An edit
+// would be accepted there, and be in force nowhere.
+func TestStoreThatWentBackIsNoticed(t *testing.T) {
+	editor := &lists.Editor{Store: &platformtest.Store{}, InForce: func() uint64 { return 7 }}
+	_, _, err := editor.Put(ctx, lists.Edit{Lists: listsWith(1), Operator: "ann", ID: "x"})
+	var behind *lists.BehindError
+	must.True(t, errors.As(err, &behind))
+}
+
 // The store takes an edit, but its answer is lost on the way. Without reading
 // back, the retry finds its own edit in its way and the operator is told that
 // someone else was first, though the edit is in force.
--- a/internal/measure/membershiprun.go
+++ b/internal/measure/membershiprun.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -20,7 +21,7 @@
 // Membership measures how membership and facts are spread, against probes
 // without pushes and against whole tables in each exchange.
 func Membership() Experiment {
-	return Experiment{Name: "membership, 1330 processes", Run: func(seed uint64) []Result {
+	return Experiment{Name: "membership", Run: func(seed uint64) []Result {
 		return []Result{
 			{Policy: "probes and pushes", Figures: memberFigures(memberFull, seed, false)},
 			{Policy: "probes alone", Figures: memberFigures(memberFull, seed, true)},
@@ -31,7 +32,7 @@
 
 // MembershipSlope measures the same by the number of processes.
 func MembershipSlope() Experiment {
-	return Experiment{Name: "membership by number of processes", Run: func(seed uint64) []Result {
+	return Experiment{Name: "membership-size", Run: func(seed uint64) []Result {
 		var results []Result
 		for _, size := range []int{10, 40, 120, 400} {
 			figures := memberFigures(size, seed, false)
@@ -61,7 +62,8 @@
 }
 
 // memberWholeTables works out what an exchange of whole tables costs a process
-// that asks one other and is asked by one each second; its times are not run.
+// that asks one other and is asked by one each second; its other figures are
+// not a number, since it is not run.
 func memberWholeTables(size int) []Figure {
 	loop := &MemberLoop{now: time.Unix(1_700_000_000, 0)}
 	table := &peerpb.Gossip{}
@@ -69,7 +71,13 @@
 		table.SetProcesses(append(table.GetProcesses(), loop.process(i, size)))
 	}
 	bytes := 2 * float64(proto.Size(table)+callBytes)
-	return []Figure{{Name: "quiet B/s", Value: bytes}, {Name: "change s"}, {Name: "change B"}, {Name: "death s"}}
+	none := math.NaN()
+	return []Figure{
+		{Name: "quiet B/s", Value: bytes},
+		{Name: "change s", Value: none},
+		{Name: "change B", Value: none},
+		{Name: "death s", Value: none},
+	}
 }
 
 // perProcess returns the bytes that a process sends on average while do runs.
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -94,6 +94,19 @@
 	return m
 }
 
+// All returns the records of all processes by name, those that failed or left
+// lately among them.
+func (m *Members) All() []*peerpb.Process {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var found []*peerpb.Process
+	for _, known := range m.table.records {
+		found = append(found, known.process)
+	}
+	slices.SortFunc(found, func(a, b *peerpb.Process) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return found
+}
+
 // Digest returns the names and revisions of the facts known here, without values.
 func (m *Members) Digest() []*peerpb.Fact {
 	m.mutex.Lock()
@@ -115,6 +128,20 @@
 	return m.facts.held[name]
 }
 
+// Facts returns the facts whose name has the prefix, by name.
+func (m *Members) Facts(prefix string) []*peerpb.Fact {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var found []*peerpb.Fact
+	for name, fact := range m.facts.held {
+		if strings.HasPrefix(name, prefix) {
+			found = append(found, fact)
+		}
+	}
+	slices.SortFunc(found, func(a, b *peerpb.Fact) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return found
+}
+
 // Load returns the newest load known of a backend server, or nil.
 func (m *Members) Load(server string) *peerpb.Load {
 	m.mutex.Lock()
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -18,6 +18,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/operatorpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 )
 
 const (
@@ -137,9 +138,8 @@
 		Isolated: s.Members.Isolated(now),
 		StoreAge: s.Members.StoreAge(now).Milliseconds(),
 	}.Build()
-	for _, role := range []peerpb.Role{peerpb.Role_ROLE_ENTRY, peerpb.Role_ROLE_SIDECAR} {
-		reply.SetProcesses(append(reply.GetProcesses(), s.Members.Processes(role)...))
-	}
+	reply.SetProcesses(s.Members.All())
+	reply.SetServers(s.servers())
 	reply.SetForce(s.Peers.Force(ctx, peerpb.Role_ROLE_ENTRY))
 	holders, err := s.holders(ctx)
 	if err != nil {
@@ -149,6 +149,20 @@
 	return reply, nil
 }
 
+// servers returns the backend servers of all pools as the fleet's facts tell them.
+func (s *Server) servers() []*statepb.Server {
+	var found []*statepb.Server
+	for _, fact := range s.Members.Facts(member.FactFleet) {
+		fleet := &statepb.Fleet{}
+		if err := proto.Unmarshal(fact.GetValue(), fleet); err != nil {
+			klog.Warningf("operator: %s can't be read: %v", fact.GetName(), err)
+			continue
+		}
+		found = append(found, fleet.GetServers()...)
+	}
+	return found
+}
+
 func (s *Server) holders(ctx context.Context) ([]*operatorpb.Holder, error) {
 	listed, err := s.Store.List(ctx, dutyPrefix)
 	if err != nil {
