Prove mutual TLS between separate processes

Scenario mutualtls: chats, a posting through two entries, a trainer's step and an operator's drain over TLS; a sidecar without a certificate isn't taken in. Taking the credentials out of the claims', the steps', the weights' or the operators' connections makes it fail, each by itself. A seed that gives no answer is now a warning.

--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -63,7 +63,7 @@
 func (e *Exchanger) fetchTable(ctx context.Context, address string) {
 	for range joinRounds {
 		if err := e.exchange(ctx, address); err != nil {
-			klog.V(1).Infof("member: no answer from %s: %v", address, err)
+			klog.Warningf("member: no answer from %s, which is a seed or in the host list: %v", address, err)
 			return
 		}
 		if !e.Members.Differs() {
--- a/test/scenario/verbs_test.go
+++ b/test/scenario/verbs_test.go
@@ -29,20 +29,21 @@
 
 // verbs are the words of the test language beside those of testscript.
 var verbs = map[string]func(*testscript.TestScript, bool, []string){
-	"standin-run": runStandin,
-	"deploy":      deploy,
-	"entry":       runEntry,
-	"sidecar":     runSidecar,
-	"restart":     restart,
-	"crash":       signalVerb(syscall.SIGKILL, true),
-	"terminate":   terminate,
-	"freeze":      signalVerb(syscall.SIGSTOP, false),
-	"thaw":        signalVerb(syscall.SIGCONT, false),
-	"control":     control,
-	"await":       await,
-	"keys":        keys,
-	"host":        host,
-	"server":      server,
+	"standin-run":  runStandin,
+	"certificates": certificates,
+	"deploy":       deploy,
+	"entry":        runEntry,
+	"sidecar":      runSidecar,
+	"restart":      restart,
+	"crash":        signalVerb(syscall.SIGKILL, true),
+	"terminate":    terminate,
+	"freeze":       signalVerb(syscall.SIGSTOP, false),
+	"thaw":         signalVerb(syscall.SIGCONT, false),
+	"control":      control,
+	"await":        await,
+	"keys":         keys,
+	"host":         host,
+	"server":       server,
 }
 
 // runStandin starts a stand-in: standin-run NAME KIND [FLAG...].
@@ -96,7 +97,7 @@
 		"platform.timeout=1s", "member.interval=100ms", "member.suspect=1500ms", "usage.window=2s", "usage.settle=1s",
 	}
 	file := ts.MkAbs(name + ".ini")
-	settings := slices.Concat(common, values)
+	settings := slices.Concat(common, secureSettings(ts, name), values)
 	ts.Check(os.WriteFile(file, []byte(iniText(settings)), 0o600))
 	p.args = []string{kind, "--settings", file}
 	addresses := fleetOf(ts).start(ts, p)
