--- a/internal/measure/experiments.go
+++ b/internal/measure/experiments.go
@@ -5,6 +5,7 @@
 	return []Experiment{
 		Fairness(),
 		Stragglers(),
+		Staleness(),
 		Weights(),
 		Membership(),
 		MembershipSlope(),
--- a/internal/measure/stragglers.go
+++ b/internal/measure/stragglers.go
@@ -31,6 +31,7 @@
 	swapMost          = 10 * time.Second
 	fixedRetries      = 3
 	fixedTimeout      = 40 * time.Second
+	announceEvery     = 70 * time.Second
 )
 
 // Stragglers measures second runs of slow attempts, with one sampler slow
@@ -50,12 +51,32 @@
 	}}
 }
 
-// stragglerPolicy starts second runs.
+// Staleness measures stopping attempts that are doomed, with weights that
+// change every announceEvery, whatever the trainer does.
+func Staleness() Experiment {
+	policies := []stragglerPolicy{
+		{name: "stopped once doomed", every: announceEvery},
+		{name: "checked at the end", every: announceEvery, late: true},
+	}
+	return Experiment{Name: "Staleness", Run: func(seed uint64) []Result {
+		var results []Result
+		for _, policy := range policies {
+			results = append(results, newStragglerRun(policy, seed).run())
+		}
+		return results
+	}}
+}
+
+// stragglerPolicy starts second runs and stops attempts.
 type stragglerPolicy struct {
 	name    string
 	without bool
 	// fixed runs an attempt again that takes longer than fixedTimeout, up to fixedRetries.
 	fixed bool
+	// every is the time between two versions; 0 announces after each training.
+	every time.Duration
+	// late lets doomed attempts run to their end.
+	late bool
 }
 
 // stragglerSampler is a sampler with a pace of its own.
@@ -96,13 +117,15 @@
 	next     uint64
 	newest   uint64
 	trainEnd time.Time
-	idle     time.Duration
-	tokens   float64
-	useful   float64
-	stale    uint64
-	times    []float64
-	leasts   []float64
-	lags     []float64
+	// announcedAt is when the newest version was announced.
+	announcedAt time.Time
+	idle        time.Duration
+	tokens      float64
+	useful      float64
+	stale       uint64
+	times       []float64
+	leasts      []float64
+	lags        []float64
 }
 
 func newStragglerRun(policy stragglerPolicy, seed uint64) *stragglerRun {
@@ -113,6 +136,7 @@
 		now:    time.Unix(0, 0),
 		newest: 1,
 	}
+	run.announcedAt = run.now
 	for range stragglerSamplers {
 		run.samplers = append(run.samplers, &stragglerSampler{pace: 0.9 + 0.2*run.random.Float64(), version: 1})
 	}
@@ -233,7 +257,12 @@
 	if one.answer.Add(one.attempt.ID(), chunk) != nil {
 		return false
 	}
-	return one.step.Progress(one.attempt, count, one.sampler.version, r.now)
+	return one.step.Progress(one.attempt, count, one.sampler.version, r.now) || r.policy.late && isDoomed(one)
+}
+
+// isDoomed tells an attempt that is stopped as stale from one whose slot is filled.
+func isDoomed(one *stragglerAttempt) bool {
+	return slices.ContainsFunc(one.step.Doomed(), func(doomed rollout.Attempt) bool { return doomed.ID() == one.attempt.ID() })
 }
 
 func (r *stragglerRun) finish(one *stragglerAttempt) {
@@ -318,7 +347,7 @@
 		r.step.Commit()
 	}
 	training := r.now.Before(r.trainEnd)
-	if !training && !r.trainEnd.IsZero() {
+	if r.isAnnounced(training) {
 		r.announce()
 	}
 	pulled, err := r.step.Pull(r.next, rollout.MaxSlots, 0)
@@ -343,9 +372,20 @@
 	}
 }
 
+// isAnnounced reports whether new weights are due.
+func (r *stragglerRun) isAnnounced(training bool) bool {
+	if r.policy.every > 0 {
+		return r.now.Sub(r.announcedAt) >= r.policy.every
+	}
+	return !training && !r.trainEnd.IsZero()
+}
+
 // announce ends a training: the samplers swap within swapMost.
 func (r *stragglerRun) announce() {
-	r.trainEnd = time.Time{}
+	if r.policy.every == 0 {
+		r.trainEnd = time.Time{}
+	}
+	r.announcedAt = r.now
 	r.newest++
 	r.step.Announce(r.newest)
 	for _, sampler := range r.samplers {
