Begin again under the newest weights what was stale before

A doomed attempt was started again at once, on a sampler that still showed the version before, and long answers were stopped again and again. The test fails without the rule.

--- a/internal/measure/stragglers.go
+++ b/internal/measure/stragglers.go
@@ -31,7 +31,6 @@
 	swapMost          = 10 * time.Second
 	fixedRetries      = 3
 	fixedTimeout      = 40 * time.Second
-	announceEvery     = 70 * time.Second
 )
 
 // Stragglers measures second runs of slow attempts, with one sampler slow
@@ -51,22 +50,6 @@
 	}}
 }
 
-// Staleness measures stopping attempts that are doomed, with weights that
-// change every announceEvery, whatever the trainer does.
-func Staleness() Experiment {
-	policies := []stragglerPolicy{
-		{name: "stopped once doomed", every: announceEvery},
-		{name: "checked at the end", every: announceEvery, late: true},
-	}
-	return Experiment{Name: "Staleness", Run: func(seed uint64) []Result {
-		var results []Result
-		for _, policy := range policies {
-			results = append(results, newStragglerRun(policy, seed).run())
-		}
-		return results
-	}}
-}
-
 // stragglerPolicy starts second runs and stops attempts.
 type stragglerPolicy struct {
 	name    string
@@ -260,11 +243,6 @@
 	return one.step.Progress(one.attempt, count, one.sampler.version, r.now) || r.policy.late && isDoomed(one)
 }
 
-// isDoomed tells an attempt that is stopped as stale from one whose slot is filled.
-func isDoomed(one *stragglerAttempt) bool {
-	return slices.ContainsFunc(one.step.Doomed(), func(doomed rollout.Attempt) bool { return doomed.ID() == one.attempt.ID() })
-}
-
 func (r *stragglerRun) finish(one *stragglerAttempt) {
 	end := peerpb.End_builder{OutputTokens: uint64(one.reported)}.Build()
 	sample, err := one.answer.Sample(one.attempt, &peerpb.OpenRequest{}, end)
@@ -281,8 +259,7 @@
 // dispatch starts attempts on the samplers with the fewest running.
 func (r *stragglerRun) dispatch() {
 	for {
-		sampler := r.free()
-		if sampler == nil {
+		if r.free(0) == nil {
 			return
 		}
 		attempt, ok := r.step.Next(r.now)
@@ -292,6 +269,11 @@
 		if !ok {
 			return
 		}
+		sampler := r.free(attempt.Oldest())
+		if sampler == nil {
+			r.step.Refuse(attempt, 0, r.now)
+			continue
+		}
 		sampler.running++
 		r.running = append(r.running, &stragglerAttempt{
 			attempt: attempt, sampler: sampler, step: r.step, start: r.now, length: r.length(attempt.Slot()),
@@ -319,12 +301,13 @@
 	})
 }
 
-func (r *stragglerRun) free() *stragglerSampler {
+// free returns the sampler with the fewest running that shows at least a version.
+func (r *stragglerRun) free(oldest uint64) *stragglerSampler {
 	var best *stragglerSampler
 	offset := r.random.IntN(len(r.samplers))
 	for i := range r.samplers {
 		sampler := r.samplers[(i+offset)%len(r.samplers)]
-		if sampler.running >= stragglerSlots || r.now.Before(sampler.awayUntil) {
+		if sampler.version < oldest || sampler.running >= stragglerSlots || r.now.Before(sampler.awayUntil) {
 			continue
 		}
 		if best == nil || sampler.running < best.running {
--- a/internal/rollout/attempt.go
+++ b/internal/rollout/attempt.go
@@ -14,6 +14,7 @@
 	group  uint32
 	prompt string
 	second bool
+	oldest uint64
 }
 
 // Group returns the number of the prompt among those of the step.
@@ -25,6 +26,9 @@
 // Number returns the attempt's number among those of its slot and term, from 1.
 func (a Attempt) Number() uint32 { return a.number }
 
+// Oldest returns the oldest version that a sampler may show to run the attempt.
+func (a Attempt) Oldest() uint64 { return a.oldest }
+
 // Prompt returns the text to complete.
 func (a Attempt) Prompt() string { return a.prompt }
 
--- a/internal/rollout/execution.go
+++ b/internal/rollout/execution.go
@@ -34,7 +34,6 @@
 	step    *Step
 	attempt Attempt
 	open    *peerpb.OpenRequest
-	oldest  uint64
 	answer  Answer
 }
 
@@ -85,7 +84,7 @@
 		Priority:   e.open.GetPriority(),
 		Timeout:    durationpb.New(e.holder.Timeout),
 		Idempotent: true,
-		Version:    e.oldest,
+		Version:    e.attempt.Oldest(),
 	}.Build()
 }
 
--- a/internal/rollout/holder.go
+++ b/internal/rollout/holder.go
@@ -204,7 +204,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.Timeout)
 	h.running[attempt.ID()] = cancel
-	run := &execution{holder: h, step: step, attempt: attempt, open: step.open, oldest: step.Oldest()}
+	run := &execution{holder: h, step: step, attempt: attempt, open: step.open}
 	group.Go(func() {
 		defer cancel()
 		run.run(ctx)
--- a/internal/rollout/slot.go
+++ b/internal/rollout/slot.go
@@ -21,6 +21,8 @@
 	attempts  uint32
 	failures  int
 	notBefore time.Time
+	// stale is true once an attempt or sample was dropped as stale.
+	stale bool
 
 	sample *peerpb.Sample
 	// term and attempt that gave the sample.
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -186,6 +186,7 @@
 		group:  slot.group,
 		prompt: s.open.GetPrompts()[slot.group].GetText(),
 		second: second,
+		oldest: s.oldest(slot),
 	}
 	slot.runs[attempt.number] = &run{attempt: attempt, pace: pace{start: now}}
 	s.counts.started++
@@ -195,8 +196,16 @@
 	return attempt
 }
 
-// Oldest returns the oldest version that an attempt started now may use.
-func (s *Step) Oldest() uint64 {
+// oldest returns the oldest version that an attempt at a slot may use.
+//
+// An announcement stops an attempt as stale at a time when most samplers still
+// show the version before. Started again on one of those, it has a version less
+// to go: a long answer is stopped again and again, and the step never comes
+// whole. So it waits for a sampler with the newest version.
+func (s *Step) oldest(slot *slot) uint64 {
+	if slot.stale {
+		return s.newest
+	}
 	if s.newest <= s.open.GetStaleness() {
 		return 0
 	}
@@ -234,6 +243,7 @@
 	delete(slot.runs, attempt.number)
 	if s.isDoomed(run) {
 		s.counts.stale++
+		slot.stale = true
 		return
 	}
 	s.counts.failed++
@@ -272,6 +282,7 @@
 	oldest := OldestVersion(sample)
 	if lags(s.newest, oldest, s.open.GetStaleness()) {
 		s.counts.stale++
+		slot.stale = true
 		return false
 	}
 	s.learn(run, now)
@@ -329,6 +340,7 @@
 func (s *Step) dropStale(slot *slot) {
 	if lags(s.newest, slot.oldest, s.open.GetStaleness()) {
 		s.counts.stale++
+		slot.stale = true
 		slot.drop()
 	}
 }
--- a/internal/rollout/step_test.go
+++ b/internal/rollout/step_test.go
@@ -131,7 +131,19 @@
 		must.Len(t, 1, step.Doomed())
 		must.False(t, step.Progress(attempt, 1, 2, start))
 		step.Fail(attempt, 0, start)
-		must.Eq(t, 2, mustNext(t, step, start).Number(), must.Sprint("without a pause"))
+		again := mustNext(t, step, start)
+		must.Eq(t, 2, again.Number(), must.Sprint("without a pause"))
+		must.Eq(t, 2, again.Oldest())
+	})
+	t.Run("one that was stale before begins under the newest version", func(t *testing.T) {
+		step := NewStep(openRequest(1, 1, 2, 1), 0, 1, 2)
+		must.True(t, step.Progress(mustNext(t, step, start), 1, 1, start))
+		step.Announce(3)
+		for _, attempt := range step.Doomed() {
+			step.Fail(attempt, 0, start)
+		}
+		must.Eq(t, 3, mustNext(t, step, start).Oldest(), must.Sprint("dropped as stale before"))
+		must.Eq(t, 2, mustNext(t, step, start).Oldest(), must.Sprint("the bound alone"))
 	})
 	t.Run("a whole stale sample is not taken", func(t *testing.T) {
 		step := NewStep(openRequest(1, 1, 1, 1), 0, 1, 3)
