--- a/internal/measure/experiments.go
+++ b/internal/measure/experiments.go
@@ -9,6 +9,7 @@
 		LimitsToday(),
 		Limits(),
 		Stragglers(),
+		Staleness(),
 		Weights(),
 		Fleet(),
 	}
