Let an old load report count less

All entries read in the same old reports which server is the emptier and send there. Change: requests of other entries count by the report's age, by half at 0.5 s, else as the mean of all servers; own requests always count. Guard proved by failing first: TestChooseDistrustsOldReports without the age.

--- a/internal/route/chooser.go
+++ b/internal/route/chooser.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"time"
 )
 
 const (
@@ -45,6 +46,8 @@
 	Prefix uint64
 	// Version is the oldest weight version wanted; 0 takes any.
 	Version uint64
+	// Now is the time by which the age of reports is told.
+	Now time.Time
 	// Tried holds the servers that are not to be chosen; nil for none.
 	Tried map[string]bool
 }
@@ -65,8 +68,10 @@
 	Random *rand.Rand
 
 	popularity Popularity
-	eligible   []*Server
-	near       []*Server
+	// mean is the mean utilization by other entries, as of the last choice.
+	mean     float64
+	eligible []*Server
+	near     []*Server
 }
 
 // Choose returns the server for a request. With a prefix it prefers the servers
@@ -105,11 +110,16 @@
 		c.eligible = append(c.eligible[:0], c.near...)
 	}
 	c.near = c.near[:0]
+	var others, slots int64
 	for _, server := range c.eligible {
+		server.weigh(request.Now, c.mean)
+		others += server.Load() - server.own
+		slots += server.Slots()
 		if server.zone == c.Zone {
 			c.near = append(c.near, server)
 		}
 	}
+	c.mean = float64(others) / float64(max(1, slots))
 }
 
 func mayRun(server *Server, request Request, worst Standing) bool {
@@ -134,10 +144,10 @@
 	first := c.random(replicas)
 	second := (first + 1 + c.random(replicas-1)) % replicas
 	one, other := rank(c.eligible, mix(prefix, uint64(first)), mix(prefix, uint64(second)))
-	if other.Utilization() < one.Utilization() {
+	if other.utilization() < one.utilization() {
 		one = other
 	}
-	if one.Load() < one.Slots() || one.Utilization() <= c.limit() {
+	if one.utilization() < 1 || one.utilization() <= c.limit() {
 		return Choice{Server: one, Reason: ReasonPrefix}
 	}
 	return Choice{}
@@ -163,12 +173,12 @@
 	if bound == 0 {
 		bound = DefaultBound
 	}
-	var load, slots int64
+	var load, slots float64
 	for _, server := range c.eligible {
-		load += server.Load()
-		slots += server.Slots()
+		load += server.estimate
+		slots += float64(server.Slots())
 	}
-	return bound * float64(load+1) / float64(slots)
+	return bound * (load + 1) / slots
 }
 
 // rank returns the server that scores highest with each of two keys. When a
@@ -193,7 +203,7 @@
 	}
 	near := c.draw(c.near)
 	away := c.draw(c.eligible)
-	if near.Load() >= near.Slots() && away.Utilization()+zoneMargin < near.Utilization() {
+	if near.utilization() >= 1 && away.utilization()+zoneMargin < near.utilization() {
 		return Choice{Server: away, Reason: ReasonAway}
 	}
 	return Choice{Server: near, Reason: ReasonZone}
@@ -207,7 +217,7 @@
 		return one
 	}
 	other := servers[(first+1+c.random(len(servers)-1))%len(servers)]
-	if other.Utilization() < one.Utilization() {
+	if other.utilization() < one.utilization() {
 		return other
 	}
 	return one
--- a/internal/route/chooser_test.go
+++ b/internal/route/chooser_test.go
@@ -189,3 +189,26 @@
 	}
 	must.Greater(t, 300, len(seen))
 }
+
+func TestChooseDistrustsOldReports(t *testing.T) {
+	// Many entries read in the same old report that one server is the emptier,
+	// and all send there until the next one comes: its queue grows by all of
+	// them while the other server idles.
+	now := time.Unix(1_000_000, 0)
+	servers := newServers(2, 1)
+	servers[0].TakeReport(route.Report{Seq: 2, Time: now, Running: 2, Slots: 16})
+	servers[1].TakeReport(route.Report{Seq: 2, Time: now, Running: 6, Slots: 16})
+	first := func(age time.Duration) int {
+		chooser := newChooser()
+		count := 0
+		for range 100 {
+			if chooser.Choose(servers, route.Request{Now: now.Add(age)}).Server == servers[0] {
+				count++
+			}
+		}
+		return count
+	}
+	must.Eq(t, 100, first(0))
+	servers[0].Begin()
+	must.Less(t, 10, first(time.Minute))
+}
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -3,9 +3,14 @@
 package route
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 )
 
+// freshness is the age at which a report counts by half.
+const freshness = 500 * time.Millisecond
+
 // assumedSlots stands for the slots of a server that has not told them yet.
 const assumedSlots = 8
 
@@ -24,7 +29,9 @@
 
 // Report is a load report of a server, which lags.
 type Report struct {
-	Seq     uint64
+	Seq uint64
+	// Time is when the report was taken here; zero makes it as good as new.
+	Time    time.Time
 	Running int64
 	Queued  int64
 	Slots   int64
@@ -45,6 +52,8 @@
 	own   int64
 	sent  int64
 	ended int64
+	// estimate is the load that the chooser compares by.
+	estimate float64
 }
 
 // NewServer returns an open server of which no load is known.
@@ -105,9 +114,27 @@
 	s.sent, s.ended = 0, 0
 }
 
-// Utilization returns the load as a share of the slots; above 1 requests wait.
-func (s *Server) Utilization() float64 {
-	return float64(s.Load()) / float64(s.Slots())
+// weigh sets the estimate of the load. The requests of other entries are taken
+// from the report in so far as it is fresh, and else as the mean of all servers.
+//
+// Two choices by old reports are worse than chance: all entries see the same
+// server as the emptier one, and send there until the next report.
+func (s *Server) weigh(now time.Time, mean float64) {
+	others := float64(s.Load() - s.own)
+	weight := 1.0
+	if !s.report.Time.IsZero() {
+		age := now.Sub(s.report.Time).Seconds() / freshness.Seconds()
+		weight = 1 / (1 + age*age)
+	}
+	if s.report.Seq == 0 {
+		weight = 0
+	}
+	s.estimate = float64(s.own) + weight*others + (1-weight)*mean*float64(s.Slots())
+}
+
+// utilization returns the estimate as a share of the slots; above 1 requests wait.
+func (s *Server) utilization() float64 {
+	return s.estimate / float64(s.Slots())
 }
 
 // Zone returns the availability zone of the server.
--- a/internal/sidecar/directory.go
+++ b/internal/sidecar/directory.go
@@ -47,7 +47,8 @@
 func (d *directory) choose(pool string, request route.Request) (*server, route.Reason) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.refresh(time.Now())
+	request.Now = time.Now()
+	d.refresh(request.Now)
 	choice := d.chooser.Choose(d.pools[pool], request)
 	if choice.Server == nil {
 		return nil, choice.Reason
@@ -88,7 +89,7 @@
 		}
 		present[process.GetAddress()] = true
 		if one := d.add(known, process); one != nil {
-			d.mark(one, process, leaving[pool])
+			d.mark(one, process, leaving[pool], now)
 		}
 	}
 	d.retain(present)
@@ -119,7 +120,7 @@
 
 // mark sets whether a server gets new work: by its process's own record, by its
 // load and by the fleet's orders, of which any may be the first to say that it leaves.
-func (d *directory) mark(one *server, process *peerpb.Process, leaving map[string]bool) {
+func (d *directory) mark(one *server, process *peerpb.Process, leaving map[string]bool, now time.Time) {
 	load := d.members.Load(one.Name())
 	one.SetStanding(standing(process.GetState()))
 	if load.GetDraining() || leaving[one.Name()] {
@@ -127,6 +128,7 @@
 	}
 	one.TakeReport(route.Report{
 		Seq:     load.GetSeq(),
+		Time:    now,
 		Running: int64(load.GetRunning()),
 		Queued:  int64(load.GetQueued()),
 		Slots:   int64(load.GetSlots()),
