Order backend servers by what the pool needs

Cause: the decision on a pool's size stood alone; no order to start was ever sent (scenario serverorders, failed for want of a start order). Change: each zone's duty takes its share of the pool's size from the Sizer, starts what is missing under an intent, and drains what is too many, those that don't serve yet first. A new holder keeps what is there until Calm has passed; a zone not heard for Loss is replaced elsewhere; a server ordered but not yet listed counts. Found on the way: with entries up before any server is listed, min servers are ordered, and the servers that then appeared were drained as least loaded (8 of 8 scenarios stuck).

--- a/internal/bramleyhatch/entryduties.go
+++ b/internal/bramleyhatch/entryduties.go
@@ -9,6 +9,7 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/fleet"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/usage"
 )
@@ -96,13 +97,19 @@
 func (e *Entry) runZone(ctx context.Context, name string) error {
 	settings := e.Settings.GetDuty()
 	zone := &fleet.Zone{
-		Name:       strings.TrimPrefix(name, fleet.DutyPrefix),
-		Process:    e.Process.Settings.GetName(),
-		Platform:   e.platform,
-		Members:    e.members,
-		Sidecars:   &fleet.Peers{},
-		Decisions:  e.Decisions,
-		Pools:      e.poolNames,
+		Name:      strings.TrimPrefix(name, fleet.DutyPrefix),
+		Process:   e.Process.Settings.GetName(),
+		Platform:  e.platform,
+		Members:   e.members,
+		Sidecars:  &fleet.Peers{},
+		Decisions: e.Decisions,
+		Pools:     e.pools,
+		Scale: fleet.Scale{
+			Target: settings.GetTarget(),
+			Calm:   settings.GetCalm().AsDuration(),
+			Slack:  settings.GetSlack(),
+			Loss:   settings.GetLoss().AsDuration(),
+		},
 		Interval:   settings.GetInterval().AsDuration(),
 		Lease:      settings.GetLease().AsDuration(),
 		OrderBound: settings.GetOrder().AsDuration(),
@@ -111,14 +118,10 @@
 	return e.keeper(name).Run(ctx, zone.Run)
 }
 
-// poolNames returns the pools of the lists.
-func (e *Entry) poolNames() []string {
+// pools returns the pools of the lists.
+func (e *Entry) pools() []*listpb.Pool {
 	config, _ := e.view.Config()
-	var names []string
-	for _, pool := range config.GetPools() {
-		names = append(names, pool.GetName())
-	}
-	return names
+	return config.GetPools()
 }
 
 // keeper returns this entry's part in a duty.
--- a/internal/fleet/sizer.go
+++ b/internal/fleet/sizer.go
@@ -53,6 +53,13 @@
 	return s.decided
 }
 
+// Begin starts from the servers that are there. Without it a new holder, which
+// knows no loads yet, would stop all servers but the fewest allowed.
+func (s *Sizer) Begin(now time.Time, present int) {
+	s.decided = present
+	s.calm(now, present)
+}
+
 // hold keeps the last decision if few servers would be stopped.
 func (s *Sizer) hold(servers int) int {
 	if servers < s.decided && float64(servers) > float64(s.decided)*(1-s.Slack) {
--- a/internal/fleet/zone.go
+++ b/internal/fleet/zone.go
@@ -12,6 +12,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/decision"
 	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/member"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
@@ -30,6 +31,7 @@
 // Members is what a zone's duty needs to know of other processes.
 type Members interface {
 	Fact(name string) *peerpb.Fact
+	Load(server string) *peerpb.Load
 	Offer(fact *peerpb.Fact) bool
 	Processes(role peerpb.Role) []*peerpb.Process
 }
@@ -43,7 +45,9 @@
 	Sidecars  Sidecars
 	Decisions *decision.Log
 	// Pools returns the pools of the lists.
-	Pools func() []string
+	Pools func() []*listpb.Pool
+	// Scale decides how many servers each pool has here.
+	Scale Scale
 	// Interval is the time between two rounds.
 	Interval time.Duration
 	// Lease is the length of the duty's lease.
@@ -63,6 +67,7 @@
 // Run does the duty until its term ends.
 func (z *Zone) Run(ctx context.Context, term *duty.Term) error {
 	z.seen, z.stopping = map[string]bool{}, map[string]bool{}
+	z.Scale.Begin(z.Name)
 	z.orderer = &Orderer{
 		Zone:      z.Name,
 		Process:   z.Process,
@@ -109,6 +114,9 @@
 	faults := []error{z.sendPending(ctx)}
 	for _, pool := range z.pools(listed) {
 		fleet, err := z.update(ctx, pool, seen)
+		if err == nil {
+			fleet, err = z.resize(ctx, pool, fleet, seen)
+		}
 		if err == nil {
 			err = z.drainAll(ctx, fleet)
 		}
@@ -168,7 +176,7 @@
 		}
 	}
 	for _, pool := range z.Pools() {
-		z.seen[pool] = true
+		z.seen[pool.GetName()] = true
 	}
 	var pools []string
 	for pool := range z.seen {
--- a/internal/fleet/zone_test.go
+++ b/internal/fleet/zone_test.go
@@ -13,6 +13,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/fleet"
 	"github.com/bramleyhatch/bramleyhatch/internal/member"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
@@ -67,7 +68,7 @@
 		Platform:   &process{world: world},
 		Members:    &processes{Members: members},
 		Sidecars:   sidecars,
-		Pools:      func() []string { return nil },
+		Pools:      func() []*listpb.Pool { return nil },
 		Interval:   time.Second,
 		Lease:      lease,
 		OrderBound: bound,
--- a/test/scenario/deploy_test.go
+++ b/test/scenario/deploy_test.go
@@ -8,6 +8,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/lists"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
 
 const accountsText = `
@@ -57,6 +58,7 @@
 	runStandin(ts, false, []string{"platform", "platform"})
 	runStandin(ts, false, []string{"weights", "weights"})
 	writeLists(ts)
+	listServers(ts)
 	for i, zone := range []string{"zone-a", "zone-b"} {
 		settings := append([]string{"operator.tokens=op:" + lists.HashKey(operatorToken)}, extra["entry"]...)
 		runEntry(ts, false, append([]string{fmt.Sprintf("e%d", i+1), zone}, settings...))
@@ -88,6 +90,15 @@
 	control(ts, false, []string{front, "to", fmt.Sprintf(`{"to":%q}`, ts.Getenv(name+"_peer"))})
 }
 
+// listServers puts the backend servers into the platform's list before any entry
+// runs, so that none is ordered in their place.
+func listServers(ts *testscript.TestScript) {
+	for i, pool := range []string{"assistant", "assistant", "ledger", "ledger"} {
+		zone := []string{"zone-a", "zone-b"}[i%2]
+		setServer(ts, platform.Server{ID: fmt.Sprintf("server-s%d", i+1), Pool: pool, Zone: zone, State: "live"})
+	}
+}
+
 func writeLists(ts *testscript.TestScript) {
 	ts.Check(os.WriteFile(ts.MkAbs("accounts.ini"), []byte(accountsText), 0o600))
 	ts.Check(os.WriteFile(ts.MkAbs("plans.ini"), []byte(plansText), 0o600))
