Never say "not run" of a resend whose first send may have run

Cause: a sidecar that was killed and started again refused a resent request as not run (draining, queue full, wrong pool), though the process before it may have passed it on; and it refused resent postings as unknown although it knew that they had never come. It now knows whether it knows all: no process was before it, or it is older than any request. Postings with a key are left to the claim's other keepers. TestCancelOfSharedRun's probe started the run that it looked for; it asks for a frame that is not there yet instead.

--- a/internal/entry/claims_test.go
+++ b/internal/entry/claims_test.go
@@ -251,19 +251,14 @@
 	p.setFleet(states[server]...)
 }
 
-// mustBecomeKnown waits until the sidecar knows a run, without starting it.
+// mustBecomeKnown waits until the sidecar knows a run, without starting it: it
+// asks for a frame that is not there yet.
 func mustBecomeKnown(t *testing.T, client peerpb.SidecarClient, id string) {
 	t.Helper()
 	probe := posting(id)
-	probe.SetResend(true)
-	ctx, cancel := context.WithTimeout(context.Background(), bound)
-	defer cancel()
-	for ctx.Err() == nil {
-		stream, err := client.Run(ctx, probe)
-		must.NoError(t, err)
-		frame, err := stream.Recv()
-		must.NoError(t, err)
-		if frame.HasBeat() {
+	probe.SetFrom(1)
+	for range 10000 {
+		if send(client, probe).refusal.GetCode() == "frames_dropped" {
 			return
 		}
 	}
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -87,14 +87,21 @@
 }
 
 // classify turns an error into a refusal that claims no more than is proved: a
-// run whose answer has begun is never "not run".
+// run whose answer has begun is never "not run", nor is one of which an earlier
+// send went to the process before this one. That process may have passed it on;
+// the caller would read "not run" and send it again as a new request.
 func (r *run) classify(err error) *refusal.Error {
 	var refused *refusal.Error
 	if !errors.As(err, &refused) {
 		refused = refusal.Unknown(http.StatusBadGateway, "failed", "%v", err)
 	}
-	if r.length() > 0 && refused.Outcome == peerpb.Outcome_OUTCOME_NOT_RUN {
-		return refusal.Unknown(refused.Status, refused.Code, "%s", refused.Message)
+	if r.mayHaveRun || r.length() > 0 {
+		return unsure(refused)
 	}
 	return refused
 }
+
+// unsure returns a refusal that doesn't say "not run".
+func unsure(refused *refusal.Error) *refusal.Error {
+	return refusal.Unknown(refused.Status, refused.Code, "%s", refused.Message).After(refused.Retry)
+}
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -78,21 +78,23 @@
 }
 
 // join returns the run with the request's identity; a new one if there is none
-// or if the one there was proved not to have run.
-func (r *registry) join(request *peerpb.RunRequest) (known *run, isNew bool, refused *refusal.Error) {
+// or if the one there was proved not to have run. All is true if this process
+// knows every request that its backend server may have got before.
+func (r *registry) join(request *peerpb.RunRequest, all bool) (known *run, isNew bool, refused *refusal.Error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	known = r.runs[request.GetId()]
 	if known != nil && (request.GetResend() || !known.isNotRun()) {
 		return known, false, nil
 	}
-	if refused := r.admit(request); refused != nil {
+	if refused := r.admit(request, all); refused != nil {
 		return nil, false, refused
 	}
 	if r.runs == nil {
 		r.runs = map[string]*run{}
 	}
 	started := newRun(request)
+	started.mayHaveRun = mayHaveRun(request, all)
 	r.runs[request.GetId()] = started
 	r.active++
 	return started, true, nil
@@ -101,10 +103,10 @@
 // admit refuses to start what may have run before this process knew of it. A
 // sidecar that was killed after it had passed a request on comes back without
 // memory; the entry's resend would then run the request a second time, or join
-// two different answers at a position.
-func (r *registry) admit(request *peerpb.RunRequest) *refusal.Error {
+// two different answers at a position. A claim is left to the others that keep it.
+func (r *registry) admit(request *peerpb.RunRequest, all bool) *refusal.Error {
 	switch {
-	case request.GetResend() && !request.GetIdempotent():
+	case mayHaveRun(request, all) && !request.GetIdempotent() && !isClaimed(request):
 		return refusal.Unknown(http.StatusBadGateway, "not_known", "the request was sent before and is not known here")
 	case request.GetFrom() > 0:
 		return refusal.Unknown(http.StatusBadGateway, "not_known", "the answer to go on with is not known here")
@@ -115,6 +117,13 @@
 	}
 }
 
+// mayHaveRun reports whether an earlier send of a request that isn't known may
+// have run: at the process before this one, or so that its run is forgotten,
+// as happens to idempotent requests first.
+func mayHaveRun(request *peerpb.RunRequest, all bool) bool {
+	return request.GetResend() && (request.GetIdempotent() || !all)
+}
+
 // sweep forgets runs that ended longer ago than remember and cancels abandoned ones.
 func (r *registry) sweep(now time.Time, remember time.Duration) {
 	r.mutex.Lock()
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -28,6 +28,8 @@
 	request *peerpb.RunRequest
 	// idempotent is kept apart, since the request is dropped at the end.
 	idempotent bool
+	// mayHaveRun is true if an earlier send may have run where nobody here knows.
+	mayHaveRun bool
 
 	mutex    sync.Mutex
 	stop     context.CancelFunc
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -123,6 +123,9 @@
 	reader := s.newReader(request, stream)
 	run, err := s.join(request)
 	if err != nil {
+		if mayHaveRun(request, s.remembersAll(time.Now())) {
+			err = unsure(err)
+		}
 		s.metrics.refused(err)
 		return reader.refuse(err)
 	}
@@ -192,7 +195,7 @@
 }
 
 func (s *Server) joinIdentity(request *peerpb.RunRequest) (*run, *refusal.Error) {
-	run, isNew, refused := s.registry.join(request)
+	run, isNew, refused := s.registry.join(request, s.remembersAll(time.Now()))
 	if refused != nil {
 		s.Decisions.Record(request.GetId(), "backend", "refused, %v", refused)
 		return nil, refused
@@ -210,6 +213,13 @@
 	return run, nil
 }
 
+// remembersAll reports whether this process knows every request that its backend
+// server may have got and that may still be sent again: no process was before
+// it, or it is older than any request.
+func (s *Server) remembersAll(now time.Time) bool {
+	return s.Claims != nil && (s.Claims.Members.IsFirst() || now.Sub(s.Claims.Started) >= longestRun)
+}
+
 func timeLeft(request *peerpb.RunRequest) time.Duration {
 	if !request.HasTimeout() {
 		return longestRun
--- a/internal/entry/size_test.go
+++ b/internal/entry/size_test.go
@@ -18,7 +18,7 @@
 	var r registry
 	measureHeap(b, func(i int) {
 		request := peerpb.RunRequest_builder{Id: fmt.Sprintf("90bc38b1-6ff1-49cc-9ec9-%012d", i), Body: make([]byte, 1000)}.Build()
-		run, _, _ := r.join(request)
+		run, _, _ := r.join(request, true)
 		run.refuse(refusal.Unknown(http.StatusBadGateway, "cut", "cut"))
 		r.ended(run, time.Now())
 		run.forget()
