Let only the account of a step use it

Two accounts with one plan could pull each other's samples and acknowledge them, since the plan alone was asked. The test fails without the check.

--- a/internal/rollout/deliver.go
+++ b/internal/rollout/deliver.go
@@ -46,6 +46,9 @@
 	if h.step == nil {
 		return Pulled{}, nil, "", noHolder(h.Trainer)
 	}
+	if !h.step.IsOpenFor(request.GetAccount()) {
+		return Pulled{}, nil, "", otherAccount(h.Trainer)
+	}
 	before := h.step.Newest()
 	pulled, err := h.step.Pull(request.GetPlace(), int(request.GetMax()), request.GetVersion())
 	h.stop(h.step.Doomed(), "its tokens are too old")
@@ -66,7 +69,7 @@
 // Announce takes a newer version of the trainer. It is in force at once; it is
 // acknowledged once the store holds it, so that a successor knows it too.
 func (h *Holder) Announce(ctx context.Context, request *peerpb.AnnounceRequest) error {
-	if err := h.announce(request.GetVersion()); err != nil {
+	if err := h.announce(request.GetAccount(), request.GetVersion()); err != nil {
 		return err
 	}
 	timer := time.NewTimer(announceWait)
@@ -90,12 +93,15 @@
 	return refusal.Unknown(http.StatusServiceUnavailable, "store_away", "the version is in force but not kept yet, announce it again").After(retry)
 }
 
-func (h *Holder) announce(version uint64) error {
+func (h *Holder) announce(account string, version uint64) error {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.step == nil {
 		return noHolder(h.Trainer)
 	}
+	if !h.step.IsOpenFor(account) {
+		return otherAccount(h.Trainer)
+	}
 	h.step.Announce(version)
 	h.stop(h.step.Doomed(), "its tokens are too old")
 	h.Decisions.Record(h.Trainer, "step", "version %d is the newest of the trainer", h.step.Newest())
--- a/internal/rollout/holder_test.go
+++ b/internal/rollout/holder_test.go
@@ -56,7 +56,7 @@
 }
 
 func pullRequest(place uint64, most uint32, wait time.Duration) *peerpb.PullRequest {
-	return peerpb.PullRequest_builder{Trainer: "drafts", Place: place, Max: most, Wait: durationpb.New(wait)}.Build()
+	return peerpb.PullRequest_builder{Trainer: "drafts", Account: "casa", Place: place, Max: most, Wait: durationpb.New(wait)}.Build()
 }
 
 // pullAll pulls a step to its end and returns its samples by place.
@@ -304,3 +304,32 @@
 	close(runner.gate)
 	mustBeOnce(t, pullAll(t, holder, 0), 16, 0)
 }
+
+// Two accounts share a plan that lists the trainer. One pulls while the other's
+// step is open. It must not get, acknowledge or age the other's samples.
+func TestOtherAccount(t *testing.T) {
+	holder := newTestHolder("a", newFakeStore(), &fakeRunner{version: 1}, newFakeKeeping("b"))
+	runHolder(t, holder, 1)
+	mustOpen(t, holder, openRequest(1, 1, 4, 1))
+	await(t, func() bool { return mustPull(t, holder, 0, 4).GetDone() })
+	t.Run("pulls", func(t *testing.T) {
+		request := pullRequest(4, 4, 0)
+		request.SetAccount("other")
+		_, err := holder.Pull(t.Context(), request)
+		mustRefuse(t, err, "other_account")
+	})
+	t.Run("announces", func(t *testing.T) {
+		err := holder.Announce(t.Context(), peerpb.AnnounceRequest_builder{Account: "other", Version: 9}.Build())
+		mustRefuse(t, err, "other_account")
+	})
+	next := openRequest(2, 1, 4, 1)
+	next.SetAccount("other")
+	t.Run("opens the next step", func(t *testing.T) {
+		_, err := holder.Open(t.Context(), next)
+		mustRefuse(t, err, "other_account")
+	})
+	t.Run("opens it once all is acknowledged", func(t *testing.T) {
+		must.True(t, mustPull(t, holder, 4, 4).GetDone())
+		mustOpen(t, holder, next)
+	})
+}
--- a/internal/rollout/open.go
+++ b/internal/rollout/open.go
@@ -56,6 +56,8 @@
 	switch {
 	case h.step.Slots() == 0 || h.step.Matches(request):
 		return h.step, nil
+	case !h.step.IsOpenFor(request.GetAccount()) && !h.step.IsAcknowledged():
+		return nil, otherAccount(h.Trainer)
 	case request.GetStep() == h.step.Number():
 		return nil, refusal.NotRun(http.StatusConflict, "step_differs", "step %d is open with other content", request.GetStep())
 	case request.GetStep() < h.step.Number():
@@ -67,6 +69,10 @@
 	}
 }
 
+func otherAccount(trainer string) *refusal.Error {
+	return refusal.NotRun(http.StatusForbidden, "other_account", "the open step of %s belongs to another account", trainer)
+}
+
 func noHolder(trainer string) *refusal.Error {
 	return refusal.NotRun(http.StatusServiceUnavailable, codeNoHolder, "no process holds the steps of %s yet", trainer).After(retry)
 }
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -98,6 +98,16 @@
 // End returns the first place after the step.
 func (s *Step) End() uint64 { return s.place + uint64(len(s.slots)) }
 
+// IsAcknowledged reports whether the trainer has acknowledged the whole step.
+func (s *Step) IsAcknowledged() bool { return s.acknowledged == s.End() }
+
+// IsOpenFor reports whether an account may use the step. Accounts can share a
+// plan, and with it the right to run a trainer; without this check one of them
+// would get the other's samples, and acknowledge them.
+func (s *Step) IsOpenFor(account string) bool {
+	return len(s.slots) == 0 || s.open.GetAccount() == account
+}
+
 // IsWhole reports whether the store binds a sample to every slot, or the
 // trainer has acknowledged it.
 func (s *Step) IsWhole() bool {
