--- a/internal/rollout/holder.go
+++ b/internal/rollout/holder.go
@@ -19,7 +19,9 @@
 
 const (
 	// dispatchInterval bounds the time until a pause of a slot or a second run is looked at.
-	dispatchInterval   = 100 * time.Millisecond
+	dispatchInterval = 100 * time.Millisecond
+	// capacityAge is for how long an answer of Capacity is used; it looks at every sampler.
+	capacityAge        = time.Second
 	storePause         = 200 * time.Millisecond
 	greatestStorePause = 2 * time.Second
 )
@@ -85,7 +87,10 @@
 	version uint64
 	changed chan struct{}
 	forget  []uint32
-	lost    chan struct{}
+	// capacity is what Capacity returned when it was last asked.
+	capacity int
+	looked   time.Time
+	lost     chan struct{}
 }
 
 // NewHolder returns a holder without a step; see Lead.
@@ -149,6 +154,7 @@
 	h.running = map[string]context.CancelFunc{}
 	h.step = step
 	h.forget = nil
+	h.looked = time.Time{}
 	if step == nil {
 		h.Metrics.forget(h.Trainer)
 	} else {
@@ -217,10 +223,14 @@
 	if h.Capacity == nil {
 		return h.Attempts
 	}
-	if capacity := h.Capacity(model); capacity > 0 {
-		return min(h.Attempts, capacity)
+	if now := time.Now(); now.Sub(h.looked) >= capacityAge || h.looked.IsZero() {
+		h.looked = now
+		h.capacity = h.Capacity(model)
 	}
-	return h.Attempts
+	if h.capacity == 0 {
+		return h.Attempts
+	}
+	return min(h.Attempts, h.capacity)
 }
 
 // ended forgets a running attempt.
