--- a/internal/measure/experiments.go
+++ b/internal/measure/experiments.go
@@ -11,5 +11,6 @@
 		Stragglers(),
 		Staleness(),
 		Weights(),
+		Fleet(),
 	}
 }
