Let the client's pulls name the newest version announced

A holder thawed after its successor took an announcement could hand over a sample that the older version allowed.

--- a/pkg/client/trainer.go
+++ b/pkg/client/trainer.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,6 +17,9 @@
 	Client
 	// Name of the trainer, as in the plan.
 	Name string
+
+	// newest is the newest version announced here.
+	newest atomic.Uint64
 }
 
 // Group is the samples wanted of one prompt.
@@ -68,8 +72,10 @@
 	Done bool `json:"done"`
 }
 
-// Announce tells that a weight version is in the weight store.
+// Announce tells that a weight version is in the weight store. Later pulls name
+// it, so that a process which hasn't heard of it hands over no sample too old.
 func (t *Trainer) Announce(ctx context.Context, model string, version uint64) error {
+	t.raise(version)
 	body := map[string]any{"model": model, "version": version}
 	return t.call(ctx, http.MethodPost, t.path("weights"), "", body, nil)
 }
@@ -91,11 +97,22 @@
 		"max":   {strconv.Itoa(most)},
 		"wait":  {wait.String()},
 	}
+	if newest := t.newest.Load(); newest > 0 {
+		query.Set("version", strconv.FormatUint(newest, 10))
+	}
 	var pulled Pulled
 	err := t.call(ctx, http.MethodGet, t.path("samples")+"?"+query.Encode(), "", nil, &pulled)
 	return pulled, err
 }
 
+func (t *Trainer) raise(version uint64) {
+	for known := t.newest.Load(); known < version; known = t.newest.Load() {
+		if t.newest.CompareAndSwap(known, version) {
+			return
+		}
+	}
+}
+
 func (t *Trainer) path(part string) string {
 	return fmt.Sprintf("/v1/trainers/%s/%s", url.PathEscape(t.Name), part)
 }
