--- a/internal/bramleyhatch/entryduties.go
+++ b/internal/bramleyhatch/entryduties.go
@@ -31,7 +31,7 @@
 	pusher := &usage.Pusher{
 		Source:    e.ledger,
 		Directory: e.members,
-		Peers:     &usage.GRPCPeers{},
+		Peers:     &usage.GRPCPeers{Credentials: e.credentials()},
 		Retain:    settings.GetRetain().AsDuration(),
 		Keep:      settings.GetKeep().AsDuration(),
 	}
@@ -52,7 +52,7 @@
 	return &usage.Reporter{
 		Process:   e.Process.Settings.GetName(),
 		Platform:  e.platform,
-		Collector: &usage.Collector{Directory: e.members, Peers: &usage.GRPCPeers{}},
+		Collector: &usage.Collector{Directory: e.members, Peers: &usage.GRPCPeers{Credentials: e.credentials()}},
 		Offer:     e.members.Offer,
 		Decisions: e.Decisions,
 		Window:    settings.GetWindow().AsDuration(),
@@ -100,7 +100,7 @@
 		Process:    e.Process.Settings.GetName(),
 		Platform:   e.platform,
 		Members:    e.members,
-		Sidecars:   &fleet.Peers{},
+		Sidecars:   &fleet.Peers{Credentials: e.credentials()},
 		Decisions:  e.Decisions,
 		Pools:      e.poolNames,
 		Interval:   settings.GetInterval().AsDuration(),
--- a/internal/bramleyhatch/sidecarusage.go
+++ b/internal/bramleyhatch/sidecarusage.go
@@ -20,7 +20,7 @@
 	pusher := &usage.Pusher{
 		Source:    s.counter,
 		Directory: s.members,
-		Peers:     &usage.GRPCPeers{},
+		Peers:     &usage.GRPCPeers{Credentials: s.credentials()},
 		Interval:  settings.GetPush().AsDuration(),
 		Retain:    settings.GetRetain().AsDuration(),
 		Keep:      settings.GetKeep().AsDuration(),
