--- a/internal/bramleyhatch/entryoperators.go
+++ b/internal/bramleyhatch/entryoperators.go
@@ -25,7 +25,7 @@
 		Store:   e.platform,
 		Members: e.members,
 		View:    e.view,
-		Peers:   &operator.Peers{Members: e.members, Credentials: e.credentials()},
+		Peers:   &operator.Peers{Members: e.members, Credentials: e.credentials(), Own: func() string { return e.Addresses().Peer }},
 		Tokens:  tokens,
 		Timeout: e.Settings.GetOperator().GetTimeout().AsDuration(),
 	}
--- a/internal/operator/peers.go
+++ b/internal/operator/peers.go
@@ -25,6 +25,9 @@
 type Peers struct {
 	Members     *member.Members
 	Credentials credentials.TransportCredentials
+	// Own returns the address on which this process itself listens: it answers
+	// for itself also where the one that it tells others can't be reached from here.
+	Own func() string
 }
 
 // Drain makes a process drain, or take work again.
@@ -122,7 +125,7 @@
 }
 
 func (p *Peers) ask(ctx context.Context, process *peerpb.Process, call func(context.Context, *grpc.ClientConn) error) error {
-	connection, err := listen.Dial(process.GetAddress(), p.Credentials)
+	connection, err := listen.Dial(p.address(process), p.Credentials)
 	if err != nil {
 		return err
 	}
@@ -131,3 +134,10 @@
 	defer cancel()
 	return call(ctx, connection)
 }
+
+func (p *Peers) address(process *peerpb.Process) string {
+	if p.Own != nil && process.GetName() == p.Members.Self().GetName() {
+		return p.Own()
+	}
+	return process.GetAddress()
+}
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -53,6 +53,7 @@
 	env.Setenv("CHAT", `{"model":"assistant","messages":[{"role":"user","content":"a note"}],"max_tokens":8}`)
 	env.Setenv("STREAM", `{"model":"assistant","messages":[{"role":"user","content":"a note"}],"max_tokens":8,"stream":true}`)
 	env.Setenv("LONG", `{"model":"assistant","messages":[{"role":"user","content":"a long note"}],"max_tokens":400,"stream":true}`)
+	env.Setenv("OPERATOR_HASH", lists.HashKey(operatorToken))
 	env.Setenv("MEMBER_HASH", lists.HashKey("member-key"))
 	env.Setenv("POSTING", `{"member":"ana","hours":1}`)
 	env.Defer(func() { all.end(env.T()) })
