Refuse a plain service's answer whose status is no final one

Cause: net/http panics on a status below 100, and a 204 got a Content-Length. Change: such an answer is a refusal with the outcome unknown. Guards proved by failing first: the check of the status, no length where there is no body (TestPlainStatus).

--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -403,3 +403,14 @@
 	close(release)
 	must.Eq(t, 200, (<-answered).StatusCode)
 }
+
+func TestPlainStatus(t *testing.T) {
+	for _, status := range []int32{0, 99, 101, 600, 1000} {
+		server := serve(t, playPlain(status, 1, false))
+		mustRefuse(t, server.send(t, "GET", "/services/ledger/records", goodKey, ""), 502, "bad_status", "unknown")
+	}
+	server := serve(t, playPlain(http.StatusNoContent, 0, false))
+	response := server.send(t, "POST", "/services/ledger/postings", goodKey, "{}")
+	must.Eq(t, 204, response.StatusCode)
+	must.Eq(t, "", response.Header.Get("Content-Length"))
+}
--- a/internal/caller/plainanswer.go
+++ b/internal/caller/plainanswer.go
@@ -13,6 +13,8 @@
 // once they are whole.
 const heldBytes = 1 << 20
 
+const maxStatus = 599
+
 // plainAnswer writes the answer of a plain service.
 //
 // Up to heldBytes are written when the answer is whole, with its length. A
@@ -34,10 +36,13 @@
 	if a.begun {
 		return nil
 	}
-	if a.call.request.Method != http.MethodHead {
+	if a.hasBody() {
 		a.call.writer.Header().Set("Content-Length", strconv.Itoa(len(a.held)))
 	}
 	a.begin()
+	if !a.hasBody() {
+		return nil
+	}
 	return a.call.send(a.held)
 }
 
@@ -60,8 +65,7 @@
 
 func (a *plainAnswer) take(frame *peerpb.Frame) error {
 	if frame.WhichPart() == peerpb.Frame_Head_case {
-		a.head = frame.GetHead()
-		return nil
+		return a.takeHead(frame.GetHead())
 	}
 	if a.head == nil {
 		return refusal.Unknown(http.StatusBadGateway, "no_head", "the answer has no status")
@@ -81,6 +85,22 @@
 	return a.call.send(data)
 }
 
+// takeHead refuses a status that is no final one: net/http panics on some of
+// them, and would take others for the start of a longer exchange.
+func (a *plainAnswer) takeHead(head *peerpb.Head) error {
+	if head.GetStatus() < http.StatusOK || head.GetStatus() > maxStatus {
+		return refusal.Unknown(http.StatusBadGateway, "bad_status", "the service answered with status %d", head.GetStatus())
+	}
+	a.head = head
+	return nil
+}
+
+// hasBody reports whether an answer of this status and method has a body.
+func (a *plainAnswer) hasBody() bool {
+	return a.call.request.Method != http.MethodHead &&
+		a.head.GetStatus() != http.StatusNoContent && a.head.GetStatus() != http.StatusNotModified
+}
+
 func (a *plainAnswer) begin() {
 	a.begun = true
 	header := a.call.writer.Header()
