Resume a generation on a new connection after silence

All connections through the relay go silent, the idle ones too; a resumed generation could take an idle one and was silent again, without progress, so it gave up. The client with its idle connections is dropped after silence. TestResumeTakesNewConnection fails without that.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -142,17 +142,20 @@
 }
 
 func (s *Server) service() httpc.Service {
-	if known := s.client.Load(); known != nil {
-		return *known
+	for {
+		if known := s.client.Load(); known != nil {
+			return *known
+		}
+		service := listen.Client("backend-" + s.Name)
+		s.client.CompareAndSwap(nil, &service)
 	}
-	service := listen.Client("backend-" + s.Name)
-	if s.client.CompareAndSwap(nil, &service) {
-		return service
-	}
-	return *s.client.Load()
 }
 
 // refuse turns a failed exchange into a refusal.
+//
+// After silence it drops the client with its idle connections. Whatever lost
+// track of the connection may have lost the idle ones as well, and they report
+// no error: a resumed generation would take one of them and be silent again.
 func (s *Server) refuse(err error, connected bool) *refusal.Error {
 	if !connected {
 		return refusal.NotRun(http.StatusServiceUnavailable, "backend_unreachable", "%s can't be reached", s.Name).After(retryElsewhere)
@@ -160,6 +163,7 @@
 	var silent *SilentError
 	switch {
 	case errors.As(err, &silent):
+		s.client.Store(nil)
 		return refusal.Unknown(http.StatusGatewayTimeout, codeSilent, "%s: %v", s.Name, silent)
 	case errors.Is(err, context.DeadlineExceeded):
 		return refusal.Unknown(http.StatusGatewayTimeout, "timeout", "%s had not answered when the request's time ended", s.Name)
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -38,9 +38,12 @@
 
 	// replies are given one a request; after the last the connection is closed.
 	replies []reply
-	mutex   sync.Mutex
-	raw     []string
-	closed  chan struct{}
+	// choose gives replies in their place, by the number of the request on its
+	// connection and in all.
+	choose func(onConnection, total int) reply
+	mutex  sync.Mutex
+	raw    []string
+	closed chan struct{}
 }
 
 // reply is what a request gets; after hold the connection stays open in silence.
@@ -77,14 +80,14 @@
 func (s *script) serve(connection net.Conn) {
 	defer func() { _ = connection.Close() }()
 	reader := bufio.NewReader(connection)
-	for {
+	for onConnection := 1; ; onConnection++ {
 		raw := &strings.Builder{}
 		request, err := http.ReadRequest(bufio.NewReader(io.TeeReader(reader, raw)))
 		if err != nil {
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
-		reply := s.next(raw.String())
+		reply := s.next(raw.String(), onConnection)
 		_, _ = io.WriteString(connection, reply.text)
 		if reply.hold {
 			<-s.closed
@@ -95,10 +98,16 @@
 	}
 }
 
-func (s *script) next(raw string) reply {
+func (s *script) next(raw string, onConnection int) reply {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	s.raw = append(s.raw, raw)
+	total := len(s.raw)
+	s.mutex.Unlock()
+	if s.choose != nil {
+		return s.choose(onConnection, total)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	if len(s.raw) > len(s.replies) {
 		return reply{}
 	}
@@ -254,6 +263,39 @@
 	must.StrContains(t, script.requests()[1], `"resume_tokens":[7]`)
 }
 
+// All connections to an engine go silent at once, the idle ones too, and new
+// ones work. A generation that is resumed must not go on over an idle one.
+func TestResumeTakesNewConnection(t *testing.T) {
+	whole := reply{text: chunked(oneToken, finish, done) + lastChunk, alive: true}
+	both := &sync.WaitGroup{}
+	both.Add(2)
+	script := newScript(t)
+	script.choose = func(onConnection, total int) reply {
+		switch {
+		case total <= 2:
+			both.Done()
+			both.Wait()
+			return whole
+		case total == 3:
+			return reply{text: chunked(oneToken), hold: true}
+		case onConnection > 1:
+			return reply{hold: true}
+		default:
+			return whole
+		}
+	}
+	engine := newEngine(script.url())
+	engine.Silence = time.Second
+	var group sync.WaitGroup
+	for range 2 {
+		group.Go(func() { _, _, _, _ = run(engine, generation()) })
+	}
+	group.Wait()
+	text, _, _, err := run(engine, generation())
+	must.NoError(t, err)
+	must.Eq(t, "aa", text)
+}
+
 // Each resumed generation is cut again. The sidecar must give up, and must not
 // say "not run" when the engine refuses to go on.
 func TestResumesAreBounded(t *testing.T) {
