--- a/internal/backend/prompt.go
+++ b/internal/backend/prompt.go
@@ -25,6 +25,8 @@
 	tokens []int32
 	// sent is the number of tokens known when the prompt was sent last.
 	sent int
+	// sends is how often the prompt was sent.
+	sends int
 	// untold is true once text came without its tokens.
 	untold bool
 }
@@ -53,6 +55,7 @@
 // encode returns the body to send, with all tokens known so far.
 func (p *prompt) encode() ([]byte, error) {
 	p.sent = len(p.tokens)
+	p.sends++
 	if resume := append(append([]int32(nil), p.given...), p.tokens...); len(resume) > 0 {
 		if err := p.set("resume_tokens", resume); err != nil {
 			return nil, err
@@ -63,12 +66,17 @@
 }
 
 // mayResume reports whether the generation can go on after err: the connection
-// was lost, tokens came since the prompt was sent last, and all are known.
+// was lost, tokens came since the prompt was sent last, and all are known. A
+// connection that was silent from the first is tried anew once: it may have
+// been an idle one that went silent long ago, while new ones work.
 func (p *prompt) mayResume(err error) bool {
 	var refused *refusal.Error
-	if !errors.As(err, &refused) || p.untold || len(p.tokens) == p.sent {
+	if !errors.As(err, &refused) || p.untold {
 		return false
 	}
+	if len(p.tokens) == p.sent {
+		return p.sends == 1 && refused.Code == codeSilent
+	}
 	return refused.Code == codeCut || refused.Code == codeSilent
 }
 
