--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -27,6 +27,8 @@
 	checksFence bool
 	checksTime  bool
 	down        bool
+	// calls are those of the key-value service.
+	calls int
 	// loseOrders loses answers of orders, cutOrders the orders themselves.
 	loseOrders int
 	cutOrders  int
@@ -50,6 +52,7 @@
 func (w *world) do(call func() error) error {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.calls++
 	if w.down {
 		return errCut
 	}
@@ -95,6 +98,12 @@
 	w.servers[order.Server] = platform.Server{ID: order.Server, Pool: order.Pool, Zone: order.Zone, State: "live"}
 }
 
+func (w *world) count() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.calls
+}
+
 // orders returns the record.
 func (w *world) orders() []platform.Order {
 	w.mutex.Lock()
@@ -179,6 +188,7 @@
 func (p *process) Hosts(context.Context) ([]platform.Host, error) {
 	var hosts []platform.Host
 	err := p.call(func() error {
+		p.calls--
 		hosts = append(hosts, p.hosts...)
 		return nil
 	})
@@ -209,6 +219,7 @@
 func (p *process) Servers(_ context.Context, zone string) ([]platform.Server, error) {
 	var servers []platform.Server
 	err := p.call(func() error {
+		p.calls--
 		for _, server := range p.servers {
 			if server.Zone == zone {
 				servers = append(servers, server)
