Collect from entries only what sidecars did not answer themselves

A sidecar's own counters are never behind a copy of the same incarnation, so entries leave those out. Ruled out: asking only the two keepers, since counts that came with an answer's end may be elsewhere.

--- a/internal/usage/fleet_test.go
+++ b/internal/usage/fleet_test.go
@@ -25,6 +25,9 @@
 	reports   []platform.Usage
 	// loseReports loses answers of reports.
 	loseReports int
+	// counters are those of sidecars; collected counts what was sent to reporters.
+	counters  map[string]*usage.Counter
+	collected int
 }
 
 func newFleet(processes ...*peerpb.Process) *fleet {
@@ -39,11 +42,16 @@
 	return peerpb.Process_builder{Name: name, Zone: zone, Role: peerpb.Role_ROLE_ENTRY, State: peerpb.State_STATE_LIVE}.Build()
 }
 
-func (f *fleet) Collect(_ context.Context, process *peerpb.Process, request *peerpb.CollectRequest) ([]*peerpb.Count, error) {
+func (f *fleet) Collect(ctx context.Context, process *peerpb.Process, request *peerpb.CollectRequest) (*peerpb.CollectReply, error) {
 	if f.isDead(process.GetName()) {
 		return nil, errGone
 	}
-	return f.ledgers[process.GetName()].Counts(request.GetSince(), request.GetUntil()), nil
+	server := &usage.Server{Ledger: f.ledgers[process.GetName()], Counter: f.counters[process.GetName()]}
+	reply, err := server.Collect(ctx, request)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.collected += len(reply.GetCounts())
+	return reply, err
 }
 
 func (f *fleet) Fact(string) *peerpb.Fact { return nil }
--- a/internal/usage/peers.go
+++ b/internal/usage/peers.go
@@ -31,7 +31,7 @@
 var _ Peers = &GRPCPeers{}
 
 // Collect returns the counters that a process holds.
-func (g *GRPCPeers) Collect(ctx context.Context, process *peerpb.Process, request *peerpb.CollectRequest) ([]*peerpb.Count, error) {
+func (g *GRPCPeers) Collect(ctx context.Context, process *peerpb.Process, request *peerpb.CollectRequest) (*peerpb.CollectReply, error) {
 	connection, err := listen.Dial(process.GetAddress(), g.Credentials)
 	if err != nil {
 		return nil, err
@@ -40,7 +40,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	reply, err := peerpb.NewUsageClient(connection).Collect(ctx, request)
-	return reply.GetCounts(), eris.Wrap(err, "collect at "+process.GetName())
+	return reply, eris.Wrap(err, "collect at "+process.GetName())
 }
 
 // Keep gives counters to a process to hold.
--- a/internal/usage/pusher.go
+++ b/internal/usage/pusher.go
@@ -27,7 +27,7 @@
 
 // Peers speaks to the Usage service of other processes.
 type Peers interface {
-	Collect(ctx context.Context, process *peerpb.Process, request *peerpb.CollectRequest) ([]*peerpb.Count, error)
+	Collect(ctx context.Context, process *peerpb.Process, request *peerpb.CollectRequest) (*peerpb.CollectReply, error)
 	Keep(ctx context.Context, process *peerpb.Process, counts []*peerpb.Count) error
 }
 
--- a/internal/usage/server.go
+++ b/internal/usage/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 )
@@ -19,13 +21,17 @@
 
 var _ peerpb.UsageServer = &Server{}
 
-// Collect returns all counters held for the windows asked for.
+// Collect returns the counters held for the windows asked for, but those of the
+// incarnations that the request leaves out.
 func (s *Server) Collect(_ context.Context, request *peerpb.CollectRequest) (*peerpb.CollectReply, error) {
-	counts := s.Ledger.Counts(request.GetSince(), request.GetUntil())
+	counts := without(s.Ledger.Counts(request.GetSince(), request.GetUntil()), request.GetExcept())
+	reply := &peerpb.CollectReply{}
 	if s.Counter != nil {
 		counts = append(counts, s.Counter.Counts(request.GetSince(), request.GetUntil())...)
+		reply.SetCounted(identity(s.Counter.Process, s.Counter.Incarnation))
 	}
-	return peerpb.CollectReply_builder{Counts: counts}.Build(), nil
+	reply.SetCounts(counts)
+	return reply, nil
 }
 
 // Keep holds another process's counters.
@@ -33,3 +39,23 @@
 	s.Ledger.Merge(request.GetCounts())
 	return &peerpb.KeepReply{}, nil
 }
+
+func without(counts []*peerpb.Count, except []uint64) []*peerpb.Count {
+	known := map[uint64]bool{}
+	for _, identity := range except {
+		known[identity] = true
+	}
+	var rest []*peerpb.Count
+	for _, count := range counts {
+		if !known[identity(count.GetProcess(), count.GetIncarnation())] {
+			rest = append(rest, count)
+		}
+	}
+	return rest
+}
+
+// identity stands for an incarnation of a process in messages.
+func identity(process string, incarnation uint64) uint64 {
+	sum := sha256.Sum256(binary.BigEndian.AppendUint64([]byte(process+"\x00"), incarnation))
+	return binary.BigEndian.Uint64(sum[:8])
+}
