--- a/internal/measure/stragglers.go
+++ b/internal/measure/stragglers.go
@@ -50,12 +50,16 @@
 	}}
 }
 
-// stragglerPolicy starts second runs.
+// stragglerPolicy starts second runs and stops attempts.
 type stragglerPolicy struct {
 	name    string
 	without bool
 	// fixed runs an attempt again that takes longer than fixedTimeout, up to fixedRetries.
 	fixed bool
+	// every is the time between two versions; 0 announces after each training.
+	every time.Duration
+	// late lets doomed attempts run to their end.
+	late bool
 }
 
 // stragglerSampler is a sampler with a pace of its own.
@@ -96,13 +100,15 @@
 	next     uint64
 	newest   uint64
 	trainEnd time.Time
-	idle     time.Duration
-	tokens   float64
-	useful   float64
-	stale    uint64
-	times    []float64
-	leasts   []float64
-	lags     []float64
+	// announcedAt is when the newest version was announced.
+	announcedAt time.Time
+	idle        time.Duration
+	tokens      float64
+	useful      float64
+	stale       uint64
+	times       []float64
+	leasts      []float64
+	lags        []float64
 }
 
 func newStragglerRun(policy stragglerPolicy, seed uint64) *stragglerRun {
@@ -113,6 +119,7 @@
 		now:    time.Unix(0, 0),
 		newest: 1,
 	}
+	run.announcedAt = run.now
 	for range stragglerSamplers {
 		run.samplers = append(run.samplers, &stragglerSampler{pace: 0.9 + 0.2*run.random.Float64(), version: 1})
 	}
@@ -233,7 +240,7 @@
 	if one.answer.Add(one.attempt.ID(), chunk) != nil {
 		return false
 	}
-	return one.step.Progress(one.attempt, count, one.sampler.version, r.now)
+	return one.step.Progress(one.attempt, count, one.sampler.version, r.now) || r.policy.late && isDoomed(one)
 }
 
 func (r *stragglerRun) finish(one *stragglerAttempt) {
@@ -252,8 +259,7 @@
 // dispatch starts attempts on the samplers with the fewest running.
 func (r *stragglerRun) dispatch() {
 	for {
-		sampler := r.free()
-		if sampler == nil {
+		if r.free(0) == nil {
 			return
 		}
 		attempt, ok := r.step.Next(r.now)
@@ -263,6 +269,11 @@
 		if !ok {
 			return
 		}
+		sampler := r.free(attempt.Oldest())
+		if sampler == nil {
+			r.step.Refuse(attempt, 0, r.now)
+			continue
+		}
 		sampler.running++
 		r.running = append(r.running, &stragglerAttempt{
 			attempt: attempt, sampler: sampler, step: r.step, start: r.now, length: r.length(attempt.Slot()),
@@ -290,12 +301,13 @@
 	})
 }
 
-func (r *stragglerRun) free() *stragglerSampler {
+// free returns the sampler with the fewest running that shows at least a version.
+func (r *stragglerRun) free(oldest uint64) *stragglerSampler {
 	var best *stragglerSampler
 	offset := r.random.IntN(len(r.samplers))
 	for i := range r.samplers {
 		sampler := r.samplers[(i+offset)%len(r.samplers)]
-		if sampler.running >= stragglerSlots || r.now.Before(sampler.awayUntil) {
+		if sampler.version < oldest || sampler.running >= stragglerSlots || r.now.Before(sampler.awayUntil) {
 			continue
 		}
 		if best == nil || sampler.running < best.running {
@@ -318,7 +330,7 @@
 		r.step.Commit()
 	}
 	training := r.now.Before(r.trainEnd)
-	if !training && !r.trainEnd.IsZero() {
+	if r.isAnnounced(training) {
 		r.announce()
 	}
 	pulled, err := r.step.Pull(r.next, rollout.MaxSlots, 0)
@@ -343,9 +355,20 @@
 	}
 }
 
+// isAnnounced reports whether new weights are due.
+func (r *stragglerRun) isAnnounced(training bool) bool {
+	if r.policy.every > 0 {
+		return r.now.Sub(r.announcedAt) >= r.policy.every
+	}
+	return !training && !r.trainEnd.IsZero()
+}
+
 // announce ends a training: the samplers swap within swapMost.
 func (r *stragglerRun) announce() {
-	r.trainEnd = time.Time{}
+	if r.policy.every == 0 {
+		r.trainEnd = time.Time{}
+	}
+	r.announcedAt = r.now
 	r.newest++
 	r.step.Announce(r.newest)
 	for _, sampler := range r.samplers {
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -49,6 +49,7 @@
 	stale    uint64
 	lost     uint64
 	wasted   uint64
+	refused  uint64
 	accepted uint64
 }
 
@@ -61,6 +62,9 @@
 // Lost returns the number of samples whose bytes were lost before they were acknowledged.
 func (c Counts) Lost() uint64 { return c.lost }
 
+// Refused returns the number of attempts that were not run.
+func (c Counts) Refused() uint64 { return c.refused }
+
 // Seconds returns the number of second runs.
 func (c Counts) Seconds() uint64 { return c.seconds }
 
@@ -182,6 +186,7 @@
 		group:  slot.group,
 		prompt: s.open.GetPrompts()[slot.group].GetText(),
 		second: second,
+		oldest: s.oldest(slot),
 	}
 	slot.runs[attempt.number] = &run{attempt: attempt, pace: pace{start: now}}
 	s.counts.started++
@@ -191,8 +196,16 @@
 	return attempt
 }
 
-// Oldest returns the oldest version that an attempt started now may use.
-func (s *Step) Oldest() uint64 {
+// oldest returns the oldest version that an attempt at a slot may use.
+//
+// An announcement stops an attempt as stale at a time when most samplers still
+// show the version before. Started again on one of those, it has a version less
+// to go: a long answer is stopped again and again, and the step never comes
+// whole. So it waits for a sampler with the newest version.
+func (s *Step) oldest(slot *slot) uint64 {
+	if slot.stale {
+		return s.newest
+	}
 	if s.newest <= s.open.GetStaleness() {
 		return 0
 	}
@@ -230,6 +243,7 @@
 	delete(slot.runs, attempt.number)
 	if s.isDoomed(run) {
 		s.counts.stale++
+		slot.stale = true
 		return
 	}
 	s.counts.failed++
@@ -237,6 +251,20 @@
 	slot.notBefore = now.Add(s.budget.pause(slot.failures, wait))
 }
 
+// Refuse notes that an attempt was not run: no sampler had room, or none showed
+// a version that is new enough. Nothing was added to the samplers' work, so it
+// uses no budget up and the pause stays short: samplers that have just loaded
+// new weights would else stand idle while slots sit out long pauses.
+func (s *Step) Refuse(attempt Attempt, wait time.Duration, now time.Time) {
+	slot := s.slots[attempt.slot]
+	if slot.runs[attempt.number] == nil {
+		return
+	}
+	delete(slot.runs, attempt.number)
+	s.counts.refused++
+	slot.notBefore = now.Add(max(refusedPause, min(wait, greatestRefusedPause)))
+}
+
 // Finish takes a whole sample. It reports false if the slot has one already or
 // the sample is stale. The other attempts at the slot are to be cancelled.
 func (s *Step) Finish(attempt Attempt, sample *peerpb.Sample, now time.Time) bool {
@@ -254,6 +282,7 @@
 	oldest := OldestVersion(sample)
 	if lags(s.newest, oldest, s.open.GetStaleness()) {
 		s.counts.stale++
+		slot.stale = true
 		return false
 	}
 	s.learn(run, now)
@@ -311,6 +340,7 @@
 func (s *Step) dropStale(slot *slot) {
 	if lags(s.newest, slot.oldest, s.open.GetStaleness()) {
 		s.counts.stale++
+		slot.stale = true
 		slot.drop()
 	}
 }
