Refuse a lease's margin that leaves no term

A margin above half of the lease ends each term before its first renewals count: duties would be taken and lost in turns, and nothing said why. The entry ends at its start and names both settings.

--- a/internal/bramleyhatch/entryduties.go
+++ b/internal/bramleyhatch/entryduties.go
@@ -4,12 +4,14 @@
 	"context"
 	"slices"
 	"strings"
+	"time"
 
 	"google.golang.org/grpc"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/fleet"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
 	"github.com/bramleyhatch/bramleyhatch/internal/usage"
 )
 
@@ -41,6 +43,9 @@
 // addReporter adds the duty that closes and reports usage windows.
 func (e *Entry) addReporter() {
 	e.AddDuty("report", func(ctx context.Context) error {
+		if err := checkDuty(e.Settings.GetDuty()); err != nil {
+			return err
+		}
 		return e.keeper(usage.DutyName).Run(ctx, func(ctx context.Context, term *duty.Term) error {
 			return e.newReporter().Run(ctx, term)
 		})
@@ -146,3 +151,24 @@
 	}
 	return duty.Rank(name, e.Process.Settings.GetName(), candidates)
 }
+
+// checkDuty refuses a margin that leaves no time between two renewals: every
+// term would end before its first renewal, and no duty would be held for long.
+func checkDuty(settings *settingspb.Duty) error {
+	lease, margin := settings.GetLease().AsDuration(), settings.GetMargin().AsDuration()
+	if margin > lease/2 {
+		return &DutyError{Lease: lease, Margin: margin}
+	}
+	return nil
+}
+
+// DutyError says that the settings of leases don't go together.
+type DutyError struct {
+	Lease  time.Duration
+	Margin time.Duration
+}
+
+// Error names both settings.
+func (e *DutyError) Error() string {
+	return "[duty] margin: " + e.Margin.String() + " is more than half of lease, " + e.Lease.String()
+}
