--- a/internal/fleet/capacity_test.go
+++ b/internal/fleet/capacity_test.go
@@ -13,6 +13,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/fleet"
 	"github.com/bramleyhatch/bramleyhatch/internal/member"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
@@ -86,7 +87,7 @@
 		work := &fleet.Zone{
 			Name: zone, Process: name, Platform: process, Members: members,
 			Sidecars: &sidecars{running: map[string]uint32{}, draining: map[string]bool{}},
-			Pools:    func() []string { return nil },
+			Pools:    func() []*listpb.Pool { return nil },
 			Interval: time.Second, Lease: lease, OrderBound: bound, DrainBound: drainBound,
 		}
 		rank := duty.Rank(fleet.DutyPrefix+zone, name, candidates)
