--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -14,8 +14,9 @@
 
 // flags are the command line.
 type flags struct {
-	Tables tablesCmd `cmd:"" default:"withargs" help:"Run experiments and print their tables."`
-	Slopes slopesCmd `cmd:"" help:"Run growing numbers of idle processes and print what each costs."`
+	Tables   tablesCmd   `cmd:"" default:"withargs" help:"Run experiments and print their tables."`
+	Overhead overheadCmd `cmd:"" help:"Compare requests through entry and sidecar with direct ones."`
+	Slopes   slopesCmd   `cmd:"" help:"Run growing numbers of idle processes and print what each costs."`
 }
 
 // tablesCmd prints the tables of experiments.
--- a/cmd/measure/processes.go
+++ b/cmd/measure/processes.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/lists"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
@@ -19,6 +20,7 @@
 	readyBound = 30 * time.Second
 	forceBound = 30 * time.Second
 	pollPause  = 50 * time.Millisecond
+	accountKey = "measure-key"
 )
 
 // processes are the programs of one measurement.
@@ -40,12 +42,12 @@
 
 // start starts the stand-ins, then the entries and sidecars.
 func (p *processes) start(ctx context.Context, count int) error {
-	standin, err := p.run(ctx, "standin", "platform", "platform")
+	standin, err := p.runStandin(ctx, "platform", "platform")
 	if err != nil {
 		return err
 	}
 	p.platform = "http://" + standin["address"]
-	engine, err := p.run(ctx, "standin", "engine", "engine", "--model", "assistant")
+	engine, err := p.runStandin(ctx, "engine", "engine", "--model", "assistant")
 	if err != nil {
 		return err
 	}
@@ -56,7 +58,7 @@
 		if float64(i) < entryShare*float64(count) {
 			err = p.startEntry(ctx, i)
 		} else {
-			err = p.startSidecar(ctx, i, engine["address"])
+			err = p.startSidecar(ctx, i, "engine", "assistant", engine["address"])
 		}
 		if err != nil {
 			return err
@@ -72,9 +74,10 @@
 	if value, err := client.Get(ctx, "config"); err == nil {
 		expect = value.Revision
 	}
-	plan := listpb.Plan_builder{Name: "plan", Models: []string{"assistant"}, Weight: float64(number)}.Build()
+	plan := listpb.Plan_builder{Name: "plan", Models: []string{"assistant"}, Services: []string{"ledger"}, Weight: float64(number)}.Build()
+	key := listpb.Key_builder{Hash: lists.HashKey(accountKey), Account: "account"}.Build()
 	account := listpb.Account_builder{Name: "account", Plan: "plan"}.Build()
-	data, err := proto.Marshal(listpb.Config_builder{Lists: number, Plans: []*listpb.Plan{plan}, Accounts: []*listpb.Account{account}}.Build())
+	data, err := proto.Marshal(listpb.Config_builder{Lists: number, Plans: []*listpb.Plan{plan}, Accounts: []*listpb.Account{account}, Keys: []*listpb.Key{key}}.Build())
 	if err != nil {
 		return err
 	}
@@ -92,9 +95,9 @@
 	return p.host(ctx, name, "entry", addresses["peer"], i)
 }
 
-func (p *processes) startSidecar(ctx context.Context, i int, engine string) error {
+func (p *processes) startSidecar(ctx context.Context, i int, kind, pool, backend string) error {
 	name := fmt.Sprintf("sidecar%d", i)
-	text := p.common(name, i) + fmt.Sprintf("[backend]\nserver = server%d\naddress = http://%s\nkind = engine\npool = assistant\n", i, engine)
+	text := p.common(name, i) + fmt.Sprintf("[backend]\nserver = server%d\naddress = http://%s\nkind = %s\npool = %s\n", i, backend, kind, pool)
 	addresses, err := p.runSettings(ctx, "sidecar", name, text)
 	if err != nil {
 		return err
@@ -124,8 +127,8 @@
 	return p.launch(ctx, "bramleyhatch", name, kind, "--settings", p.file(name+".ini"))
 }
 
-func (p *processes) run(ctx context.Context, program, name, kind string, flags ...string) (map[string]string, error) {
-	return p.launch(ctx, program, name, append([]string{kind, "--ready", p.file(name + ".ready")}, flags...)...)
+func (p *processes) runStandin(ctx context.Context, name, kind string, flags ...string) (map[string]string, error) {
+	return p.launch(ctx, "standin", name, append([]string{kind, "--ready", p.file(name + ".ready")}, flags...)...)
 }
 
 // launch starts a program and waits for its ready file.
