--- a/internal/bramleyhatch/entrytrainers.go
+++ b/internal/bramleyhatch/entrytrainers.go
@@ -28,12 +28,12 @@
 
 // trainers is what an entry does for trainers.
 type trainers struct {
-	entry      *Entry
-	service    *rollout.Service
-	peers      *rollout.Peers
-	conductors *weight.Conductors
-	sidecars   *weight.Sidecars
-	metrics    *rollout.Metrics
+	entry        *Entry
+	service      *rollout.Service
+	peers        *rollout.Peers
+	coordinators *weight.Coordinators
+	sidecars     *weight.Sidecars
+	metrics      *rollout.Metrics
 	// draining ends when the entry is to stop: it gives its duties up while it
 	// still serves, so that other entries take them before it is gone.
 	draining context.Context
@@ -43,20 +43,20 @@
 // addTrainers adds the trainers' interface, the steps that this entry holds and
 // the weights of samplers.
 func (e *Entry) addTrainers() {
-	t := &trainers{entry: e, conductors: &weight.Conductors{}, metrics: rollout.NewMetrics(e.Metrics)}
+	t := &trainers{entry: e, coordinators: &weight.Coordinators{}, metrics: rollout.NewMetrics(e.Metrics)}
 	t.sidecars = &weight.Sidecars{Directory: e.members, Credentials: e.credentials()}
 	draining, startDraining := context.WithCancel(context.Background())
 	t.draining = draining
 	t.drain = func(context.Context) { startDraining() }
-	shelf := &rollout.Shelf{}
-	t.peers = &rollout.Peers{Directory: e.members, Shelf: shelf, Credentials: e.credentials()}
+	replicas := &rollout.Replicas{}
+	t.peers = &rollout.Peers{Directory: e.members, Replicas: replicas, Credentials: e.credentials()}
 	t.service = &rollout.Service{
-		New:     t.newHolder,
-		Shelf:   shelf,
-		Locate:  t.locate,
-		Process: e.Process.Settings.GetName(),
-		Weights: t.conductors,
-		Wanted:  t.wanted,
+		New:      t.newHolder,
+		Replicas: replicas,
+		Locate:   t.locate,
+		Process:  e.Process.Settings.GetName(),
+		Weights:  t.coordinators,
+		Wanted:   t.wanted,
 	}
 	handler := &trainer.Handler{
 		Grants:       e.view,
@@ -144,7 +144,7 @@
 	return t.entry.keeper(name).Run(ctx, func(ctx context.Context, term *duty.Term) error {
 		t.publish(name, term)
 		if model, ok := strings.CutPrefix(name, rollout.WeightDuty("")); ok {
-			return t.conduct(ctx, model, term)
+			return t.coordinate(ctx, model, term)
 		}
 		return t.service.Lead(ctx, strings.TrimPrefix(name, rollout.TrainerDuty("")), term.Fence())
 	})
@@ -176,16 +176,16 @@
 	return rollout.NewLocation(holder.GetProcess(), holder.GetAddress()), true
 }
 
-// conduct orders the samplers of a model for one term.
-func (t *trainers) conduct(ctx context.Context, model string, term *duty.Term) error {
+// coordinate orders the samplers of a model for one term.
+func (t *trainers) coordinate(ctx context.Context, model string, term *duty.Term) error {
 	settings := t.entry.Settings.GetTrainer()
-	conductor := weight.NewConductor(model)
-	conductor.Record = &record.Record{Store: t.entry.platform, Key: weight.Key(model)}
-	conductor.Directory = t.entry.members
-	conductor.Orderer = t.sidecars
-	conductor.Decisions = t.entry.Decisions
-	conductor.Share = float64(settings.GetSwapsPercent()) / percent
-	conductor.Timeout = settings.GetSwap().AsDuration()
-	defer t.conductors.Add(conductor)()
-	return conductor.Run(ctx, term)
+	coordinator := weight.NewCoordinator(model)
+	coordinator.Record = &record.Record{Store: t.entry.platform, Key: weight.Key(model)}
+	coordinator.Directory = t.entry.members
+	coordinator.Orderer = t.sidecars
+	coordinator.Decisions = t.entry.Decisions
+	coordinator.Share = float64(settings.GetSwapsPercent()) / percent
+	coordinator.Timeout = settings.GetSwap().AsDuration()
+	defer t.coordinators.Add(coordinator)()
+	return coordinator.Run(ctx, term)
 }
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -34,27 +34,27 @@
 	// Isolation is the time for Isolated; set it before use. 0 turns it off.
 	Isolation time.Duration
 
-	mutex     sync.Mutex
-	self      *peerpb.Process
-	table     table
-	rings     rings
-	updates   updates
-	facts     facts
-	loads     map[string]*peerpb.Load
-	stamps    stamps
-	demands   keptDemands
-	watchers  map[string][]func(*peerpb.Fact)
-	withdrawn []func(*peerpb.Withdrawal)
-	roles     map[peerpb.Role][]*peerpb.Process
-	rolesAt   uint64
-	urgent    chan struct{}
-	important bool
-	exchanged time.Time
-	started   time.Time
-	synced    time.Time
-	differs   bool
-	replaced  bool
-	ancestry  ancestry
+	mutex        sync.Mutex
+	self         *peerpb.Process
+	table        table
+	rings        rings
+	updates      updates
+	facts        facts
+	loads        map[string]*peerpb.Load
+	stamps       stamps
+	demands      keptDemands
+	watchers     map[string][]func(*peerpb.Fact)
+	withdrawn    []func(*peerpb.Withdrawal)
+	roles        map[peerpb.Role][]*peerpb.Process
+	rolesAt      uint64
+	urgent       chan struct{}
+	important    bool
+	exchanged    time.Time
+	started      time.Time
+	synced       time.Time
+	differs      bool
+	replaced     bool
+	predecessors predecessors
 	// replacedBy holds, by name, the records that a later process has replaced.
 	replacedBy map[string]*peerpb.Process
 
@@ -308,7 +308,7 @@
 // mergeProcess takes what is said of a process if it is newer. It reports
 // whether the known record is newer, so that the other side should be told.
 func (m *Members) mergeProcess(process *peerpb.Process, now time.Time) (outdated bool) {
-	m.ancestry.note(m.self, process)
+	m.predecessors.note(m.self, process)
 	if process.GetName() == m.self.GetName() {
 		return m.mergeSelf(process, now)
 	}
@@ -368,7 +368,7 @@
 		delete(m.loads, process.GetServer())
 	}
 	if known.GetIncarnation() < process.GetIncarnation() {
-		m.noteElder(known, now)
+		m.keepReplaced(known, now)
 	}
 	m.table.put(process, now)
 	m.updates.add(process.GetName())
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -30,12 +30,12 @@
 
 // Answer takes another process's message and returns the answer.
 func (m *Members) Answer(now time.Time, request *peerpb.Gossip) *peerpb.Gossip {
-	elders := m.eldersOf(request.GetSender())
+	olderRecords := m.olderRecordsOf(request.GetSender())
 	outdated := m.take(now, request)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	answer := m.message(now)
-	answer.SetProcesses(append(append(answer.GetProcesses(), outdated...), elders...))
+	answer.SetProcesses(append(append(answer.GetProcesses(), outdated...), olderRecords...))
 	if request.GetHeld() != m.facts.hash && m.expect(now, request.GetHeld()) {
 		answer.SetDigest(m.facts.digest())
 		answer.SetWithdrawals(m.someWithdrawals())
@@ -123,10 +123,10 @@
 	return true
 }
 
-func (m *Members) eldersOf(process *peerpb.Process) []*peerpb.Process {
+func (m *Members) olderRecordsOf(process *peerpb.Process) []*peerpb.Process {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.elders(process)
+	return m.olderRecords(process)
 }
 
 func (m *Members) differing(buckets []uint64) []*peerpb.Process {
--- a/internal/member/ancestry.go
+++ b/internal/member/predecessors.go
@@ -8,26 +8,26 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 )
 
-// ancestry is what the others know of processes before this one.
-type ancestry struct {
+// predecessors is what the others know of processes before this one.
+type predecessors struct {
 	// earlier is true once an earlier process of this name or server was heard of.
 	earlier bool
-	// heard is true once any other process was heard of, elder once one was
+	// heard is true once any other process was heard of, older once one was
 	// that started before this one.
 	heard bool
-	elder bool
+	older bool
 }
 
 // note takes another process's record.
-func (a *ancestry) note(self, other *peerpb.Process) {
-	isElder := other.GetIncarnation() < self.GetIncarnation()
+func (p *predecessors) note(self, other *peerpb.Process) {
+	isOlder := other.GetIncarnation() < self.GetIncarnation()
 	isSame := other.GetName() == self.GetName() || self.GetServer() != "" && other.GetServer() == self.GetServer()
 	if isSame {
-		a.earlier = a.earlier || isElder
+		p.earlier = p.earlier || isOlder
 		return
 	}
-	a.heard = a.heard || other.GetName() != ""
-	a.elder = a.elder || isElder && other.GetName() != ""
+	p.heard = p.heard || other.GetName() != ""
+	p.older = p.older || isOlder && other.GetName() != ""
 }
 
 // IsFirst reports whether this is known to be the first process of its name and
@@ -36,11 +36,11 @@
 func (m *Members) IsFirst() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.ancestry.heard && !m.ancestry.earlier && (m.ancestry.elder || m.isEldest())
+	return m.predecessors.heard && !m.predecessors.earlier && (m.predecessors.older || m.isOldest())
 }
 
-// isEldest reports whether no other known process started before this one.
-func (m *Members) isEldest() bool {
+// isOldest reports whether no other known process started before this one.
+func (m *Members) isOldest() bool {
 	for name, known := range m.table.records {
 		if name != m.self.GetName() && known.process.GetIncarnation() < m.self.GetIncarnation() {
 			return false
@@ -49,14 +49,14 @@
 	return true
 }
 
-// elders returns the records by which a process that was started again learns
+// olderRecords returns the records by which a process that was started again learns
 // of the earlier one: those of its name with a lower incarnation, and those of
 // other names beside the same backend server, in whatever state.
 //
 // A process that asks replaces its earlier record here by asking. Without this
 // answer nobody would tell it that there was one, and it would take its empty
 // memory for whole.
-func (m *Members) elders(process *peerpb.Process) []*peerpb.Process {
+func (m *Members) olderRecords(process *peerpb.Process) []*peerpb.Process {
 	var found []*peerpb.Process
 	for _, name := range append([]string{process.GetName()}, m.table.servers[process.GetServer()]...) {
 		known := m.table.get(name)
@@ -64,27 +64,27 @@
 			found = appendOnce(found, known)
 		}
 	}
-	if elder := m.replacedBy[process.GetName()]; elder != nil {
-		found = append(found, elder)
+	if older := m.replacedBy[process.GetName()]; older != nil {
+		found = append(found, older)
 	}
 	return found
 }
 
-// noteElder keeps the record that a later process of its name replaces.
-func (m *Members) noteElder(known *peerpb.Process, now time.Time) {
+// keepReplaced keeps the record that a later process of its name replaces.
+func (m *Members) keepReplaced(known *peerpb.Process, now time.Time) {
 	if known == nil {
 		return
 	}
-	elder := proto.CloneOf(known)
-	elder.SetState(peerpb.State_STATE_FAILED)
-	elder.SetEnded(now.Unix())
-	m.replacedBy[known.GetName()] = elder
+	older := proto.CloneOf(known)
+	older.SetState(peerpb.State_STATE_FAILED)
+	older.SetEnded(now.Unix())
+	m.replacedBy[known.GetName()] = older
 }
 
-// forgetElders drops the records that were replaced long ago.
-func (m *Members) forgetElders(now time.Time) {
-	for name, elder := range m.replacedBy {
-		if hasExpired(elder, now) {
+// forgetReplaced drops the records that were replaced long ago.
+func (m *Members) forgetReplaced(now time.Time) {
+	for name, older := range m.replacedBy {
+		if hasExpired(older, now) {
 			delete(m.replacedBy, name)
 		}
 	}
--- a/internal/member/ancestry_test.go
+++ b/internal/member/predecessors_test.go
@@ -16,23 +16,23 @@
 	process := func(name, server string, incarnation uint64) *peerpb.Process {
 		return peerpb.Process_builder{Name: name, Server: server, Incarnation: incarnation}.Build()
 	}
-	elder, younger := process("entry", "", 1), process("other", "", 9)
+	older, younger := process("entry", "", 1), process("other", "", 9)
 	tests := map[string]struct {
 		heard   []*peerpb.Process
 		isFirst bool
 	}{
 		"nobody heard":           {nil, false},
-		"elder knows of none":    {[]*peerpb.Process{elder}, true},
+		"older knows of none":    {[]*peerpb.Process{older}, true},
 		"only younger ones":      {[]*peerpb.Process{younger}, true},
-		"started again":          {[]*peerpb.Process{elder, process("s1", "server", 4)}, false},
-		"on another host":        {[]*peerpb.Process{process("s0", "server", 4), elder}, false},
-		"its own record returns": {[]*peerpb.Process{elder, process("s1", "server", 5)}, true},
+		"started again":          {[]*peerpb.Process{older, process("s1", "server", 4)}, false},
+		"on another host":        {[]*peerpb.Process{process("s0", "server", 4), older}, false},
+		"its own record returns": {[]*peerpb.Process{older, process("s1", "server", 5)}, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			members := NewMembers(process("s1", "server", 5))
 			for _, heard := range test.heard {
-				members.Take(time.Unix(10, 0), peerpb.Gossip_builder{Sender: elder, Processes: []*peerpb.Process{heard}}.Build())
+				members.Take(time.Unix(10, 0), peerpb.Gossip_builder{Sender: older, Processes: []*peerpb.Process{heard}}.Build())
 			}
 			must.Eq(t, test.isFirst, members.IsFirst())
 		})
--- a/internal/member/prober.go
+++ b/internal/member/prober.go
@@ -51,7 +51,7 @@
 	defer m.mutex.Unlock()
 	paused := !p.last.IsZero() && now.Sub(p.last) > max(pauseFactor*p.Interval, p.Suspect/2)
 	p.last = now
-	m.forgetElders(now)
+	m.forgetReplaced(now)
 	for name := range m.table.unsettled {
 		known := m.table.records[name]
 		age := now.Sub(known.since)
--- a/internal/rollout/entries_test.go
+++ b/internal/rollout/entries_test.go
@@ -77,17 +77,17 @@
 func newEntry(t *testing.T, directory *fakeDirectory, name, zone string, store Store) *entry {
 	t.Helper()
 	one := &entry{name: name, directory: directory, runner: &fakeRunner{version: 1}}
-	shelf := &Shelf{}
-	one.peers = &Peers{Directory: view{fakeDirectory: directory, name: name}, Shelf: shelf}
+	replicas := &Replicas{}
+	one.peers = &Peers{Directory: view{fakeDirectory: directory, name: name}, Replicas: replicas}
 	one.client = &Client{Locate: directory.locate, Peers: one.peers, Patience: 10 * time.Second}
 	one.service = &Service{
 		New: func(string) *Holder {
 			return newTestHolder(name, store, one.runner, one.peers)
 		},
-		Shelf:   shelf,
-		Locate:  directory.locate,
-		Process: name,
-		Wanted:  func(string) bool { return true },
+		Replicas: replicas,
+		Locate:   directory.locate,
+		Process:  name,
+		Wanted:   func(string) bool { return true },
 	}
 	one.start(t, zone)
 	return one
@@ -192,7 +192,7 @@
 	})
 	before, err := other.client.Pull(t.Context(), pullRequest(0, 16, time.Second))
 	must.NoError(t, err)
-	must.Len(t, 8, other.service.Shelf.Fetch("drafts", 1, []uint32{0, 1, 2, 3, 4, 5, 6, 7}))
+	must.Len(t, 8, other.service.Replicas.Fetch("drafts", 1, []uint32{0, 1, 2, 3, 4, 5, 6, 7}))
 	holder.kill()
 	pulled := make(chan *peerpb.PullReply, 1)
 	go func() {
--- a/internal/rollout/fake_test.go
+++ b/internal/rollout/fake_test.go
@@ -143,16 +143,16 @@
 
 // fakeKeeping is the memory of other processes, by name.
 type fakeKeeping struct {
-	mutex   sync.Mutex
-	shelves map[string]*Shelf
+	mutex    sync.Mutex
+	replicas map[string]*Replicas
 }
 
 var _ Keeping = &fakeKeeping{}
 
 func newFakeKeeping(names ...string) *fakeKeeping {
-	keeping := &fakeKeeping{shelves: map[string]*Shelf{}}
+	keeping := &fakeKeeping{replicas: map[string]*Replicas{}}
 	for _, name := range names {
-		keeping.shelves[name] = &Shelf{}
+		keeping.replicas[name] = &Replicas{}
 	}
 	return keeping
 }
@@ -161,8 +161,8 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	var holders []string
-	for name, shelf := range k.shelves {
-		if shelf.Keep(sample, forget) {
+	for name, replicas := range k.replicas {
+		if replicas.Keep(sample, forget) {
 			holders = append(holders, name)
 		}
 	}
@@ -172,17 +172,17 @@
 func (k *fakeKeeping) Fetch(_ context.Context, process, trainer string, step uint64, slots []uint32) ([]*peerpb.Sample, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	shelf := k.shelves[process]
-	if shelf == nil {
+	replicas := k.replicas[process]
+	if replicas == nil {
 		return nil, errors.New("gone")
 	}
-	return shelf.Fetch(trainer, step, slots), nil
+	return replicas.Fetch(trainer, step, slots), nil
 }
 
 func (k *fakeKeeping) kill(name string) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	delete(k.shelves, name)
+	delete(k.replicas, name)
 }
 
 func openRequest(step uint64, groups int, samples uint32, staleness uint64) *peerpb.OpenRequest {
--- a/internal/rollout/interleaving_test.go
+++ b/internal/rollout/interleaving_test.go
@@ -165,7 +165,7 @@
 		return
 	}
 	if rapid.IntRange(0, 9).Draw(t, "lose bytes") == 0 {
-		i.keeping.shelves["x"] = &Shelf{}
+		i.keeping.replicas["x"] = &Replicas{}
 	}
 	next := &actor{record: &record.Record{Store: i.store, Key: "step"}}
 	data, err := next.record.Load(context.Background())
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -32,8 +32,8 @@
 // Peers speaks to the other entries. Exported fields are set before the first call.
 type Peers struct {
 	Directory Directory
-	// Shelf holds this process's own samples.
-	Shelf       *Shelf
+	// Replicas holds this process's own samples.
+	Replicas    *Replicas
 	Credentials credentials.TransportCredentials
 
 	mutex       sync.Mutex
@@ -46,7 +46,7 @@
 // other zone has one. Without any, the sample has one holder: losing it costs
 // another run of its slot.
 func (p *Peers) Keep(ctx context.Context, sample *peerpb.Sample, forget []uint32) []string {
-	p.Shelf.Keep(sample, forget)
+	p.Replicas.Keep(sample, forget)
 	request := peerpb.KeepSampleRequest_builder{Samples: []*peerpb.Sample{sample}, Forget: forget}.Build()
 	for _, process := range p.candidates(sample.GetSlot()) {
 		if err := p.keep(ctx, process, request); err != nil {
@@ -72,7 +72,7 @@
 // Fetch returns what a process holds of the given slots.
 func (p *Peers) Fetch(ctx context.Context, process, trainer string, step uint64, slots []uint32) ([]*peerpb.Sample, error) {
 	if process == p.Directory.Self().GetName() {
-		return p.Shelf.Fetch(trainer, step, slots), nil
+		return p.Replicas.Fetch(trainer, step, slots), nil
 	}
 	for _, entry := range p.Directory.Processes(peerpb.Role_ROLE_ENTRY) {
 		if entry.GetName() == process {
--- a/internal/rollout/shelf.go
+++ b/internal/rollout/replicas.go
@@ -8,17 +8,17 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 )
 
-// maxShelfBytes bounds what a process holds for one trainer.
-const maxShelfBytes = 128 << 20
+// maxReplicaBytes bounds what a process holds for one trainer.
+const maxReplicaBytes = 128 << 20
 
-// Shelf holds finished samples for holders in other processes: for each trainer
+// Replicas holds finished samples for holders in other processes: for each trainer
 // those of its newest step. Its zero value is empty. It is safe for concurrent use.
-type Shelf struct {
+type Replicas struct {
 	mutex    sync.Mutex
-	trainers map[string]*shelved
+	trainers map[string]*replicaSet
 }
 
-type shelved struct {
+type replicaSet struct {
 	step    uint64
 	samples map[uint32]*peerpb.Sample
 	size    int
@@ -26,10 +26,10 @@
 
 // Keep takes a sample and forgets the given slots. It reports false if the
 // sample is of an older step or there is no room.
-func (s *Shelf) Keep(sample *peerpb.Sample, forget []uint32) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	held := s.of(sample.GetTrainer(), sample.GetStep())
+func (r *Replicas) Keep(sample *peerpb.Sample, forget []uint32) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	held := r.of(sample.GetTrainer(), sample.GetStep())
 	if held.step > sample.GetStep() {
 		return false
 	}
@@ -38,7 +38,7 @@
 	}
 	held.remove(sample.GetSlot())
 	size := proto.Size(sample)
-	if held.size+size > maxShelfBytes {
+	if held.size+size > maxReplicaBytes {
 		return false
 	}
 	held.samples[sample.GetSlot()] = sample
@@ -47,10 +47,10 @@
 }
 
 // Fetch returns what is held of the given slots.
-func (s *Shelf) Fetch(trainer string, step uint64, slots []uint32) []*peerpb.Sample {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	held := s.trainers[trainer]
+func (r *Replicas) Fetch(trainer string, step uint64, slots []uint32) []*peerpb.Sample {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	held := r.trainers[trainer]
 	if held == nil || held.step != step {
 		return nil
 	}
@@ -63,19 +63,19 @@
 	return found
 }
 
-func (s *Shelf) of(trainer string, step uint64) *shelved {
-	if s.trainers == nil {
-		s.trainers = map[string]*shelved{}
+func (r *Replicas) of(trainer string, step uint64) *replicaSet {
+	if r.trainers == nil {
+		r.trainers = map[string]*replicaSet{}
 	}
-	held := s.trainers[trainer]
+	held := r.trainers[trainer]
 	if held == nil || held.step < step {
-		held = &shelved{step: step, samples: map[uint32]*peerpb.Sample{}}
-		s.trainers[trainer] = held
+		held = &replicaSet{step: step, samples: map[uint32]*peerpb.Sample{}}
+		r.trainers[trainer] = held
 	}
 	return held
 }
 
-func (h *shelved) remove(slot uint32) {
+func (h *replicaSet) remove(slot uint32) {
 	if sample := h.samples[slot]; sample != nil {
 		h.size -= proto.Size(sample)
 		delete(h.samples, slot)
--- a/internal/rollout/service.go
+++ b/internal/rollout/service.go
@@ -23,8 +23,8 @@
 	peerpb.UnimplementedStepServer
 
 	// New returns a holder for a trainer.
-	New   func(trainer string) *Holder
-	Shelf *Shelf
+	New      func(trainer string) *Holder
+	Replicas *Replicas
 	// Locate returns the process that holds a duty, as far as is known.
 	Locate  func(duty string) (*Location, bool)
 	Process string
@@ -116,8 +116,8 @@
 // Keep holds samples for another process.
 func (s *Service) Keep(_ context.Context, request *peerpb.KeepSampleRequest) (*peerpb.KeepSampleReply, error) {
 	for _, sample := range request.GetSamples() {
-		if !s.Shelf.Keep(sample, request.GetForget()) {
-			return nil, refusal.NotRun(http.StatusInsufficientStorage, "shelf_full", "no room for samples of %s", sample.GetTrainer())
+		if !s.Replicas.Keep(sample, request.GetForget()) {
+			return nil, refusal.NotRun(http.StatusInsufficientStorage, "replicas_full", "no room for samples of %s", sample.GetTrainer())
 		}
 	}
 	return &peerpb.KeepSampleReply{}, nil
@@ -125,7 +125,7 @@
 
 // Fetch returns samples held for another process.
 func (s *Service) Fetch(_ context.Context, request *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
-	samples := s.Shelf.Fetch(request.GetTrainer(), request.GetStep(), request.GetSlots())
+	samples := s.Replicas.Fetch(request.GetTrainer(), request.GetStep(), request.GetSlots())
 	return peerpb.FetchReply_builder{Samples: samples}.Build(), nil
 }
 
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// maxStrikes is the number of streams in a row that may break at once and
+	// maxFailures is the number of streams in a row that may break at once and
 	// without a frame before a request that can go elsewhere does.
-	maxStrikes = 4
+	maxFailures = 4
 	// maxServers is the number of servers that one request tries.
 	maxServers = 3
 	retryAfter = time.Second
@@ -41,8 +41,8 @@
 	sent bool
 	// mayHaveRun is true once any server may have run the request.
 	mayHaveRun bool
-	// life is when the present server last showed life.
-	life  time.Time
+	// heard is when the present server last showed life.
+	heard time.Time
 	began time.Time
 	// left holds the servers from which the request moved on.
 	left []*server
@@ -124,41 +124,41 @@
 func (r *run) at(server *server) (*peerpb.End, error) {
 	r.tried[server.Name()] = true
 	r.sent = false
-	r.life = time.Now()
+	r.heard = time.Now()
 	r.pool.directory.begin(server)
 	defer r.pool.directory.finish(server)
-	strikes := 0
+	failures := 0
 	for isResume := false; ; isResume = true {
 		began, next := time.Now(), r.next
 		end, err := r.once(server)
 		if err == nil || !r.isBroken(err) || r.ctx.Err() != nil {
 			return end, r.meaning(server, err)
 		}
-		strikes = r.strike(strikes, isResume, began, next)
+		failures = r.countFailure(failures, isResume, began, next)
 		r.pool.metrics.resumes.Inc()
 		r.pool.Decisions.Record(r.request.GetId(), "route", "%s, again from frame %d: %v", server.Name(), r.next, err)
-		if strikes >= maxStrikes && r.givesUp() {
+		if failures >= maxFailures && r.givesUp() {
 			return nil, r.meaning(server, err)
 		}
-		if strikes > 1 && !r.pause() {
+		if failures > 1 && !r.pause() {
 			return nil, r.meaning(server, err)
 		}
 	}
 }
 
-// strike counts the streams in a row that broke without life. A resumed one that
+// countFailure counts the streams in a row that broke without life. A resumed one that
 // was silent from its start settles it: the sidecar doesn't answer on a new
 // connection either.
-func (r *run) strike(strikes int, isResume bool, began time.Time, next uint64) int {
-	isAlive := r.life.After(began)
+func (r *run) countFailure(failures int, isResume bool, began time.Time, next uint64) int {
+	isAlive := r.heard.After(began)
 	isLong := time.Since(began) >= r.pool.Silence
 	switch {
 	case r.next > next, isAlive && isLong:
 		return 0
 	case isResume && isLong:
-		return maxStrikes
+		return maxFailures
 	default:
-		return strikes + 1
+		return failures + 1
 	}
 }
 
@@ -168,7 +168,7 @@
 // there. Without that, a link that is cut for a moment costs each caller behind
 // it the answer.
 func (r *run) givesUp() bool {
-	return r.request.GetIdempotent() && r.forget() || time.Since(r.life) >= r.pool.Silence
+	return r.request.GetIdempotent() && r.forget() || time.Since(r.heard) >= r.pool.Silence
 }
 
 // pause waits between two tries; it returns false once the context has ended.
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -127,7 +127,7 @@
 		s.run.pool.metrics.dropped.WithLabelValues("other_request").Inc()
 		return nil, nil
 	}
-	s.run.life = time.Now()
+	s.run.heard = time.Now()
 	s.watchdog.Reset(s.run.pool.Silence)
 	switch frame.WhichPart() {
 	case peerpb.Frame_Beat_case, peerpb.Frame_Part_not_set_case:
--- a/internal/weight/conductor.go
+++ b/internal/weight/coordinator.go
@@ -59,9 +59,9 @@
 // Key returns the store's key of the version wanted of a model.
 func Key(model string) string { return "weight/" + model }
 
-// Conductor orders a model's samplers to load new weights while it is in charge.
+// Coordinator orders a model's samplers to load new weights while it is in charge.
 // Exported fields are set before Run.
-type Conductor struct {
+type Coordinator struct {
 	Model     string
 	Record    Record
 	Directory Directory
@@ -83,14 +83,14 @@
 	announced chan struct{}
 }
 
-// NewConductor returns a conductor of a model's samplers.
-func NewConductor(model string) *Conductor {
-	return &Conductor{Model: model, announced: make(chan struct{}, 1)}
+// NewCoordinator returns a coordinator of a model's samplers.
+func NewCoordinator(model string) *Coordinator {
+	return &Coordinator{Model: model, announced: make(chan struct{}, 1)}
 }
 
 // Announce sets the version wanted. It is ordered at once; an error says that
 // the store doesn't hold it yet, and that it is to be announced again.
-func (c *Conductor) Announce(ctx context.Context, version uint64) error {
+func (c *Coordinator) Announce(ctx context.Context, version uint64) error {
 	if c.announce(version) {
 		c.Decisions.Record(Key(c.Model), "weight", "version %d is wanted on all samplers", version)
 	}
@@ -102,7 +102,7 @@
 	return c.write(ctx)
 }
 
-func (c *Conductor) announce(version uint64) bool {
+func (c *Coordinator) announce(version uint64) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	newer := c.wave.Announce(version)
@@ -117,7 +117,7 @@
 	return true
 }
 
-func (c *Conductor) write(ctx context.Context) error {
+func (c *Coordinator) write(ctx context.Context) error {
 	c.mutex.Lock()
 	target, fence := c.wave.Target(), c.fence
 	c.mutex.Unlock()
@@ -130,7 +130,7 @@
 }
 
 // Run orders samplers until the context ends, which it does with the term.
-func (c *Conductor) Run(ctx context.Context, term Term) error {
+func (c *Coordinator) Run(ctx context.Context, term Term) error {
 	c.mutex.Lock()
 	c.wave.Share = c.Share
 	c.wave.Lag = DefaultLag
@@ -156,7 +156,7 @@
 }
 
 // interval returns the time until the next round.
-func (c *Conductor) interval() time.Duration {
+func (c *Coordinator) interval() time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.wave.Behind() > 0 {
@@ -166,7 +166,7 @@
 }
 
 // load reads the version wanted, until the store has answered once.
-func (c *Conductor) load(ctx context.Context) {
+func (c *Coordinator) load(ctx context.Context) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	if c.loaded {
@@ -185,7 +185,7 @@
 	c.announce(value.GetVersion())
 }
 
-func (c *Conductor) next() []string {
+func (c *Coordinator) next() []string {
 	now := time.Now()
 	live := c.live()
 	c.mutex.Lock()
@@ -198,7 +198,7 @@
 	return c.wave.Next(now)
 }
 
-func (c *Conductor) live() []Sampler {
+func (c *Coordinator) live() []Sampler {
 	var live []Sampler
 	for _, process := range c.Directory.Processes(peerpb.Role_ROLE_SIDECAR) {
 		if process.GetPool() != c.Model || process.GetState() != peerpb.State_STATE_LIVE {
@@ -216,7 +216,7 @@
 }
 
 // order changes one sampler.
-func (c *Conductor) order(ctx context.Context, term Term, server string) {
+func (c *Coordinator) order(ctx context.Context, term Term, server string) {
 	c.mutex.Lock()
 	version := c.wave.Target()
 	c.mutex.Unlock()
@@ -238,7 +238,7 @@
 	c.wave.Done(server, shown, time.Now())
 }
 
-func (c *Conductor) request(version uint64, term Term) *peerpb.OrderRequest {
+func (c *Coordinator) request(version uint64, term Term) *peerpb.OrderRequest {
 	return peerpb.OrderRequest_builder{
 		Action:  peerpb.Action_ACTION_VERSION,
 		Model:   c.Model,
--- a/internal/weight/conductor_test.go
+++ b/internal/weight/coordinator_test.go
@@ -128,66 +128,66 @@
 func (f fakeTerm) Fence() uint64        { return f.fence }
 func (f fakeTerm) Valid(time.Time) bool { return !f.over }
 
-func runConductor(t *testing.T, samplers *fakeSamplers, record Record, term fakeTerm) *Conductor {
+func runCoordinator(t *testing.T, samplers *fakeSamplers, record Record, term fakeTerm) *Coordinator {
 	t.Helper()
-	conductor := NewConductor("draft")
-	conductor.Record = record
-	conductor.Directory = samplers
-	conductor.Orderer = samplers
-	conductor.Share = 0.5
-	conductor.Timeout = time.Second
+	coordinator := NewCoordinator("draft")
+	coordinator.Record = record
+	coordinator.Directory = samplers
+	coordinator.Orderer = samplers
+	coordinator.Share = 0.5
+	coordinator.Timeout = time.Second
 	ctx, cancel := context.WithCancel(t.Context())
 	var group sync.WaitGroup
-	group.Go(func() { _ = conductor.Run(ctx, term) })
+	group.Go(func() { _ = coordinator.Run(ctx, term) })
 	t.Cleanup(func() {
 		cancel()
 		group.Wait()
 	})
-	return conductor
+	return coordinator
 }
 
 // announce repeats the announcement of version 2 until the store holds it, as
 // trainers do.
-func announce(t *testing.T, conductor *Conductor) {
+func announce(t *testing.T, coordinator *Coordinator) {
 	t.Helper()
 	deadline := time.Now().Add(10 * time.Second)
-	for conductor.Announce(t.Context(), 2) != nil {
+	for coordinator.Announce(t.Context(), 2) != nil {
 		must.True(t, time.Now().Before(deadline))
 		time.Sleep(time.Millisecond)
 	}
 }
 
-func TestConductor(t *testing.T) {
+func TestCoordinator(t *testing.T) {
 	t.Run("orders all samplers, failed ones again", func(t *testing.T) {
 		samplers := newFakeSamplers("a", "b", "c")
 		samplers.failing = 2
-		conductor := runConductor(t, samplers, &fakeRecord{}, fakeTerm{fence: 7})
-		announce(t, conductor)
+		coordinator := runCoordinator(t, samplers, &fakeRecord{}, fakeTerm{fence: 7})
+		announce(t, coordinator)
 		samplers.show(t, 2)
 		must.Eq(t, 7, samplers.fences[0])
 	})
 	t.Run("a successor goes on with the version kept", func(t *testing.T) {
 		record := &fakeRecord{}
-		announce(t, runConductor(t, newFakeSamplers(), record, fakeTerm{fence: 1}))
+		announce(t, runCoordinator(t, newFakeSamplers(), record, fakeTerm{fence: 1}))
 		samplers := newFakeSamplers("a", "b")
-		runConductor(t, samplers, record, fakeTerm{fence: 2})
+		runCoordinator(t, samplers, record, fakeTerm{fence: 2})
 		samplers.show(t, 2)
 	})
 	t.Run("a term that is over orders nothing", func(t *testing.T) {
 		samplers := newFakeSamplers("a")
-		conductor := runConductor(t, samplers, &fakeRecord{}, fakeTerm{fence: 1, over: true})
-		announce(t, conductor)
-		conductor.next()
-		conductor.order(t.Context(), fakeTerm{over: true}, "a")
+		coordinator := runCoordinator(t, samplers, &fakeRecord{}, fakeTerm{fence: 1, over: true})
+		announce(t, coordinator)
+		coordinator.next()
+		coordinator.order(t.Context(), fakeTerm{over: true}, "a")
 		must.MapEmpty(t, samplers.orders)
 	})
 	t.Run("while the store is away the version is ordered, but not acknowledged", func(t *testing.T) {
 		samplers := newFakeSamplers("a")
 		record := &fakeRecord{}
-		conductor := runConductor(t, samplers, record, fakeTerm{fence: 1})
-		announce(t, conductor)
+		coordinator := runCoordinator(t, samplers, record, fakeTerm{fence: 1})
+		announce(t, coordinator)
 		record.setAway(true)
-		must.Error(t, conductor.Announce(t.Context(), 3))
+		must.Error(t, coordinator.Announce(t.Context(), 3))
 		samplers.show(t, 3)
 	})
 }
--- a/internal/weight/wave.go
+++ b/internal/weight/wave.go
@@ -1,7 +1,7 @@
 // Package weight brings new weights to all samplers of a model in waves.
 //
 // Wave decides which samplers change next and takes the time from its caller;
-// Conductor sends the orders.
+// Coordinator sends the orders.
 package weight
 
 import (
--- a/internal/weight/wave_test.go
+++ b/internal/weight/wave_test.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// BenchmarkWave is one round of the conductor over the letter's samplers, of
+// BenchmarkWave is one round of the coordinator over the letter's samplers, of
 // which it runs ten a second.
 func BenchmarkWave(b *testing.B) {
 	wave := newWave(930, 1)
