Run a request elsewhere whose backend server sent nothing

Cause: an idempotent request that its sidecar gave up because the backend server was silent (504, backend_silent) was refused, though nothing of it was seen: only 502, 503 and 500 counted as faults of the server. Ruled out: all of 504, since a request whose own time is over must not move. Proof: TestRunServerLost/backend_server_silent, seen to fail before; a posting still ends with the outcome unknown. Also: the verb host of the scenarios sent another address than sidecars behind a relay announce; nothing used it, it is taken out.

--- a/internal/sidecar/pool_test.go
+++ b/internal/sidecar/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -22,6 +23,12 @@
 	return peerpb.RunRequest_builder{Id: "p1", Pool: "ledger", Kind: peerpb.Kind_KIND_PLAIN, Method: "POST"}.Build()
 }
 
+// silentBackend refuses as a sidecar does whose backend server sends nothing.
+func silentBackend(request *peerpb.RunRequest, stream frames) error {
+	refused := refusal.Unknown(http.StatusGatewayTimeout, "backend_silent", "nothing came").After(time.Second)
+	return stream.Send(peerpb.Frame_builder{Id: request.GetId(), Refusal: refused.ToMessage()}.Build())
+}
+
 func mustAnswer(t *testing.T, pool *sidecar.Pool, request *peerpb.RunRequest, text string) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), bound)
@@ -182,6 +189,14 @@
 		pool := newPool(t, known{"s1", one.address, "assist", 0}, known{"s2", two.address, "assist", peerpb.State_STATE_SUSPECT})
 		mustAnswer(t, pool, idempotent(), "a")
 	})
+	t.Run("backend server silent", func(t *testing.T) {
+		// The sidecar is well, its engine hangs and the sidecar gives it up.
+		one, two := startFake(t, silentBackend), startFake(t, words("a"))
+		pool := newPool(t, known{"s1", one.address, "assist", 0}, known{"s2", two.address, "assist", peerpb.State_STATE_SUSPECT})
+		mustAnswer(t, pool, idempotent(), "a")
+		mustRefuse(t, newPool(t, known{"s1", one.address, "ledger", 0}, known{"s2", two.address, "ledger", peerpb.State_STATE_SUSPECT}),
+			posting(), peerpb.Outcome_OUTCOME_UNKNOWN, "backend_silent")
+	})
 	t.Run("posting", func(t *testing.T) {
 		one, two := dies(t), startFake(t, words("a"))
 		pool := newPool(t, known{"s1", one.address, "ledger", 0}, known{"s2", two.address, "ledger", peerpb.State_STATE_SUSPECT})
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -22,6 +22,8 @@
 	// codeUnreached and codeLost are the codes of refusals because of a connection.
 	codeUnreached = "no_connection"
 	codeLost      = "server_lost"
+	// codeSilent is the code of sidecars whose backend server sent nothing.
+	codeSilent = "backend_silent"
 	// resumePause is the time between two tries to reach a sidecar again.
 	resumePause = 50 * time.Millisecond
 )
@@ -261,7 +263,7 @@
 // request several times and be slower still.
 func (r *run) mayMove(err error) bool {
 	refused := refusal.Of(err)
-	if len(r.tried) >= maxServers || !isServerFault(refused.Status) {
+	if len(r.tried) >= maxServers || !isServerFault(refused) {
 		return false
 	}
 	if !refusal.IsNotRun(err) && !r.request.GetIdempotent() {
@@ -304,9 +306,16 @@
 	return errors.As(err, &broken)
 }
 
-// isServerFault tells faults of one server from those of the request.
-func isServerFault(status int) bool {
-	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusInternalServerError
+// isServerFault tells faults of one server from those of the request. A timeout
+// is a fault of the server only where its backend server sent nothing: else the
+// request's own time is over.
+func isServerFault(refused *refusal.Error) bool {
+	switch refused.Status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusInternalServerError:
+		return true
+	default:
+		return refused.Code == codeSilent
+	}
 }
 
 // isConnectionFault reports whether a stream's end speaks against its connection.
--- a/test/scenario/verbs_test.go
+++ b/test/scenario/verbs_test.go
@@ -43,7 +43,6 @@
 	"capture":      capture,
 	"await":        await,
 	"keys":         keys,
-	"host":         host,
 	"server":       server,
 }
 
@@ -241,11 +240,6 @@
 	ts.Check(err)
 }
 
-// host changes the platform's host list: host NAME STATE.
-func host(ts *testscript.TestScript, _ bool, args []string) {
-	setHost(ts, platform.Host{Name: args[0], Address: ts.Getenv(args[0] + "_peer"), State: args[1]})
-}
-
 // server changes the platform's list of backend servers: server ID POOL ZONE STATE.
 func server(ts *testscript.TestScript, _ bool, args []string) {
 	setServer(ts, platform.Server{ID: args[0], Pool: args[1], Zone: args[2], State: args[3]})
