--- a/internal/bramleyhatch/members.go
+++ b/internal/bramleyhatch/members.go
@@ -9,6 +9,7 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/lists"
 	"github.com/bramleyhatch/bramleyhatch/internal/member"
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
@@ -100,10 +101,5 @@
 // it closed its listeners at once, requests on their way would be cut off.
 func (p *Process) announce(ctx context.Context, length time.Duration) {
 	p.members.SetState(peerpb.State_STATE_DRAINING)
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	pause.For(ctx, length)
 }
--- a/internal/duty/group.go
+++ b/internal/duty/group.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 )
 
 // Group takes part in duties whose names come and go, such as one for each zone.
@@ -31,7 +33,7 @@
 		names := g.Names()
 		g.end(names)
 		g.begin(ctx, names)
-		if !pause(ctx, g.Interval) {
+		if !pause.For(ctx, g.Interval) {
 			break
 		}
 	}
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/decision"
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
@@ -53,7 +54,7 @@
 	for ctx.Err() == nil {
 		term, lease := k.take(ctx)
 		if term == nil {
-			pause(ctx, k.Lease/polls)
+			pause.For(ctx, k.Lease/polls)
 			continue
 		}
 		err := k.hold(ctx, term, lease, work)
@@ -63,7 +64,7 @@
 		if err != nil && !errors.Is(err, context.Canceled) {
 			k.Decisions.Record(k.Name, "duty", "%s failed in its term %d: %v", k.Process, term.Fence(), err)
 		}
-		pause(ctx, k.Lease/polls)
+		pause.For(ctx, k.Lease/polls)
 	}
 	return nil
 }
@@ -77,7 +78,7 @@
 	if !k.isFree(ctx) {
 		return nil, 0
 	}
-	pause(ctx, time.Duration(rank)*k.Lease/(2*renewals))
+	pause.For(ctx, time.Duration(rank)*k.Lease/(2*renewals))
 	sent := time.Now()
 	lease, err := k.Store.Grant(ctx, k.Lease)
 	if err != nil {
@@ -118,7 +119,7 @@
 	fence, err := k.Store.Swap(ctx, Key(k.Name), 0, data, lease)
 	var lost *platform.UnavailableError
 	for errors.As(err, &lost) && ctx.Err() == nil && time.Now().Before(until) {
-		pause(ctx, k.Lease/(2*renewals))
+		pause.For(ctx, k.Lease/(2*renewals))
 		fence, err = k.readBack(ctx, lease)
 	}
 	return fence, err
@@ -180,7 +181,7 @@
 // A term is counted from before the renewal is sent: the store may have counted
 // the lease from any moment since, and an answer may come late.
 func (k *Keeper) renew(ctx context.Context, term *Term, lease uint64, cancel func()) {
-	for pause(ctx, k.Lease/renewals) {
+	for pause.For(ctx, k.Lease/renewals) {
 		sent := time.Now()
 		err := k.Store.Renew(ctx, lease, k.Lease)
 		var gone *platform.NotFoundError
@@ -199,7 +200,7 @@
 // watch ends the work at the end of the term. The term is ended for good, since
 // a renewal's answer that comes after that would otherwise revive it.
 func watch(ctx context.Context, term *Term, cancel func()) {
-	for pause(ctx, time.Until(term.Until())) {
+	for pause.For(ctx, time.Until(term.Until())) {
 		if !term.Valid(time.Now()) {
 			term.End()
 			cancel()
@@ -219,14 +220,3 @@
 	}
 	k.Decisions.Record(k.Name, "duty", "%s has given up term %d", k.Process, term.Fence())
 }
-
-// pause waits and reports whether the context still runs.
-func pause(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-	return ctx.Err() == nil
-}
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/decision"
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
@@ -143,8 +144,8 @@
 // order's identity once, so an order whose answer was lost is sent again under
 // the same identity, by this term or a later one.
 func (o *Orderer) Send(ctx context.Context, order *statepb.Order) error {
-	if err := wait(ctx, time.Until(o.ready)); err != nil {
-		return err
+	if !pause.For(ctx, time.Until(o.ready)) {
+		return ctx.Err()
 	}
 	order.SetState(orderIntended)
 	order.SetFence(o.Term.Fence())
@@ -264,8 +265,8 @@
 		if err == nil {
 			return nil
 		}
-		if err := wait(ctx, readBackPause); err != nil {
-			return err
+		if !pause.For(ctx, readBackPause) {
+			return ctx.Err()
 		}
 		if err := o.readBack(ctx); err != nil {
 			return err
@@ -302,19 +303,8 @@
 		if !o.Term.Valid(time.Now()) {
 			return err
 		}
-		if err := wait(ctx, readBackPause); err != nil {
-			return err
+		if !pause.For(ctx, readBackPause) {
+			return ctx.Err()
 		}
 	}
 }
-
-func wait(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/lists/editor.go
+++ b/internal/lists/editor.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
@@ -215,7 +216,7 @@
 	var unsure error
 	silent := 0
 	for try := range mostTries {
-		if try > 0 && !pause(ctx, jitter(retryPause<<min(try-1, 3))) {
+		if try > 0 && !pause.For(ctx, jitter(retryPause<<min(try-1, 3))) {
 			break
 		}
 		config, revision, err := e.Config(ctx)
--- a/internal/lists/settler.go
+++ b/internal/lists/settler.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 )
@@ -51,7 +52,7 @@
 
 // Run settles until the context ends.
 func (s *Settler) Run(ctx context.Context) error {
-	for pause(ctx, jitter(cmp.Or(s.Interval, settlePause))) {
+	for pause.For(ctx, jitter(cmp.Or(s.Interval, settlePause))) {
 		open := s.forget()
 		if len(open) == 0 || s.Editor == nil || !s.InCharge() {
 			continue
--- a/internal/lists/watch.go
+++ b/internal/lists/watch.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
@@ -48,12 +49,12 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if w.InCharge != nil && !w.InCharge() {
-			pause(ctx, min(idlePause, cmp.Or(w.Wait, watchWait)))
+			pause.For(ctx, min(idlePause, cmp.Or(w.Wait, watchWait)))
 			continue
 		}
 		if err := w.round(ctx); err != nil {
 			klog.V(1).Infof("lists: watch %s: %v", w.Prefix, err)
-			pause(ctx, jitter(watchPause))
+			pause.For(ctx, jitter(watchPause))
 		}
 	}
 	return nil
@@ -81,15 +82,3 @@
 		w.Offer(peerpb.Fact_builder{Name: value.Key, Revision: value.Revision, Value: value.Data}.Build())
 	}
 }
-
-// pause waits and reports whether the context is still open.
-func pause(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/decision"
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
@@ -197,11 +198,11 @@
 			return
 		case <-e.Members.Urgent():
 		}
-		if !wait(ctx, pushDelay) {
+		if !pause.For(ctx, pushDelay) {
 			return
 		}
 		e.sendAll(ctx, e.pushTargets())
-		if !wait(ctx, pushPause) {
+		if !pause.For(ctx, pushPause) {
 			return
 		}
 	}
@@ -241,14 +242,3 @@
 	e.once.Do(func() { e.connections.credentials = e.Credentials })
 	return &e.connections
 }
-
-func wait(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 )
 
@@ -30,17 +31,17 @@
 // known. Afterwards one entry of each zone goes on to look for hosts that
 // nobody knows. The list lags and decides nothing: it only gives addresses.
 func (e *Exchanger) join(ctx context.Context) {
-	pause := alonePause
+	gap := alonePause
 	for {
 		if e.isAlone() || e.Members.InCharge("hosts", hostReaders) {
 			e.contact(ctx)
 		}
 		if e.isAlone() {
-			pause = min(2*pause, hostPause)
+			gap = min(2*gap, hostPause)
 		} else {
-			pause = hostPause
+			gap = hostPause
 		}
-		if !wait(ctx, pause/2+rand.N(pause)) {
+		if !pause.For(ctx, gap/2+rand.N(gap)) {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,20 @@
+// Package pause waits for a time or the end of a context.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for a length of time and reports true, or false as soon as the
+// context has ended.
+func For(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return ctx.Err() == nil
+	}
+}
--- a/internal/rollout/client.go
+++ b/internal/rollout/client.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
@@ -87,13 +88,13 @@
 // as long as there is none or it gives no answer.
 func (c *Client) call(ctx context.Context, duty string, send func(peerpb.StepClient) (*peerpb.Refusal, error)) error {
 	end := time.Now().Add(c.Patience)
-	pause := leastPause
+	gap := leastPause
 	for {
 		err := c.try(duty, send)
-		if err == nil || !mayTryAgain(err) || time.Now().Add(pause).After(end) || !rest(ctx, pause) {
+		if err == nil || !mayTryAgain(err) || time.Now().Add(gap).After(end) || !pause.For(ctx, gap) {
 			return err
 		}
-		pause = min(2*pause, retry)
+		gap = min(2*gap, retry)
 	}
 }
 
--- a/internal/rollout/execution.go
+++ b/internal/rollout/execution.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
@@ -125,7 +126,7 @@
 			sample.SetScore(score)
 			return nil
 		}
-		if !rest(ctx, scorePause) {
+		if !pause.For(ctx, scorePause) {
 			return err
 		}
 	}
--- a/internal/rollout/holder.go
+++ b/internal/rollout/holder.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/decision"
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/record"
@@ -255,15 +256,15 @@
 
 // write brings the state into the store, at most once in a batch's time.
 func (h *Holder) write(ctx context.Context) {
-	pause := h.Batch
+	gap := h.Batch
 	for {
 		changed := h.wait()
 		wrote, err := h.writeOnce(ctx)
 		switch {
 		case err != nil:
-			pause = min(max(2*pause, storePause), greatestStorePause)
+			gap = min(max(2*gap, storePause), greatestStorePause)
 		case wrote:
-			pause = h.Batch
+			gap = h.Batch
 		default:
 			select {
 			case <-ctx.Done():
@@ -271,7 +272,7 @@
 			case <-changed:
 			}
 		}
-		if !rest(ctx, pause) {
+		if !pause.For(ctx, gap) {
 			return
 		}
 	}
@@ -339,17 +340,6 @@
 	return message, proto.Unmarshal(data, message)
 }
 
-func rest(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Counts returns what happened to the attempts of the open step.
 func (h *Holder) Counts() Counts {
 	h.mutex.Lock()
--- a/internal/rollout/service.go
+++ b/internal/rollout/service.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
@@ -46,7 +47,7 @@
 	s.mutex.Lock()
 	s.run = ctx
 	s.mutex.Unlock()
-	for rest(ctx, lookInterval) {
+	for pause.For(ctx, lookInterval) {
 		for _, holder := range s.all() {
 			s.look(holder)
 		}
--- a/internal/rollout/takeover.go
+++ b/internal/rollout/takeover.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
@@ -28,16 +29,16 @@
 // until the context ends. It loads the step that the store holds, or goes on
 // with its own if nobody has changed it since an earlier term.
 func (h *Holder) Lead(ctx context.Context, fence uint64) error {
-	pause := storePause
+	gap := storePause
 	for ctx.Err() == nil {
 		err := h.takeOver(ctx, fence)
 		if err != nil {
 			klog.Warningf("step: %s: the step can't be taken over yet: %v", h.Trainer, err)
-			rest(ctx, pause)
-			pause = min(2*pause, greatestStorePause)
+			pause.For(ctx, gap)
+			gap = min(2*gap, greatestStorePause)
 			continue
 		}
-		pause = storePause
+		gap = storePause
 		select {
 		case <-ctx.Done():
 		case <-h.lost:
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
@@ -175,14 +176,7 @@
 
 // pause waits between two tries; it returns false once the context has ended.
 func (r *run) pause() bool {
-	timer := time.NewTimer(resumePause)
-	defer timer.Stop()
-	select {
-	case <-r.ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return pause.For(r.ctx, resumePause)
 }
 
 // once sends the request over the server's connection.
