--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -94,10 +94,19 @@
 	return exitFailed
 }
 
+// release is the version of the project; it is raised with each release.
+const release = "0.1.0"
+
+// version names the release and, where the build knows it, the commit.
 func version() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
-		return "unknown"
+		return release
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return release + " " + setting.Value
+		}
 	}
-	return info.Main.Version
+	return release
 }
--- a/internal/fleet/resize.go
+++ b/internal/fleet/resize.go
@@ -14,12 +14,12 @@
 // are too many for draining, and orders those that are missing.
 func (z *Zone) resize(ctx context.Context, name string, fleet *statepb.Fleet, seen Seen) (*statepb.Fleet, error) {
 	pool := z.pool(name)
-	sight := Sight{Fleet: fleet, Heard: z.heard(), Load: z.Members.Load}
-	share, kept := z.Scale.Share(time.Now(), pool, sight)
+	observed := Observation{Fleet: fleet, Heard: z.heard(), Load: z.Members.Load}
+	share, kept := z.Scale.Share(time.Now(), pool, observed)
 	if !kept {
 		return fleet, nil
 	}
-	surplus := z.Scale.Surplus(share, sight)
+	surplus := z.Scale.Surplus(share, observed)
 	if len(surplus) == 0 {
 		return fleet, z.startMissing(ctx, name, share, fleet)
 	}
--- a/internal/fleet/scale.go
+++ b/internal/fleet/scale.go
@@ -34,8 +34,8 @@
 	ordered map[string]map[string]time.Time
 }
 
-// Sight is what is known of a pool and of the zones at one moment.
-type Sight struct {
+// Observation is what is known of a pool and of the zones at one moment.
+type Observation struct {
 	Fleet *statepb.Fleet
 	// Heard are the zones of which a process is present.
 	Heard map[string]bool
@@ -45,12 +45,12 @@
 
 // Share returns the servers that the zone is to have of a pool, and whether the
 // pool is to be kept at a size at all.
-func (s *Scale) Share(now time.Time, pool *listpb.Pool, sight Sight) (int, bool) {
+func (s *Scale) Share(now time.Time, pool *listpb.Pool, observed Observation) (int, bool) {
 	if pool.GetMax() <= 0 || !slices.Contains(pool.GetZones(), s.zone) {
 		return 0, false
 	}
-	present := s.present(now, pool, sight)
-	wanted := s.sizer(now, pool, present).Decide(now, need(sight))
+	present := s.present(now, pool, observed)
+	wanted := s.sizer(now, pool, present).Decide(now, need(observed))
 	return Spread(wanted, present)[s.zone], true
 }
 
@@ -83,9 +83,9 @@
 
 // Surplus returns the servers of the zone that are too many: first those that
 // don't serve yet, then the least loaded.
-func (s *Scale) Surplus(share int, sight Sight) []string {
+func (s *Scale) Surplus(share int, observed Observation) []string {
 	var live []*statepb.Server
-	for _, server := range sight.Fleet.GetServers() {
+	for _, server := range observed.Fleet.GetServers() {
 		if server.GetZone() == s.zone && isWanted(server) {
 			live = append(live, server)
 		}
@@ -94,7 +94,7 @@
 		return nil
 	}
 	slices.SortFunc(live, func(a, b *statepb.Server) int {
-		return cmp.Or(cmp.Compare(serves(sight, a), serves(sight, b)), cmp.Compare(busy(sight, a), busy(sight, b)), strings.Compare(b.GetId(), a.GetId()))
+		return cmp.Or(cmp.Compare(serves(observed, a), serves(observed, b)), cmp.Compare(busy(observed, a), busy(observed, b)), strings.Compare(b.GetId(), a.GetId()))
 	})
 	var surplus []string
 	for _, server := range live[:len(live)-share] {
@@ -112,16 +112,16 @@
 }
 
 // present counts a pool's servers in each zone that is not lost.
-func (s *Scale) present(now time.Time, pool *listpb.Pool, sight Sight) map[string]int {
+func (s *Scale) present(now time.Time, pool *listpb.Pool, observed Observation) map[string]int {
 	counts := map[string]int{}
-	for _, server := range sight.Fleet.GetServers() {
+	for _, server := range observed.Fleet.GetServers() {
 		if isWanted(server) {
 			counts[server.GetZone()]++
 		}
 	}
 	present := map[string]int{}
 	for _, zone := range pool.GetZones() {
-		if !s.isLost(now, zone, counts[zone], sight) {
+		if !s.isLost(now, zone, counts[zone], observed) {
 			present[zone] = counts[zone]
 		}
 	}
@@ -130,8 +130,8 @@
 
 // isLost reports whether a zone that has servers was not heard for Loss. A new
 // holder hears nobody at first, so the time counts from its own first look.
-func (s *Scale) isLost(now time.Time, zone string, servers int, sight Sight) bool {
-	if zone == s.zone || servers == 0 || sight.Heard[zone] {
+func (s *Scale) isLost(now time.Time, zone string, servers int, observed Observation) bool {
+	if zone == s.zone || servers == 0 || observed.Heard[zone] {
 		delete(s.silent, zone)
 		return false
 	}
@@ -158,15 +158,15 @@
 
 // need estimates the need of the whole pool from the loads that are known here:
 // a process holds the loads of a part of a large pool only.
-func need(sight Sight) Need {
+func need(observed Observation) Need {
 	var total Need
 	live, known := 0.0, 0.0
-	for _, server := range sight.Fleet.GetServers() {
+	for _, server := range observed.Fleet.GetServers() {
 		if !isWanted(server) {
 			continue
 		}
 		live++
-		load := sight.Load(server.GetId())
+		load := observed.Load(server.GetId())
 		if load == nil {
 			continue
 		}
@@ -183,15 +183,15 @@
 }
 
 // serves returns 1 for a server that has shown a load, else 0.
-func serves(sight Sight, server *statepb.Server) int {
-	if server.GetState() == StateLive && sight.Load(server.GetId()) != nil {
+func serves(observed Observation, server *statepb.Server) int {
+	if server.GetState() == StateLive && observed.Load(server.GetId()) != nil {
 		return 1
 	}
 	return 0
 }
 
-func busy(sight Sight, server *statepb.Server) uint32 {
-	load := sight.Load(server.GetId())
+func busy(observed Observation, server *statepb.Server) uint32 {
+	load := observed.Load(server.GetId())
 	return load.GetRunning() + load.GetQueued()
 }
 
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -21,8 +21,8 @@
 	return scale
 }
 
-// sightOf has servers in zones a and b, each with a number of running requests.
-func sightOf(a, b int, running uint32) fleet.Sight {
+// observe has servers in zones a and b, each with a number of running requests.
+func observe(a, b int, running uint32) fleet.Observation {
 	state := &statepb.Fleet{}
 	for i := range a + b {
 		zone := "a"
@@ -33,55 +33,55 @@
 		state.SetServers(append(state.GetServers(), server))
 	}
 	load := peerpb.Load_builder{Running: running, Slots: 10}.Build()
-	return fleet.Sight{Fleet: state, Heard: map[string]bool{"a": true, "b": true}, Load: func(string) *peerpb.Load { return load }}
+	return fleet.Observation{Fleet: state, Heard: map[string]bool{"a": true, "b": true}, Load: func(string) *peerpb.Load { return load }}
 }
 
-func mustShare(t *testing.T, scale *fleet.Scale, now time.Time, sight fleet.Sight, want int) {
+func mustShare(t *testing.T, scale *fleet.Scale, now time.Time, observed fleet.Observation, want int) {
 	t.Helper()
-	share, kept := scale.Share(now, scalePool, sight)
+	share, kept := scale.Share(now, scalePool, observed)
 	must.True(t, kept)
 	must.Eq(t, want, share)
 }
 
 func TestScaleFollowsLoad(t *testing.T) {
 	scale, now := newScale(t), time.Unix(1000, 0)
-	mustShare(t, scale, now, sightOf(1, 1, 7), 1)
-	mustShare(t, scale, now, sightOf(1, 1, 15), 2)
-	must.Eq(t, 1, scale.Missing(now, "p", 2, sightOf(1, 1, 15).Fleet))
+	mustShare(t, scale, now, observe(1, 1, 7), 1)
+	mustShare(t, scale, now, observe(1, 1, 15), 2)
+	must.Eq(t, 1, scale.Missing(now, "p", 2, observe(1, 1, 15).Fleet))
 }
 
 // A new holder that hears no load would take the pool for idle, drain half of
 // it and cut what callers get. It keeps what is there until Calm has passed.
 func TestScaleOfNewHolderKeepsServers(t *testing.T) {
 	scale, now := newScale(t), time.Unix(1000, 0)
-	sight := sightOf(3, 3, 0)
-	sight.Load = func(string) *peerpb.Load { return nil }
-	mustShare(t, scale, now, sight, 3)
-	mustShare(t, scale, now.Add(59*time.Second), sight, 3)
-	mustShare(t, scale, now.Add(2*time.Minute), sight, 1)
-	must.Len(t, 2, scale.Surplus(1, sight))
+	observed := observe(3, 3, 0)
+	observed.Load = func(string) *peerpb.Load { return nil }
+	mustShare(t, scale, now, observed, 3)
+	mustShare(t, scale, now.Add(59*time.Second), observed, 3)
+	mustShare(t, scale, now.Add(2*time.Minute), observed, 1)
+	must.Len(t, 2, scale.Surplus(1, observed))
 }
 
 // A zone goes down at the peak. Its servers stay in the platform's list, but
 // none of its processes is heard: after Loss its share is started elsewhere.
 func TestScaleReplacesLostZone(t *testing.T) {
 	scale, now := newScale(t), time.Unix(1000, 0)
-	sight := sightOf(2, 2, 7)
-	mustShare(t, scale, now, sight, 2)
-	sight.Heard = map[string]bool{"a": true}
-	mustShare(t, scale, now, sight, 2)
-	mustShare(t, scale, now.Add(61*time.Second), sight, 4)
-	sight.Heard = map[string]bool{"a": true, "b": true}
-	mustShare(t, scale, now.Add(62*time.Second), sight, 2)
+	observed := observe(2, 2, 7)
+	mustShare(t, scale, now, observed, 2)
+	observed.Heard = map[string]bool{"a": true}
+	mustShare(t, scale, now, observed, 2)
+	mustShare(t, scale, now.Add(61*time.Second), observed, 4)
+	observed.Heard = map[string]bool{"a": true, "b": true}
+	mustShare(t, scale, now.Add(62*time.Second), observed, 2)
 }
 
 // The platform's list lags: a server that was ordered isn't in it yet. Ordered
 // again each round, a pool that lacks one server would get ten.
 func TestScaleOrdersOnce(t *testing.T) {
 	scale, now := newScale(t), time.Unix(1000, 0)
-	sight := sightOf(1, 1, 7)
-	must.Eq(t, 1, scale.Missing(now, "p", 2, sight.Fleet))
+	observed := observe(1, 1, 7)
+	must.Eq(t, 1, scale.Missing(now, "p", 2, observed.Fleet))
 	scale.Ordered(now, "p", "new")
-	must.Eq(t, 0, scale.Missing(now, "p", 2, sight.Fleet))
-	must.Eq(t, 1, scale.Missing(now.Add(2*time.Minute), "p", 2, sight.Fleet))
+	must.Eq(t, 0, scale.Missing(now, "p", 2, observed.Fleet))
+	must.Eq(t, 1, scale.Missing(now.Add(2*time.Minute), "p", 2, observed.Fleet))
 }
--- a/internal/fleet/sizer.go
+++ b/internal/fleet/sizer.go
@@ -36,11 +36,11 @@
 	Slack float64
 
 	decided int
-	wanted  []wish
+	wanted  []count
 }
 
-// wish is the number of servers that was enough at a time.
-type wish struct {
+// count is the number of servers that was enough at a time.
+type count struct {
 	at      time.Time
 	servers int
 }
@@ -69,12 +69,12 @@
 }
 
 // calm returns the most servers that were wanted within Calm. The list holds
-// only wishes that are larger than all later ones, so it stays short.
+// only counts that are larger than all later ones, so it stays short.
 func (s *Sizer) calm(now time.Time, servers int) int {
 	for len(s.wanted) > 0 && s.wanted[len(s.wanted)-1].servers <= servers {
 		s.wanted = s.wanted[:len(s.wanted)-1]
 	}
-	s.wanted = append(s.wanted, wish{at: now, servers: servers})
+	s.wanted = append(s.wanted, count{at: now, servers: servers})
 	for now.Sub(s.wanted[0].at) > s.Calm {
 		s.wanted = s.wanted[1:]
 	}
