--- a/internal/fleet/zone.go
+++ b/internal/fleet/zone.go
@@ -18,10 +18,6 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
 
-// idleRounds is how many intervals pass between two looks while nothing is under
-// way: at full size the platform's list of a zone is some 13 KB.
-const idleRounds = 5
-
 // stateLeaving is the platform's word for a host that is about to go.
 const stateLeaving = "leaving"
 
@@ -64,8 +60,6 @@
 	orderer *Orderer
 	// seen are the pools that had a server in the zone.
 	seen map[string]bool
-	// busy is true while something is under way, so that each round counts.
-	busy bool
 	// stopping are the servers whose order to stop was taken.
 	stopping map[string]bool
 }
@@ -88,10 +82,14 @@
 	}
 	ticker := time.NewTicker(z.Interval)
 	defer ticker.Stop()
-	for round := 0; ; round++ {
-		if err := z.look(ctx, round); err != nil {
+	for {
+		err := z.round(ctx)
+		if isOver(err) {
 			return err
 		}
+		if err != nil && ctx.Err() == nil {
+			klog.Warningf("order: zone %s: %v", z.Name, err)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -100,22 +98,6 @@
 	}
 }
 
-// look does a round if it is due, and returns an error once the term is over.
-func (z *Zone) look(ctx context.Context, round int) error {
-	if !z.busy && round%idleRounds != 0 {
-		return nil
-	}
-	err := z.round(ctx)
-	if isOver(err) {
-		return err
-	}
-	if err != nil && ctx.Err() == nil {
-		klog.Warningf("order: zone %s: %v", z.Name, err)
-	}
-	z.busy = z.busy || err != nil
-	return nil
-}
-
 // isOver reports whether an error says that the term is over.
 func isOver(err error) bool {
 	var superseded *SupersededError
@@ -130,7 +112,6 @@
 	}
 	seen := Seen{Listed: listed, Addresses: z.addresses(), Leaving: z.leaving(ctx)}
 	faults := []error{z.sendPending(ctx)}
-	z.busy = len(z.orderer.Pending()) > 0 || !z.orderer.Ready()
 	for _, pool := range z.pools(listed) {
 		fleet, err := z.update(ctx, pool, seen)
 		if err == nil {
@@ -139,23 +120,11 @@
 		if err == nil {
 			err = z.drainAll(ctx, fleet)
 		}
-		z.busy = z.busy || isChanging(fleet, z.Name)
 		faults = append(faults, err)
 	}
 	return errors.Join(faults...)
 }
 
-// isChanging reports whether a server of the zone starts or drains.
-func isChanging(fleet *statepb.Fleet, zone string) bool {
-	for _, server := range fleet.GetServers() {
-		state := server.GetState()
-		if server.GetZone() == zone && (state == StateStarting || state == StateDraining) {
-			return true
-		}
-	}
-	return false
-}
-
 // sendPending sends orders again whose outcome is not known.
 func (z *Zone) sendPending(ctx context.Context) error {
 	if !z.orderer.Ready() {
