--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
@@ -20,8 +21,40 @@
 
 // message is one message of a chat.
 type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+	Role    string  `json:"role"`
+	Content content `json:"content"`
+}
+
+// content is a message's text. Clients send it whole or as a list of parts.
+type content string
+
+// part is a part of a message's content.
+type part struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// UnmarshalJSON reads a string, a list of text parts or null. A part of another
+// kind, such as an image, is an error: engines here take text only.
+func (c *content) UnmarshalJSON(text []byte) error {
+	var whole string
+	if err := json.Unmarshal(text, &whole); err == nil {
+		*c = content(whole)
+		return nil
+	}
+	var parts []part
+	if err := json.Unmarshal(text, &parts); err != nil {
+		return err
+	}
+	var joined strings.Builder
+	for _, part := range parts {
+		if part.Type != "text" {
+			return &json.UnmarshalTypeError{Field: "content", Value: "part"}
+		}
+		joined.WriteString(part.Text)
+	}
+	*c = content(joined.String())
+	return nil
 }
 
 // sampling holds the fields that completions and chat completions share and
@@ -53,6 +86,8 @@
 		IncludeUsage bool `json:"include_usage"`
 	} `json:"stream_options"`
 	N *int64 `json:"n"`
+	// MaxCompletionTokens is the newer name of max_tokens in chat completions.
+	MaxCompletionTokens int64 `json:"max_completion_tokens"`
 }
 
 // stops accepts one string or a list of them.
@@ -136,6 +171,9 @@
 	if err := checkMessages(chat.Messages); err != nil {
 		return chat, deliver, err
 	}
+	if chat.MaxTokens == 0 {
+		chat.MaxTokens = deliver.MaxCompletionTokens
+	}
 	return chat, deliver, check(chat.sampling, deliver)
 }
 
--- a/internal/caller/body_test.go
+++ b/internal/caller/body_test.go
@@ -84,3 +84,29 @@
 		must.Eq(t, path.Clean(parsed.Path), strings.TrimSuffix(parsed.Path, "/")+map[bool]string{true: "/"}[parsed.Path == "/"])
 	})
 }
+
+// Common client libraries send a message's content as a list of parts, and the
+// bound on tokens under its newer name.
+func TestParseChatForms(t *testing.T) {
+	tests := map[string]struct {
+		body string
+		text content
+		most int64
+	}{
+		"whole":  {`{"model":"m","messages":[{"role":"user","content":"ab"}],"max_tokens":3}`, "ab", 3},
+		"parts":  {`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"a"},{"type":"text","text":"b"}]}]}`, "ab", 0},
+		"newer":  {`{"model":"m","messages":[{"role":"user","content":"ab"}],"max_completion_tokens":4}`, "ab", 4},
+		"a call": {`{"model":"m","messages":[{"role":"assistant","content":null}]}`, "", 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			chat, _, err := parseChat([]byte(test.body))
+			must.NoError(t, err)
+			must.Eq(t, test.text, chat.Messages[0].Content)
+			must.Eq(t, test.most, chat.MaxTokens)
+		})
+	}
+	_, _, err := parseChat([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`))
+	must.True(t, refusal.IsNotRun(err))
+	must.StrContains(t, err.Error(), "content")
+}
--- a/internal/caller/shape.go
+++ b/internal/caller/shape.go
@@ -74,7 +74,7 @@
 type chatShape struct{}
 
 func (chatShape) whole(text string, finish *string) (string, choice) {
-	return "chat.completion", choice{Message: &message{Role: "assistant", Content: text}, FinishReason: finish}
+	return "chat.completion", choice{Message: &message{Role: "assistant", Content: content(text)}, FinishReason: finish}
 }
 
 func (chatShape) part(text string, first bool, finish *string) (string, choice) {
