--- a/cmd/standin/internal/trainer/trainer.go
+++ b/cmd/standin/internal/trainer/trainer.go
@@ -3,17 +3,15 @@
 package trainer
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/pkg/client"
 )
 
 const (
@@ -36,59 +34,13 @@
 	Announce int
 	Version  uint64
 
+	client   client.Trainer
 	next     int
 	place    uint64
-	received []Sample
+	received []client.Sample
 	faults   []string
 }
 
-// Sample is a sample as the trainer receives it.
-type Sample struct {
-	Place    uint64  `json:"place"`
-	Step     uint64  `json:"step"`
-	Slot     uint32  `json:"slot"`
-	Group    uint32  `json:"group"`
-	Text     string  `json:"text"`
-	Tokens   []int32 `json:"tokens"`
-	Versions []Range `json:"versions"`
-}
-
-// Range names the version that produced a run of tokens.
-type Range struct {
-	From    uint32 `json:"from"`
-	Until   uint32 `json:"until"`
-	Version uint64 `json:"version"`
-}
-
-type group struct {
-	Prompt  string `json:"prompt"`
-	Samples int    `json:"samples"`
-}
-
-type openRequest struct {
-	Step        uint64  `json:"step"`
-	Model       string  `json:"model"`
-	Staleness   uint64  `json:"staleness"`
-	MaxTokens   int     `json:"max_tokens"`
-	Temperature float64 `json:"temperature"`
-	Groups      []group `json:"groups"`
-}
-
-type openReply struct {
-	Place uint64 `json:"place"`
-}
-
-type pullReply struct {
-	Samples []Sample `json:"samples"`
-	Next    uint64   `json:"next"`
-	Done    bool     `json:"done"`
-}
-
-type announceRequest struct {
-	Model   string `json:"model"`
-	Version uint64 `json:"version"`
-}
-
 // Check fails if anything was wrong with the samples received, or their number.
 func (t *Trainer) Check(want int) error {
 	if len(t.received) != want {
@@ -118,49 +70,58 @@
 }
 
 // Received returns the samples received so far.
-func (t *Trainer) Received() []Sample {
+func (t *Trainer) Received() []client.Sample {
 	return t.received
 }
 
 // Step opens a step and pulls until all of it was handed over.
 func (t *Trainer) Step(ctx context.Context, step uint64) error {
-	request := openRequest{Step: step, Model: t.Model, Staleness: t.Staleness, MaxTokens: t.MaxTokens, Temperature: 1}
-	for i := range t.Groups {
-		request.Groups = append(request.Groups, group{Prompt: fmt.Sprintf("step %d group %d", step, i), Samples: t.Samples})
-	}
-	var opened openReply
-	if err := t.call(ctx, http.MethodPost, "/steps", request, &opened); err != nil {
+	t.client.Name, t.client.Key = t.Name, t.Key
+	if err := t.open(ctx, step); err != nil {
 		return err
 	}
-	t.place = opened.Place
 	seen := map[uint32]bool{}
 	for {
-		var reply pullReply
-		path := "/samples?place=" + strconv.FormatUint(t.place, 10) + "&max=" + strconv.Itoa(pullMax) + "&wait=" + pullWait.String()
-		if err := t.call(ctx, http.MethodGet, path, nil, &reply); err != nil {
+		var pulled client.Pulled
+		err := t.call(ctx, func() (err error) {
+			pulled, err = t.client.Pull(ctx, t.place, pullMax, pullWait)
+			return err
+		})
+		if err != nil {
 			return err
 		}
-		for _, sample := range reply.Samples {
+		for _, sample := range pulled.Samples {
 			t.take(step, sample, seen)
 		}
-		t.place = reply.Next
+		t.place = pulled.Next
 		if err := t.announce(ctx, len(seen)); err != nil {
 			return err
 		}
-		if reply.Done {
+		if pulled.Done {
 			return nil
 		}
 	}
 }
 
-func (t *Trainer) take(step uint64, sample Sample, seen map[uint32]bool) {
+func (t *Trainer) open(ctx context.Context, number uint64) error {
+	step := client.Step{Number: number, Model: t.Model, Staleness: t.Staleness, MaxTokens: t.MaxTokens, Temperature: 1}
+	for i := range t.Groups {
+		step.Groups = append(step.Groups, client.Group{Prompt: fmt.Sprintf("step %d group %d", number, i), Samples: t.Samples})
+	}
+	return t.call(ctx, func() (err error) {
+		t.place, err = t.client.Open(ctx, step)
+		return err
+	})
+}
+
+func (t *Trainer) take(step uint64, sample client.Sample, seen map[uint32]bool) {
 	if seen[sample.Slot] || sample.Step != step {
 		t.fault("step %d slot %d came twice or with another step", sample.Step, sample.Slot)
 	}
 	seen[sample.Slot] = true
 	if len(sample.Versions) == 0 {
 		t.fault("slot %d names no version", sample.Slot)
-		sample.Versions = []Range{{}}
+		sample.Versions = []client.Range{{}}
 	}
 	at := uint32(0)
 	for _, versions := range sample.Versions {
@@ -188,8 +149,8 @@
 		return nil
 	}
 	t.Announce = 0
-	request := announceRequest{Model: t.Model, Version: t.Version + 1}
-	if err := t.call(ctx, http.MethodPost, "/weights", request, nil); err != nil {
+	err := t.call(ctx, func() error { return t.client.Announce(ctx, t.Model, t.Version+1) })
+	if err != nil {
 		return err
 	}
 	t.Version++
@@ -197,55 +158,28 @@
 }
 
 // call asks the entries in turn until one answers; each call may be repeated.
-func (t *Trainer) call(ctx context.Context, method, path string, body, reply any) error {
+func (t *Trainer) call(ctx context.Context, call func() error) error {
 	var last error
 	for ctx.Err() == nil {
-		entry := t.Entries[t.next%len(t.Entries)]
+		t.client.Address = t.Entries[t.next%len(t.Entries)]
 		t.next++
-		status, err := t.send(ctx, entry, method, path, body, reply)
-		if err == nil {
-			return nil
-		}
-		last = err
-		if status >= http.StatusBadRequest && status < http.StatusInternalServerError && status != http.StatusTooManyRequests {
-			return err
+		last = call()
+		if last == nil || isFinal(last) {
+			return last
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(retryPause):
 		}
 	}
-	return fmt.Errorf("trainer %s: %s %s: %w (last: %w)", t.Name, method, path, ctx.Err(), last)
+	return fmt.Errorf("trainer %s: %w (last: %w)", t.Name, ctx.Err(), last)
 }
 
-func (t *Trainer) send(ctx context.Context, entry, method, path string, body, reply any) (int, error) {
-	var reader io.Reader = http.NoBody
-	if body != nil {
-		text, err := json.Marshal(body)
-		if err != nil {
-			return 0, err
-		}
-		reader = bytes.NewReader(text)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, entry+"/v1/trainers/"+t.Name+path, reader)
-	if err != nil {
-		return 0, err
-	}
-	request.Header.Set("Authorization", "Bearer "+t.Key)
-	response, err := listen.Client("entry").DoRequest(request)
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		return 0, err
-	}
-	if response.StatusCode != http.StatusOK {
-		return response.StatusCode, fmt.Errorf("%s %s answers %d: %s", method, path, response.StatusCode, text)
-	}
-	if reply == nil {
-		return response.StatusCode, nil
+// isFinal reports whether another call would be refused in the same way.
+func isFinal(err error) bool {
+	var refused *client.RefusedError
+	if !errors.As(err, &refused) {
+		return false
 	}
-	return response.StatusCode, json.Unmarshal(text, reply)
+	return refused.Status < http.StatusInternalServerError && refused.Status != http.StatusTooManyRequests
 }
