--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -56,6 +56,8 @@
 	Name string
 	// Silence is how long the backend server may send nothing.
 	Silence time.Duration
+	// Idle is how long a connection is kept without requests; 0 takes the client's own.
+	Idle time.Duration
 
 	client atomic.Pointer[httpc.Service]
 }
@@ -74,6 +76,10 @@
 	path   string
 	header http.Header
 	body   []byte
+	// host is the caller's; "" takes the server's address.
+	host string
+	// once keeps net/http from repeating requests that have no body.
+	once bool
 	// silence is how long the backend server may send nothing.
 	silence time.Duration
 }
@@ -95,7 +101,15 @@
 		return nil, refusal.NotRun(http.StatusBadRequest, "bad_request", "%v", err)
 	}
 	request.Header = call.header
+	request.Host = call.host
+	if !call.once {
+		request.Header.Del("Idempotency-Key")
+		request.Header.Del("X-Idempotency-Key")
+	}
 	setBody(request, call.body)
+	if call.once && len(call.body) == 0 {
+		request.Body = io.NopCloser(emptyBody{})
+	}
 	response, err := s.service().DoRequest(request) //nolint:bodyclose // closed through answer
 	if err != nil {
 		defer watch.stop()
@@ -106,12 +120,10 @@
 }
 
 // setBody sets a body that can be read once. net/http sends a request again on
-// a new connection when it can get the body anew (GetBody) or when an
-// Idempotency-Key header is there; the caller would see one answer while a
-// posting ran twice. Without both it never does.
+// a new connection when it can get the body anew (GetBody), or when there is no
+// body and an Idempotency-Key header; the caller would see one answer while a
+// posting ran twice. Without these it never does.
 func setBody(request *http.Request, body []byte) {
-	request.Header.Del("Idempotency-Key")
-	request.Header.Del("X-Idempotency-Key")
 	if len(body) == 0 {
 		return
 	}
@@ -120,6 +132,14 @@
 	request.GetBody = nil
 }
 
+// emptyBody is a body without bytes that net/http doesn't know to be empty: it
+// repeats a GET without a body by itself when a kept connection dies, whatever
+// the request may do; one with a body it can't read again it never repeats.
+type emptyBody struct{}
+
+// Read returns the end of the body.
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+
 // target joins the base URL with a path and query; the path names no other host.
 func (s *Server) target(path string) (*url.URL, error) {
 	base, err := url.Parse(s.Address)
@@ -146,7 +166,7 @@
 		if known := s.client.Load(); known != nil {
 			return *known
 		}
-		service := listen.Client("backend-" + s.Name)
+		service := listen.ClientWith("backend-"+s.Name, listen.ClientOptions{Idle: s.Idle})
 		s.client.CompareAndSwap(nil, &service)
 	}
 }
--- /dev/null
+++ b/internal/backend/directstream.go
@@ -0,0 +1,93 @@
+package backend
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+)
+
+const eventPrefix = "id:"
+
+// Event is one event of a stream.
+type Event struct {
+	// Number counts from 1.
+	Number uint64
+	Data   string
+	// Version is the weight version that made it; 0 if the server doesn't say.
+	Version uint64
+}
+
+// Events reads the events of an answer.
+type Events struct {
+	answer  *Answer
+	reader  *bufio.Reader
+	version uint64
+}
+
+// Events returns a reader of the answer's events.
+func (a *Answer) Events() *Events {
+	return &Events{answer: a, reader: bufio.NewReaderSize(a.Body, 4096), version: a.direct.Wire.Version(a.Response)}
+}
+
+// Version returns the weight version of the next event as far as it is known.
+func (e *Events) Version() uint64 { return e.version }
+
+// Next returns the next event; io.EOF after the last one of a whole answer. An
+// answer that ends in the middle of an event, or by a fault, is cut.
+func (e *Events) Next() (Event, error) {
+	event := Event{}
+	began, hasData := false, false
+	for {
+		line, err := e.reader.ReadString('\n')
+		if err != nil {
+			if errors.Is(err, io.EOF) && !began && line == "" {
+				return Event{}, io.EOF
+			}
+			return Event{}, e.answer.Cut()
+		}
+		if len(line) > maxEventBytes {
+			return Event{}, refusal.Unknown(502, "bad_event", "%s sent an event that is too long", e.answer.direct.Name)
+		}
+		line = strings.TrimRight(line, "\r\n")
+		switch {
+		case line == "" && !began:
+			continue
+		case line == "":
+			event.Version = e.version
+			if event.Number == 0 || !hasData {
+				return Event{}, refusal.Unknown(502, "bad_event", "%s sent an event without number or data", e.answer.direct.Name)
+			}
+			return event, nil
+		}
+		began = true
+		hasData = e.take(&event, line) || hasData
+	}
+}
+
+// take reads one line of an event and reports whether it brought data.
+func (e *Events) take(event *Event, line string) bool {
+	if version, ok := e.answer.direct.Wire.LineVersion(line); ok {
+		e.version = version
+		return false
+	}
+	if text, ok := strings.CutPrefix(line, eventPrefix); ok {
+		number, err := strconv.ParseUint(strings.TrimSpace(text), 10, 64)
+		if err == nil {
+			event.Number = number
+		}
+		return false
+	}
+	if text, ok := strings.CutPrefix(line, dataPrefix); ok {
+		text = strings.TrimPrefix(text, " ")
+		if event.Data != "" {
+			event.Data += "\n"
+		}
+		event.Data += text
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/batch/board.go
@@ -0,0 +1,541 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/duty"
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+	"github.com/bramleyhatch/bramleyhatch/internal/roster"
+)
+
+const (
+	// claimStep is the time between the claims of two candidates: a few answers
+	// of the store, so that the second usually finds the first one's.
+	claimStep = 150 * time.Millisecond
+	// claimLook is the time between two looks at batches without an owner.
+	claimLook = 100 * time.Millisecond
+	// acceptTime bounds how long it is tried to learn what became of a batch
+	// whose write got no answer.
+	acceptTime = 1500 * time.Millisecond
+	// storeAgain is when a trainer should come back while the store is away.
+	storeAgain = 300 * time.Millisecond
+	// handoverTime bounds the writes of a process that stops.
+	handoverTime = 1500 * time.Millisecond
+)
+
+// Store is what batches need of the platform's store.
+type Store interface {
+	Commit(ctx context.Context, commit platform.Commit) (uint64, error)
+	Get(ctx context.Context, key string) (platform.Value, error)
+	List(ctx context.Context, prefix string) (platform.ListReply, error)
+}
+
+// Routes finds the pool and the rules of a batch; false once its route is gone.
+type Routes func(batch *statepb.Batch) (pool string, rules Rules, ok bool)
+
+// Board holds the batches that this process owns. Exported fields are set before Run.
+type Board struct {
+	// Process is this process's name.
+	Process string
+	Store   Store
+	Roster  *roster.Roster
+	Scorer  Scorer
+	Wire    Wire
+	Routes  Routes
+	// Lease returns the lease under which this process is known to others; 0
+	// while it has none.
+	Lease func() uint64
+	// Hosts returns the names of the processes that live.
+	Hosts func() []string
+	// Group is how long outcomes are gathered before they are written together.
+	Group time.Duration
+	// ValueBytes is the largest value of the store.
+	ValueBytes int
+
+	mutex sync.Mutex
+	held  map[string]*held
+	// open holds the batches that aren't ended, owners who owns them.
+	open   map[string]bool
+	owners map[string]string
+	// unowned is since when a batch has no owner.
+	unowned map[string]clock.Boot
+	// ownerRevisions are those of the owners' keys.
+	ownerRevisions map[string]uint64
+	claiming       map[string]bool
+	isDraining     bool
+	ctx            context.Context
+	running        sync.WaitGroup
+	wake           chan struct{}
+}
+
+// held is a batch that this process owns, or has owned.
+type held struct {
+	*owner
+
+	cancel context.CancelFunc
+	ended  bool
+	total  uint64
+	// stopped is closed once the owner has stopped.
+	stopped chan struct{}
+}
+
+// Run claims batches without an owner until the context ends.
+func (b *Board) Run(ctx context.Context) error {
+	b.mutex.Lock()
+	b.prepare()
+	b.ctx = ctx
+	b.mutex.Unlock()
+	for ctx.Err() == nil {
+		for _, id := range b.claimable(clock.Now()) {
+			b.running.Go(func() { b.claim(ctx, id) })
+		}
+		select {
+		case <-ctx.Done():
+		case <-b.wake:
+		case <-time.After(claimLook):
+		}
+	}
+	b.running.Wait()
+	return nil
+}
+
+func (b *Board) prepare() {
+	if b.held != nil {
+		return
+	}
+	b.held = map[string]*held{}
+	b.open = map[string]bool{}
+	b.owners = map[string]string{}
+	b.ownerRevisions = map[string]uint64{}
+	b.unowned = map[string]clock.Boot{}
+	b.claiming = map[string]bool{}
+	b.wake = make(chan struct{}, 1)
+}
+
+// Take takes changes of the store's small keys.
+func (b *Board) Take(changes []platform.Value) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.prepare()
+	for _, change := range changes {
+		if id, ok := strings.CutPrefix(change.Key, prefixOpen); ok {
+			b.takeOpen(id, change)
+		}
+		if id, ok := strings.CutPrefix(change.Key, prefixOwner); ok {
+			b.takeOwner(id, change)
+		}
+	}
+	b.nudge()
+}
+
+func (b *Board) takeOpen(id string, change platform.Value) {
+	if !change.Deleted {
+		b.open[id] = true
+		if b.owners[id] == "" && b.unowned[id] == 0 {
+			b.unowned[id] = clock.Now()
+		}
+		return
+	}
+	delete(b.open, id)
+	delete(b.unowned, id)
+	if held := b.held[id]; held != nil && !held.ended {
+		klog.InfoS("batch: ended", "batch", id)
+		held.ended = true
+		held.owner.end()
+	}
+}
+
+func (b *Board) takeOwner(id string, change platform.Value) {
+	b.ownerRevisions[id] = change.Revision
+	if change.Deleted {
+		delete(b.owners, id)
+		if b.open[id] {
+			b.unowned[id] = clock.Now()
+		}
+		return
+	}
+	owner := &statepb.Owner{}
+	if err := proto.Unmarshal(change.Data, owner); err != nil {
+		klog.ErrorS(err, "batch: an owner can't be read", "key", change.Key)
+		return
+	}
+	b.owners[id] = owner.GetProcess()
+	delete(b.unowned, id)
+	held := b.held[id]
+	switch {
+	case owner.GetProcess() != b.Process && held != nil:
+		klog.InfoS("batch: owned by another process now", "batch", id, "owner", owner.GetProcess())
+		held.cancel()
+		delete(b.held, id)
+	case owner.GetProcess() == b.Process && held != nil:
+		held.ledger.reclaimed(change.Revision)
+	case owner.GetProcess() == b.Process && !b.claiming[id]:
+		// A write of this process that got no answer was done all the same, or an
+		// earlier process of the same name owned it.
+		b.claiming[id] = true
+		b.running.Go(func() { b.adopt(b.ctx, id, change.Revision) })
+	}
+}
+
+// claimable returns the batches without an owner that this process should claim now.
+func (b *Board) claimable(now clock.Boot) []string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.isDraining {
+		return nil
+	}
+	var ids []string
+	for id, since := range b.unowned {
+		if b.claiming[id] || !b.open[id] {
+			continue
+		}
+		rank := 0
+		if b.held[id] == nil {
+			rank = 1 + duty.Rank(id, b.Process, b.Hosts())
+		}
+		if now.Sub(since) >= time.Duration(rank)*claimStep {
+			b.claiming[id] = true
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// claim makes this process the owner of a batch that has none.
+func (b *Board) claim(ctx context.Context, id string) {
+	revision, err := b.writeOwner(ctx, id)
+	if err != nil {
+		klog.InfoS("batch: not claimed", "batch", id, "err", err.Error())
+		pause.For(ctx, claimStep)
+		b.mutex.Lock()
+		delete(b.claiming, id)
+		b.mutex.Unlock()
+		return
+	}
+	b.mutex.Lock()
+	known := b.held[id]
+	b.mutex.Unlock()
+	if known != nil {
+		klog.InfoS("batch: claimed again", "batch", id, "owner", revision)
+		known.ledger.reclaimed(revision)
+		b.mutex.Lock()
+		delete(b.claiming, id)
+		delete(b.unowned, id)
+		b.mutex.Unlock()
+		return
+	}
+	b.adopt(ctx, id, revision)
+}
+
+func (b *Board) writeOwner(ctx context.Context, id string) (uint64, error) {
+	lease := b.Lease()
+	if lease == 0 {
+		return 0, errors.New("batch: this process has no lease")
+	}
+	data, err := proto.Marshal(statepb.Owner_builder{Process: b.Process}.Build())
+	if err != nil {
+		return 0, err
+	}
+	return b.Store.Commit(ctx, platform.Commit{
+		Expect: []platform.Expect{{Key: ownerKey(id)}},
+		Writes: []platform.Write{{Key: ownerKey(id), Data: data, Lease: lease}},
+	})
+}
+
+// adopt reads a batch that this process owns from the store, and runs it.
+func (b *Board) adopt(ctx context.Context, id string, revision uint64) {
+	batch, listed, partials, err := b.load(ctx, id)
+	for err != nil && ctx.Err() == nil && b.ownsAt(id, revision) {
+		klog.InfoS("batch: not read", "batch", id, "err", err.Error())
+		pause.For(ctx, claimStep)
+		batch, listed, partials, err = b.load(ctx, id)
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	delete(b.claiming, id)
+	if err != nil || ctx.Err() != nil || b.held[id] != nil || !b.open[id] {
+		return
+	}
+	klog.InfoS("batch: taken over", "batch", id, "owner", revision, "listed", len(listed), "partly", len(partials))
+	delete(b.unowned, id)
+	b.start(batch, revision, listed, partials, clock.Now())
+}
+
+// ownsAt reports whether this process is still the owner that it became at a revision.
+func (b *Board) ownsAt(id string, revision uint64) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.ownerRevisions[id] <= revision && b.open[id]
+}
+
+func (b *Board) load(ctx context.Context, id string) (*statepb.Batch, []*statepb.Outcome, []*statepb.Partial, error) {
+	batch, err := b.loadBatch(ctx, id)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	listed, err := b.loadListed(ctx, id)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	value, err := b.Store.Get(ctx, partlyKey(id))
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		return batch, listed, nil, nil
+	}
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	handover := &statepb.Handover{}
+	if err := unmarshal(value, handover); err != nil {
+		return nil, nil, nil, err
+	}
+	return batch, listed, handover.GetPartials(), nil
+}
+
+func (b *Board) loadBatch(ctx context.Context, id string) (*statepb.Batch, error) {
+	value, err := b.Store.Get(ctx, bulkKey(id))
+	if err != nil {
+		return nil, err
+	}
+	batch := &statepb.Batch{}
+	return batch, unmarshal(value, batch)
+}
+
+func (b *Board) loadListed(ctx context.Context, id string) ([]*statepb.Outcome, error) {
+	reply, err := b.Store.List(ctx, chunkPrefix(id))
+	if err != nil {
+		return nil, err
+	}
+	var listed []*statepb.Outcome
+	for _, value := range reply.Values {
+		chunk := &statepb.Chunk{}
+		if err := unmarshal(value, chunk); err != nil {
+			return nil, err
+		}
+		if chunk.GetFirst() != uint64(len(listed)) {
+			return nil, &platform.UnavailableError{Operation: "list " + chunkPrefix(id)}
+		}
+		listed = append(listed, chunk.GetOutcomes()...)
+	}
+	return listed, nil
+}
+
+func unmarshal(value platform.Value, message proto.Message) error {
+	if err := proto.Unmarshal(value.Data, message); err != nil {
+		return &platform.UnavailableError{Operation: "read " + value.Key, Cause: err}
+	}
+	return nil
+}
+
+// start runs a batch that this process owns. The mutex is held.
+func (b *Board) start(batch *statepb.Batch, revision uint64, listed []*statepb.Outcome, partials []*statepb.Partial, accepted clock.Boot) {
+	_, rules, _ := b.Routes(batch)
+	plan := NewPlan(batch, rules, accepted)
+	plan.Restore(listed, partials)
+	ctx, cancel := context.WithCancel(b.ctx)
+	held := &held{
+		owner: &owner{
+			batch:  batch,
+			pool:   func() (string, bool) { pool, _, ok := b.Routes(batch); return pool, ok },
+			roster: b.Roster,
+			scorer: b.Scorer,
+			wire:   b.Wire,
+			ledger: newLedger(b.Store, batch.GetId(), b.Group, b.ValueBytes, revision, listed),
+			plan:   plan,
+			runs:   map[int]context.CancelCauseFunc{},
+			wake:   make(chan struct{}, 1),
+		},
+		cancel:  cancel,
+		total:   uint64(len(batch.GetItems())),
+		stopped: make(chan struct{}),
+	}
+	b.held[batch.GetId()] = held
+	b.running.Go(func() { held.ledger.run(ctx) })
+	b.running.Go(func() {
+		held.owner.run(ctx)
+		close(held.stopped)
+	})
+}
+
+// Accept takes a batch. It returns once the store holds it, here or from an
+// earlier try; any other end is a *refusal.Error that says what is known.
+func (b *Board) Accept(ctx context.Context, batch *statepb.Batch) error {
+	ctx, cancel := context.WithTimeout(ctx, acceptTime)
+	defer cancel()
+	if b.isKnown(batch.GetId()) {
+		return nil
+	}
+	maybe := false
+	for {
+		err := b.accept(ctx, batch)
+		if err == nil {
+			return nil
+		}
+		var refused *refusal.Error
+		if errors.As(err, &refused) {
+			return err
+		}
+		maybe = maybe || !isNothingDone(err)
+		if !maybe {
+			return refusal.NotRun(http.StatusServiceUnavailable, "store_away", "the store does not take the batch").After(storeAgain)
+		}
+		klog.InfoS("batch: not known whether the store holds it", "batch", batch.GetId(), "err", err.Error())
+		if !pause.For(ctx, writePause) {
+			return refusal.Unknown(http.StatusGatewayTimeout, "store_silent", "it is not known whether the store holds the batch").After(storeAgain)
+		}
+	}
+}
+
+// isNothingDone reports whether an error of the store proves that it changed nothing.
+func isNothingDone(err error) bool {
+	var away *platform.UnavailableError
+	if !errors.As(err, &away) {
+		return false
+	}
+	return away.Status == http.StatusServiceUnavailable || away.Status == http.StatusTooManyRequests
+}
+
+func (b *Board) isKnown(id string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.prepare()
+	return b.open[id] || b.held[id] != nil
+}
+
+func (b *Board) accept(ctx context.Context, batch *statepb.Batch) error {
+	lease := b.Lease()
+	if lease == 0 {
+		return refusal.NotRun(http.StatusServiceUnavailable, "store_away", "this process is not known to the store").After(storeAgain)
+	}
+	id := batch.GetId()
+	data, err := proto.Marshal(batch)
+	if err != nil {
+		return refusal.NotRun(http.StatusBadRequest, "bad_batch", "%v", err)
+	}
+	if len(data) > int(0.74*float64(b.ValueBytes)) {
+		return refusal.NotRun(http.StatusRequestEntityTooLarge, "large_batch", "the batch is larger than the store's values")
+	}
+	owner, err := proto.Marshal(statepb.Owner_builder{Process: b.Process}.Build())
+	if err != nil {
+		return err
+	}
+	b.expectOwn(id, true)
+	defer b.expectOwn(id, false)
+	revision, err := b.Store.Commit(ctx, platform.Commit{
+		Expect: []platform.Expect{{Key: bulkKey(id)}},
+		Writes: []platform.Write{
+			{Key: bulkKey(id), Data: data},
+			{Key: openKey(id), Data: []byte(batch.GetAccount())},
+			{Key: ownerKey(id), Data: owner, Lease: lease},
+		},
+	})
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		klog.InfoS("batch: accepted before", "batch", id)
+		return nil
+	}
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		return refusal.NotRun(http.StatusServiceUnavailable, "store_away", "the lease of this process has ended").After(storeAgain)
+	}
+	if err != nil {
+		return err
+	}
+	klog.InfoS("batch: accepted", "batch", id, "account", batch.GetAccount(), "step", batch.GetStep(), "model", batch.GetModel(), "items", len(batch.GetItems()), "owner", revision)
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.held[id] == nil {
+		b.open[id] = true
+		b.owners[id] = b.Process
+		b.ownerRevisions[id] = revision
+		b.start(batch, revision, nil, nil, clock.Now())
+	}
+	return nil
+}
+
+// expectOwn keeps the watch from adopting a batch that is being accepted here.
+func (b *Board) expectOwn(id string, isExpected bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if isExpected {
+		b.claiming[id] = true
+		return
+	}
+	delete(b.claiming, id)
+	// A write that got no answer may have been seen by the watch meanwhile.
+	if b.owners[id] == b.Process && b.held[id] == nil && b.open[id] {
+		b.claiming[id] = true
+		revision := b.ownerRevisions[id]
+		b.running.Go(func() { b.adopt(b.ctx, id, revision) })
+	}
+}
+
+// Owner returns the process that owns a batch; "" if none is known.
+func (b *Board) Owner(id string) string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.owners[id]
+}
+
+// Drain hands all batches over: it stops their runs, leaves what came of them in
+// the store and gives them up, so that the next owners go on at once and lose nothing.
+func (b *Board) Drain(ctx context.Context) {
+	b.mutex.Lock()
+	b.prepare()
+	b.isDraining = true
+	batches := map[string]*held{}
+	for id, held := range b.held {
+		if !held.ended {
+			batches[id] = held
+		}
+	}
+	b.mutex.Unlock()
+	var group sync.WaitGroup
+	for id, held := range batches {
+		group.Go(func() { b.handOver(ctx, id, held) })
+	}
+	group.Wait()
+}
+
+func (b *Board) handOver(ctx context.Context, id string, held *held) {
+	ctx, cancel := context.WithTimeout(ctx, handoverTime)
+	defer cancel()
+	held.cancel()
+	select {
+	case <-held.stopped:
+	case <-ctx.Done():
+	}
+	data, err := proto.Marshal(statepb.Handover_builder{Partials: held.owner.partials()}.Build())
+	if err != nil {
+		klog.ErrorS(err, "batch: partial texts can't be encoded", "batch", id)
+		return
+	}
+	held.ledger.mutex.Lock()
+	revision := held.ledger.owner
+	held.ledger.mutex.Unlock()
+	_, err = b.Store.Commit(ctx, platform.Commit{
+		Expect: []platform.Expect{{Key: ownerKey(id), Revision: revision}},
+		Writes: []platform.Write{{Key: partlyKey(id), Data: data}},
+		Remove: []string{ownerKey(id)},
+	})
+	klog.InfoS("batch: handed over", "batch", id, "bytes", len(data), "err", err)
+}
+
+func (b *Board) nudge() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/batch/ledger.go
@@ -0,0 +1,206 @@
+package batch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+const (
+	// writePause is the wait before a write that failed is tried again.
+	writePause = 100 * time.Millisecond
+	// chunkShare is the part of the store's largest value that a chunk may fill:
+	// base64 and the names around it take a third more.
+	chunkShare = 0.6
+)
+
+// ledger lists the outcomes of a batch at places that never change. A place is
+// shown only once the store holds it.
+type ledger struct {
+	store Store
+	batch string
+	// group is how long outcomes are gathered before they are written together.
+	group      time.Duration
+	valueBytes int
+
+	mutex   sync.Mutex
+	listed  []*statepb.Outcome
+	pending []*statepb.Outcome
+	changed chan struct{}
+	// owner is the revision of the key that says who owns the batch.
+	owner uint64
+}
+
+func newLedger(store Store, batch string, group time.Duration, valueBytes int, owner uint64, listed []*statepb.Outcome) *ledger {
+	return &ledger{store: store, batch: batch, group: group, valueBytes: valueBytes, owner: owner, listed: listed, changed: make(chan struct{})}
+}
+
+// add takes outcomes to be listed.
+func (l *ledger) add(outcomes []*statepb.Outcome) {
+	if len(outcomes) == 0 {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.pending = append(l.pending, outcomes...)
+	l.wake()
+}
+
+// reclaimed takes the revision of the owner's key after it was written anew.
+func (l *ledger) reclaimed(revision uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.owner = revision
+	l.wake()
+}
+
+// read returns the outcomes from a place on, and a channel that is closed at the next change.
+func (l *ledger) read(after uint64) ([]*statepb.Outcome, <-chan struct{}) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if after >= uint64(len(l.listed)) {
+		return nil, l.changed
+	}
+	return l.listed[after:], l.changed
+}
+
+// isEmpty reports whether nothing waits to be written.
+func (l *ledger) isEmpty() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.pending) == 0
+}
+
+// run writes outcomes until the context ends.
+func (l *ledger) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.mutex.Lock()
+		changed, isEmpty := l.changed, len(l.pending) == 0
+		l.mutex.Unlock()
+		if isEmpty {
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+				continue
+			}
+		}
+		if !pause.For(ctx, l.group) {
+			return
+		}
+		l.write(ctx)
+	}
+}
+
+// write writes the waiting outcomes as one chunk, and tries until it is known
+// what became of it.
+//
+// A write without an answer may be done seconds later. The same chunk is sent
+// again under the same key: whichever comes first is kept, and the other finds
+// it there. Under another key, or with more outcomes in it, both could be kept.
+func (l *ledger) write(ctx context.Context) {
+	l.mutex.Lock()
+	chunk := statepb.Chunk_builder{First: uint64(len(l.listed)), Outcomes: l.head()}.Build()
+	l.mutex.Unlock()
+	data, err := proto.Marshal(chunk)
+	if err != nil {
+		klog.ErrorS(err, "batch: a chunk can't be encoded", "batch", l.batch)
+		return
+	}
+	for ctx.Err() == nil {
+		if l.commit(ctx, chunk.GetFirst(), data) {
+			l.list(chunk.GetOutcomes())
+			return
+		}
+		pause.For(ctx, writePause)
+	}
+}
+
+// head returns as many of the waiting outcomes as fit into one value.
+func (l *ledger) head() []*statepb.Outcome {
+	size, most := 0, int(chunkShare*float64(l.valueBytes))
+	for i, outcome := range l.pending {
+		size += proto.Size(outcome)
+		if i > 0 && size > most {
+			return l.pending[:i:i]
+		}
+	}
+	return l.pending[:len(l.pending):len(l.pending)]
+}
+
+// commit writes a chunk if this process owns the batch, and reports whether the
+// store holds it.
+func (l *ledger) commit(ctx context.Context, first uint64, data []byte) bool {
+	l.mutex.Lock()
+	owner := l.owner
+	l.mutex.Unlock()
+	if owner == 0 {
+		return false
+	}
+	key := chunkKey(l.batch, first)
+	_, err := l.store.Commit(ctx, platform.Commit{
+		Expect: []platform.Expect{{Key: ownerKey(l.batch), Revision: owner}, {Key: key}},
+		Writes: []platform.Write{{Key: key, Data: data}},
+	})
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		return true
+	case errors.As(err, &conflict):
+		for _, value := range conflict.Present {
+			if value.Key == key && bytes.Equal(value.Data, data) {
+				return true
+			}
+		}
+		klog.InfoS("batch: a chunk was not written, the batch is owned anew", "batch", l.batch, "first", first, "owner", owner)
+	default:
+		klog.InfoS("batch: a chunk was not written", "batch", l.batch, "first", first, "err", err.Error())
+	}
+	return false
+}
+
+func (l *ledger) list(outcomes []*statepb.Outcome) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.listed = append(l.listed, outcomes...)
+	l.pending = l.pending[len(outcomes):]
+	l.wake()
+}
+
+func (l *ledger) wake() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// Keys of the store.
+const (
+	// Prefix of the small keys that every gateway watches.
+	Prefix       = "live/"
+	prefixOpen   = Prefix + "open/"
+	prefixOwner  = Prefix + "owner/"
+	prefixBulk   = "bulk/"
+	prefixOut    = "out/"
+	prefixPartly = "partial/"
+)
+
+func openKey(batch string) string   { return prefixOpen + batch }
+func ownerKey(batch string) string  { return prefixOwner + batch }
+func bulkKey(batch string) string   { return prefixBulk + batch }
+func partlyKey(batch string) string { return prefixPartly + batch }
+
+func chunkPrefix(batch string) string { return prefixOut + batch + "/" }
+
+// chunkKey orders the chunks of a batch by their first place.
+func chunkKey(batch string, first uint64) string {
+	return fmt.Sprintf("%s%08d", chunkPrefix(batch), first)
+}
--- /dev/null
+++ b/internal/batch/owner.go
@@ -0,0 +1,298 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/backend"
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/forward"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+	"github.com/bramleyhatch/bramleyhatch/internal/roster"
+)
+
+const (
+	// lookAgain is how long an owner waits at most before it looks again for free
+	// slots and slow servers: about one event of a sampler.
+	lookAgain = 50 * time.Millisecond
+	// silence is how long a sampler may send nothing before its run goes on
+	// elsewhere: many times the usual gap, and above the time of a weight load.
+	silence = 1500 * time.Millisecond
+	// runTime bounds one run; a sampler stops a run by itself after that.
+	runTime = 60 * time.Second
+)
+
+// Wire knows how an item's headers are written.
+type Wire interface {
+	WriteItem(headers map[string]string) http.Header
+}
+
+// Scorer has texts judged.
+type Scorer interface {
+	// Score returns the proof of the scorer's answer. A *ScoreError says that it
+	// answered with a failure.
+	Score(ctx context.Context, scorer *statepb.Scorer) (string, error)
+}
+
+// ScoreError says that the scorer answered with a failure.
+type ScoreError struct {
+	Status int
+}
+
+// Error names the status.
+func (e *ScoreError) Error() string { return "batch: the scorer answered " + http.StatusText(e.Status) }
+
+// owner runs one batch. Its fields are set before run.
+type owner struct {
+	batch *statepb.Batch
+	// pool returns the pool that runs the batch now; false once its route is gone.
+	pool   func() (string, bool)
+	roster *roster.Roster
+	scorer Scorer
+	wire   Wire
+	ledger *ledger
+
+	mutex sync.Mutex
+	plan  *Plan
+	runs  map[int]context.CancelCauseFunc
+	wake  chan struct{}
+	done  sync.WaitGroup
+}
+
+// errSlow ends a run on a slow sampler, so that it goes on at another one.
+var errSlow = errors.New("batch: the sampler is slow and another one has room")
+
+// run runs the batch until it is whole, ended, or the context ends.
+func (o *owner) run(ctx context.Context) {
+	ticker := time.NewTicker(lookAgain)
+	defer ticker.Stop()
+	for {
+		changed := o.roster.Changed()
+		if o.pump(ctx) {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-o.wake:
+		case <-changed:
+		case <-ticker.C:
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	o.stopRuns()
+	o.done.Wait()
+}
+
+// pump starts what can start now. It reports whether nothing is left to do.
+func (o *owner) pump(ctx context.Context) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	now := clock.Now()
+	pool, ok := o.pool()
+	if !ok {
+		klog.InfoS("batch: its route is gone, the rest is given up", "batch", o.batch.GetId())
+		o.plan.GiveUp()
+	}
+	for o.startRun(ctx, pool, now) {
+	}
+	o.ledger.add(o.plan.Pending())
+	if o.plan.IsEnded() || o.plan.IsWhole() {
+		return true
+	}
+	for {
+		job, ok := o.plan.NextScore(now)
+		if !ok {
+			break
+		}
+		o.done.Go(func() { o.score(ctx, job) })
+	}
+	return false
+}
+
+// startRun starts the next item if a sampler has a free slot for it.
+func (o *owner) startRun(ctx context.Context, pool string, now clock.Boot) bool {
+	job, ok := o.plan.Next(now)
+	if !ok {
+		return false
+	}
+	server := o.roster.Place(roster.Need{Pool: pool, Model: o.batch.GetModel(), Oldest: o.batch.GetOldest()})
+	if server == nil {
+		return false
+	}
+	o.plan.Start(job)
+	running, cancel := context.WithCancelCause(ctx)
+	o.runs[job.index] = cancel
+	o.done.Go(func() {
+		defer cancel(nil)
+		o.generate(running, job, server)
+	})
+	return true
+}
+
+// generate runs an item at a server and takes its events.
+func (o *owner) generate(ctx context.Context, job Job, server *roster.Server) {
+	began := clock.Now()
+	err := o.stream(ctx, job, server)
+	o.roster.Finish(server)
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	defer o.nudge()
+	delete(o.runs, job.index)
+	now := clock.Now()
+	if err == nil {
+		klog.V(1).InfoS("batch: generated", "id", job.spec.GetId(), "batch", o.batch.GetId(), "server", server.Name(), "took", now.Sub(began))
+		o.plan.Generated(job)
+		return
+	}
+	refused := refusal.Of(err)
+	klog.InfoS("batch: run ended", "id", job.spec.GetId(), "batch", o.batch.GetId(), "server", server.Name(), "err", err.Error(), "events", o.plan.job(o.plan.items[job.index]).events, "took", now.Sub(began))
+	switch {
+	case errors.Is(context.Cause(ctx), errSlow):
+		o.plan.Cut(job, 0, now)
+	case ctx.Err() != nil:
+		o.plan.Cut(job, 0, now)
+	case refused.Code == codeFailed:
+		o.plan.Failed(job, refused.Status == http.StatusUnprocessableEntity, now)
+	case refusal.IsNotRun(err), errors.Is(err, errUnfit):
+		forward.NoteFailure(ctx, o.roster, server, err)
+		o.plan.Cut(job, 0, now)
+	default:
+		forward.NoteFailure(ctx, o.roster, server, err)
+		o.plan.Fault(job, now)
+	}
+}
+
+// codeFailed is the code of answers that say that a run failed.
+const codeFailed = "server_failed"
+
+// errUnfit ends a run whose text may not be used.
+var errUnfit = refusal.Unknown(http.StatusConflict, "unfit", "the sampler's weight version doesn't fit the batch")
+
+// stream sends an item and takes the events of the answer.
+func (o *owner) stream(ctx context.Context, job Job, server *roster.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, runTime)
+	defer cancel()
+	answer, err := server.Direct().Do(ctx, backend.Send{
+		ID:        job.spec.GetId(),
+		Server:    server.Name(),
+		Host:      o.batch.GetHost(),
+		Method:    http.MethodPost,
+		Target:    job.spec.GetPath(),
+		Header:    o.wire.WriteItem(job.spec.GetHeaders()),
+		Body:      job.spec.GetBody(),
+		Account:   o.batch.GetAccount(),
+		LastEvent: uint64(job.events),
+		Silence:   silence,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return refusal.Unknown(answer.StatusCode, codeFailed, "%s answered %d", server.Name(), answer.StatusCode)
+	}
+	o.roster.Answered(server)
+	return o.take(job, server, answer)
+}
+
+// take takes the events of an answer up to its end.
+func (o *owner) take(job Job, server *roster.Server, answer *backend.Answer) error {
+	events := answer.Events()
+	next := uint64(job.events)
+	var last clock.Boot
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			if next == uint64(job.events) && next == 0 {
+				return answer.Cut()
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		next++
+		if event.Number != next {
+			return refusal.Unknown(http.StatusBadGateway, "bad_event", "%s sent event %d in place of %d", server.Name(), event.Number, next)
+		}
+		now := clock.Now()
+		if last != 0 {
+			o.roster.Beat(server, now.Sub(last))
+		}
+		last = now
+		if !o.event(job, server, event) {
+			return errUnfit
+		}
+	}
+}
+
+func (o *owner) event(job Job, server *roster.Server, event backend.Event) bool {
+	o.roster.Show(server, o.batch.GetModel(), event.Version)
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.plan.Event(job, event.Data, event.Version)
+}
+
+// score has a whole text judged.
+func (o *owner) score(ctx context.Context, job Job) {
+	proof, err := o.scorer.Score(ctx, job.spec.GetScorer())
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	defer o.nudge()
+	if err == nil {
+		o.plan.Scored(job, proof)
+		return
+	}
+	var failed *ScoreError
+	klog.InfoS("batch: not judged", "id", job.spec.GetId(), "scorer", job.spec.GetScorer().GetId(), "batch", o.batch.GetId(), "err", err.Error())
+	o.plan.NotScored(job, errors.As(err, &failed), clock.Now())
+}
+
+// end stops the batch on the trainer's word.
+func (o *owner) end() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.plan.IsEnded() {
+		return
+	}
+	o.plan.End()
+	for _, cancel := range o.runs {
+		cancel(errEnded)
+	}
+	o.nudge()
+}
+
+// errEnded ends the runs of a batch that its trainer has ended.
+var errEnded = errors.New("batch: ended by its trainer")
+
+// partials returns the texts that aren't whole.
+func (o *owner) partials() []*statepb.Partial {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.plan.Partials()
+}
+
+func (o *owner) stopRuns() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, cancel := range o.runs {
+		cancel(context.Canceled)
+	}
+}
+
+// nudge makes run look again.
+func (o *owner) nudge() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/batch/plan.go
@@ -0,0 +1,352 @@
+// Package batch runs trainers' batches: it takes a batch so that it outlives
+// every process, runs its items on samplers, has their texts judged, and lists
+// the outcomes at places that never change.
+//
+// Plan holds the decisions and takes the time from its caller; owner runs a
+// batch by it; Board holds the batches of a process.
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+)
+
+const (
+	// faultPause is the wait before an item runs again after its server failed;
+	// it doubles up to greatestPause. The first is a few events long.
+	faultPause    = 100 * time.Millisecond
+	greatestPause = 2 * time.Second
+	// rejectionsPerItem is how often a server must say that an item can never
+	// be done before it is given up.
+	rejectionsPerItem = 1
+)
+
+// Rules are what the batch's route says.
+type Rules struct {
+	// Attempts is the most failed answers of an item, and of its scorer.
+	Attempts int
+	// Keep is when an item may be given up after the batch was accepted; 0 never.
+	Keep time.Duration
+	// SingleVersion asks for texts that one weight version made.
+	SingleVersion bool
+}
+
+// phase of an item.
+type phase int
+
+const (
+	waiting phase = iota
+	running
+	unscored
+	scoring
+	settled
+)
+
+// item is one item of a plan.
+type item struct {
+	spec  *statepb.Item
+	index int
+	phase phase
+	// events and versions are the text so far.
+	events   []string
+	versions []uint64
+	// failures counts answers that say that the run failed, faults all others.
+	failures       int
+	faults         int
+	scorerFailures int
+	notBefore      clock.Boot
+	outcome        *statepb.Outcome
+}
+
+// Job is an item to run or to have judged.
+type Job struct {
+	index  int
+	spec   *statepb.Item
+	events int
+}
+
+// Spec returns the item.
+func (j Job) Spec() *statepb.Item { return j.spec }
+
+// Events returns the number of events that are there already.
+func (j Job) Events() int { return j.events }
+
+// Plan decides about the items of one batch. It does no input or output, takes
+// the time from its caller and is not safe for concurrent use.
+type Plan struct {
+	rules Rules
+	batch *statepb.Batch
+	items []*item
+	byID  map[string]*item
+	// order holds the items that wait, in the order in which they run.
+	order   []*item
+	open    int
+	pending []*statepb.Outcome
+	ended   bool
+	// until is when items may be given up; 0 never.
+	until clock.Boot
+}
+
+// NewPlan returns the plan of a batch of which nothing has run, accepted at a
+// time of this host's clock.
+func NewPlan(batch *statepb.Batch, rules Rules, accepted clock.Boot) *Plan {
+	plan := &Plan{rules: rules, batch: batch, byID: map[string]*item{}}
+	if rules.Keep > 0 {
+		plan.until = accepted.Add(rules.Keep)
+	}
+	for index, spec := range batch.GetItems() {
+		one := &item{spec: spec, index: index}
+		plan.items = append(plan.items, one)
+		plan.byID[spec.GetId()] = one
+		plan.order = append(plan.order, one)
+	}
+	plan.open = len(plan.items)
+	plan.sort()
+	return plan
+}
+
+// sort puts the longest items first.
+//
+// A step is done with its last group. A long item that starts last keeps the
+// trainer waiting while all other slots stand idle; started first, it overlaps
+// with the short ones. The estimate is off for single items, and right for most.
+func (p *Plan) sort() {
+	slices.SortStableFunc(p.order, func(a, b *item) int {
+		return cmp.Or(
+			cmp.Compare(len(b.events), len(a.events)),
+			cmp.Compare(b.spec.GetExpected(), a.spec.GetExpected()),
+			cmp.Compare(a.index, b.index),
+		)
+	})
+}
+
+// Restore takes what an earlier owner has listed and handed over.
+func (p *Plan) Restore(listed []*statepb.Outcome, partials []*statepb.Partial) {
+	for _, outcome := range listed {
+		if one := p.byID[outcome.GetItem()]; one != nil && one.phase != settled {
+			one.phase = settled
+			one.outcome = outcome
+			p.open--
+		}
+	}
+	for _, partial := range partials {
+		if one := p.byID[partial.GetItem()]; one != nil && one.phase == waiting && p.fits(partial.GetVersions()) {
+			one.events, one.versions = partial.GetEvents(), partial.GetVersions()
+		}
+	}
+	p.order = slices.DeleteFunc(p.order, func(one *item) bool { return one.phase != waiting })
+	p.sort()
+}
+
+func (p *Plan) fits(versions []uint64) bool {
+	for _, version := range versions {
+		if version < p.batch.GetOldest() {
+			return false
+		}
+	}
+	return !p.rules.SingleVersion || len(versions) <= 1
+}
+
+// End notes that the trainer has ended the batch: nothing starts any more.
+func (p *Plan) End() {
+	p.ended = true
+	p.order = nil
+}
+
+// IsEnded reports whether the trainer has ended the batch.
+func (p *Plan) IsEnded() bool { return p.ended }
+
+// IsWhole reports whether every item has its outcome.
+func (p *Plan) IsWhole() bool { return p.open == 0 }
+
+// Waiting returns the number of items that wait for a server.
+func (p *Plan) Waiting() int { return len(p.order) }
+
+// Next returns the item to run now, if there is one. It waits still until Start.
+func (p *Plan) Next(now clock.Boot) (Job, bool) {
+	p.giveUp(now)
+	for _, one := range p.order {
+		if one.notBefore <= now {
+			return p.job(one), true
+		}
+	}
+	return Job{}, false
+}
+
+// Start notes that an item runs.
+func (p *Plan) Start(job Job) {
+	one := p.items[job.index]
+	one.phase = running
+	p.order = slices.DeleteFunc(p.order, func(other *item) bool { return other == one })
+}
+
+// giveUp lists the items whose time is over as failed.
+func (p *Plan) giveUp(now clock.Boot) {
+	if p.until == 0 || now < p.until {
+		return
+	}
+	p.GiveUp()
+}
+
+// GiveUp lists all items that wait as failed.
+func (p *Plan) GiveUp() {
+	for len(p.order) > 0 {
+		p.fail(p.order[0])
+	}
+}
+
+func (p *Plan) job(one *item) Job {
+	return Job{index: one.index, spec: one.spec, events: len(one.events)}
+}
+
+// Event takes the next event of a running item. It reports false if the run is
+// to be stopped: its text would not be allowed, or is wanted no more.
+func (p *Plan) Event(job Job, data string, version uint64) bool {
+	one := p.items[job.index]
+	if p.ended || one.phase != running {
+		return false
+	}
+	if version < p.batch.GetOldest() {
+		return false
+	}
+	isNew := !slices.Contains(one.versions, version)
+	if isNew && p.rules.SingleVersion && len(one.versions) > 0 {
+		// Nothing of the text can be used: the rest is of another version.
+		one.events, one.versions = nil, nil
+		return false
+	}
+	if isNew {
+		one.versions = append(one.versions, version)
+	}
+	one.events = append(one.events, data)
+	return true
+}
+
+// Generated notes that a running item's text is whole.
+func (p *Plan) Generated(job Job) {
+	one := p.items[job.index]
+	if one.spec.GetScorer() == nil {
+		p.settle(one, "")
+		return
+	}
+	one.phase = unscored
+}
+
+// NextScore returns an item whose text is to be judged now, if there is one.
+func (p *Plan) NextScore(now clock.Boot) (Job, bool) {
+	if p.ended {
+		return Job{}, false
+	}
+	for _, one := range p.items {
+		if one.phase == unscored && one.notBefore <= now {
+			one.phase = scoring
+			return p.job(one), true
+		}
+	}
+	return Job{}, false
+}
+
+// Scored notes the proof of the scorer's answer.
+func (p *Plan) Scored(job Job, proof string) { p.settle(p.items[job.index], proof) }
+
+// NotScored notes that the scorer gave no judgement. Failed says that it
+// answered with a failure; an item whose scorer fails each time is given up.
+func (p *Plan) NotScored(job Job, failed bool, now clock.Boot) {
+	one := p.items[job.index]
+	if failed {
+		one.scorerFailures++
+		if one.scorerFailures >= p.rules.Attempts {
+			p.fail(one)
+			return
+		}
+	}
+	one.phase = unscored
+	one.notBefore = now.Add(faultPause)
+}
+
+// Cut notes that a run ended before its text was whole. What came of it stays,
+// and the item goes on from there at the next server.
+func (p *Plan) Cut(job Job, pause time.Duration, now clock.Boot) {
+	one := p.items[job.index]
+	if one.phase != running {
+		return
+	}
+	one.phase = waiting
+	one.notBefore = now.Add(pause)
+	if !p.ended {
+		p.order = append(p.order, one)
+		p.sort()
+	}
+}
+
+// Fault notes that a server failed under a run; the item waits longer each time.
+func (p *Plan) Fault(job Job, now clock.Boot) {
+	one := p.items[job.index]
+	one.faults++
+	p.Cut(job, min(faultPause<<min(one.faults-1, 5), greatestPause), now)
+}
+
+// Failed notes that a server answered that a run failed. An item that fails
+// each time, or that can never be done, is given up.
+func (p *Plan) Failed(job Job, never bool, now clock.Boot) {
+	one := p.items[job.index]
+	one.failures++
+	if never && one.failures >= rejectionsPerItem || one.failures >= p.rules.Attempts {
+		one.phase = waiting
+		p.fail(one)
+		return
+	}
+	p.Fault(job, now)
+}
+
+func (p *Plan) fail(one *item) {
+	p.order = slices.DeleteFunc(p.order, func(other *item) bool { return other == one })
+	p.list(one, statepb.Outcome_builder{Item: one.spec.GetId(), Failed: true}.Build())
+}
+
+func (p *Plan) settle(one *item, proof string) {
+	text := strings.Join(one.events, "\n")
+	p.list(one, statepb.Outcome_builder{Item: one.spec.GetId(), Text: text, Versions: one.versions, Score: proof}.Build())
+}
+
+func (p *Plan) list(one *item, outcome *statepb.Outcome) {
+	if one.phase == settled {
+		return
+	}
+	one.phase = settled
+	one.outcome = outcome
+	one.events = nil
+	p.open--
+	p.pending = append(p.pending, outcome)
+}
+
+// Pending returns the outcomes that aren't in the store yet, and forgets them.
+func (p *Plan) Pending() []*statepb.Outcome {
+	pending := p.pending
+	p.pending = nil
+	return pending
+}
+
+// Partials returns the texts that aren't whole, for the next owner.
+func (p *Plan) Partials() []*statepb.Partial {
+	var partials []*statepb.Partial
+	for _, one := range p.items {
+		if one.phase != settled && len(one.events) > 0 {
+			partials = append(partials, statepb.Partial_builder{Item: one.spec.GetId(), Events: one.events, Versions: one.versions}.Build())
+		}
+	}
+	return partials
+}
+
+// Item returns an item by its identity, or nil.
+func (p *Plan) Item(id string) *statepb.Item {
+	if one := p.byID[id]; one != nil {
+		return one.spec
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bramleyhatch/gateway.go
@@ -0,0 +1,246 @@
+package bramleyhatch
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/zeromicro/go-zero/rest"
+	"google.golang.org/grpc"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/batch"
+	"github.com/bramleyhatch/bramleyhatch/internal/detour"
+	"github.com/bramleyhatch/bramleyhatch/internal/forward"
+	"github.com/bramleyhatch/bramleyhatch/internal/gateway"
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/mirror"
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	store "github.com/bramleyhatch/bramleyhatch/internal/platform"
+	"github.com/bramleyhatch/bramleyhatch/internal/roster"
+	"github.com/bramleyhatch/bramleyhatch/internal/table"
+	"github.com/bramleyhatch/bramleyhatch/platform"
+)
+
+const (
+	// idleConnection is how long an unused connection to a backend server is
+	// kept: less than the 10 s after which servers close theirs, since a request
+	// sent on one that is just being closed gets no answer.
+	idleConnection = 8 * time.Second
+	// balancerNotices is how long the balancer may still send new connections
+	// after a gateway said that it isn't ready: two questions, a second apart.
+	balancerNotices = 2500 * time.Millisecond
+)
+
+// Gateway is the process on an entry host whose backend servers it reaches by itself.
+// Exported fields are set before Run.
+type Gateway struct {
+	Settings *settingspb.Gateway
+
+	*Process
+
+	store     *platform.Store
+	caller    *detour.Caller
+	hosts     *gateway.Hosts
+	session   *gateway.Session
+	view      *table.View
+	roster    *roster.Roster
+	forwarder *forward.Forwarder
+	board     *batch.Board
+	// isDraining is true once the process was asked to stop.
+	isDraining atomic.Bool
+}
+
+// Run serves until the context ends and all running requests have ended.
+func (g *Gateway) Run(ctx context.Context) error {
+	g.Process = newProcess(g.Settings.GetProcess(), &settingspb.Secure{})
+	g.addStore()
+	g.addServers()
+	g.addBatches()
+	g.addMirrors()
+	g.addCallers()
+	g.addReady()
+	g.AddDrain(g.drain)
+	err := g.run(ctx, settingspb.Caller_builder{Listen: g.Settings.GetFront().GetListen()}.Build())
+	closing, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	g.session.Close(closing)
+	return err
+}
+
+// addStore adds the ways to the store and this process's lease.
+func (g *Gateway) addStore() {
+	settings := g.Settings.GetStore()
+	g.hosts = &gateway.Hosts{Name: g.Process.Settings.GetName()}
+	direct := &detour.Direct{Address: settings.GetAddress()}
+	g.caller = &detour.Caller{Direct: direct, Peers: g.hosts}
+	g.store = &platform.Store{Caller: g.caller, Timeout: settings.GetTimeout().AsDuration()}
+	g.session = &gateway.Session{
+		Store:  g.store,
+		Length: settings.GetLease().AsDuration(),
+		Host: statepb.Host_builder{
+			Name:        g.Process.Settings.GetName(),
+			Zone:        g.Process.Settings.GetZone(),
+			Region:      g.Process.Settings.GetRegion(),
+			Address:     g.Process.Settings.GetPeer(),
+			Incarnation: g.Incarnation,
+		}.Build(),
+	}
+	g.AddDuty("session", g.session.Run)
+}
+
+// addServers adds the knowledge of backend servers and the way to them.
+func (g *Gateway) addServers() {
+	g.view = &table.View{}
+	g.roster = &roster.Roster{
+		Zone:   g.Process.Settings.GetZone(),
+		Region: g.Process.Settings.GetRegion(),
+		Wire:   platform.Wire{},
+		Idle:   idleConnection,
+		Back:   g.Settings.GetDirectory().GetBack().AsDuration(),
+	}
+	g.forwarder = &forward.Forwarder{Roster: g.roster}
+}
+
+// addBatches adds the batches of trainers.
+func (g *Gateway) addBatches() {
+	settings := g.Settings.GetBatches()
+	g.board = &batch.Board{
+		Process:    g.Process.Settings.GetName(),
+		Store:      g.store,
+		Roster:     g.roster,
+		Scorer:     &gateway.Scorer{View: g.view, Forwarder: g.forwarder, Proof: platform.Wire{}.Proof},
+		Wire:       platform.Wire{},
+		Routes:     gateway.Routes(g.view),
+		Lease:      g.session.Lease,
+		Hosts:      g.hosts.Names,
+		Group:      settings.GetGroup().AsDuration(),
+		ValueBytes: int(g.Settings.GetStore().GetValueBytes()),
+	}
+	g.AddDuty("batches", g.board.Run)
+	server := &gateway.Server{Board: g.board, Direct: g.caller.Direct}
+	g.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterGatewayServer(registrar, server) })
+}
+
+// addMirrors adds the copies of what the store holds.
+func (g *Gateway) addMirrors() {
+	wait := g.Settings.GetStore().GetWatch().AsDuration()
+	operator := &mirror.Mirror{Store: g.store, Prefix: platform.PrefixOperator, Wait: wait, Take: g.takeOperator}
+	servers := &mirror.Mirror{
+		Store: g.store, Prefix: platform.PrefixServer, Wait: wait, Take: g.takeServers,
+		Listed: g.roster.Listed, Lost: g.roster.Lost, Regained: g.roster.Regained,
+	}
+	live := &mirror.Mirror{Store: g.store, Prefix: batch.Prefix, Wait: wait, Take: func(changes []store.Value) {
+		g.hosts.Take(changes)
+		g.board.Take(changes)
+	}}
+	g.AddDuty("operator", operator.Run)
+	g.AddDuty("servers", servers.Run)
+	g.AddDuty("live", live.Run)
+}
+
+func (g *Gateway) takeOperator(changes []store.Value) {
+	for _, change := range changes {
+		if change.Deleted || !platform.IsTable(change.Key) {
+			continue
+		}
+		next, err := platform.ReadTable(change.Data)
+		if err != nil {
+			klog.ErrorS(err, "table: a version can't be read, the one in force stays", "revision", change.Revision)
+			continue
+		}
+		g.view.Take(next)
+	}
+}
+
+func (g *Gateway) takeServers(changes []store.Value) {
+	for _, change := range changes {
+		if change.Deleted {
+			g.roster.Remove(platform.ServerID(change.Key))
+			continue
+		}
+		entry, err := platform.ReadServer(change.Key, change.Data)
+		if err != nil {
+			klog.InfoS("roster: an entry names no server to use", "key", change.Key, "err", err.Error())
+			g.roster.Remove(platform.ServerID(change.Key))
+			continue
+		}
+		g.roster.Set(entry)
+	}
+}
+
+// addCallers adds the interface for callers and trainers.
+func (g *Gateway) addCallers() {
+	handler := &gateway.Handler{
+		Wire:      platform.Wire{},
+		Formats:   gateway.Formats{ReadBatch: platform.ReadBatch, WriteOutcomes: platform.WriteOutcomes},
+		View:      g.view,
+		Forwarder: g.forwarder,
+		Board:     g.board,
+		Hosts:     g.hosts,
+		Unknown:   g.Settings.GetFront().GetUnknown().AsDuration(),
+	}
+	g.notFound = g.closing(handler)
+}
+
+// closing tells callers to open no more requests on their connection once the
+// process was asked to stop.
+func (g *Gateway) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.isDraining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// addReady adds the balancer's question and the metrics, on addresses of their own.
+func (g *Gateway) addReady() {
+	ready := rest.Route{Method: http.MethodGet, Path: platform.PathReady, Handler: g.answerReady}
+	g.addListener("ready", g.Settings.GetFront().GetReady(), ready)
+	if address := g.Settings.GetFront().GetMetrics(); address != "" {
+		metrics := promhttp.HandlerFor(g.Metrics, promhttp.HandlerOpts{})
+		g.addListener("metrics", address, rest.Route{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP})
+	}
+}
+
+func (g *Gateway) addListener(name, address string, routes ...rest.Route) {
+	server := &listen.HTTP{Address: address, Routes: routes}
+	g.AddDuty(name, func(ctx context.Context) error { return server.Run(ctx, time.Second) })
+}
+
+func (g *Gateway) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if reason := g.notReady(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// notReady returns why no callers should come here; "" if they should.
+func (g *Gateway) notReady() string {
+	switch {
+	case g.isDraining.Load():
+		return "draining"
+	case g.view.Current() == nil:
+		return "no configuration yet"
+	case !g.roster.IsListed():
+		return "no backend servers known yet"
+	default:
+		return ""
+	}
+}
+
+// drain says that no more callers should come, hands the batches over, and
+// serves on until the balancer has noticed.
+func (g *Gateway) drain(ctx context.Context) {
+	g.isDraining.Store(true)
+	began := time.Now()
+	g.board.Drain(ctx)
+	pause.For(ctx, balancerNotices-time.Since(began))
+}
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -27,6 +27,8 @@
 type commands struct {
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 	Entry    entryCmd         `cmd:"" help:"Run the process of an entry host."`
+	Gateway  gatewayCmd       `cmd:"" help:"Run the process of an entry host that reaches backend servers by itself."`
+	Keeper   keeperCmd        `cmd:"" help:"Run the process of a host with a disk."`
 	Sidecar  sidecarCmd       `cmd:"" help:"Run the process beside a backend server."`
 	Settings settingsCmd      `cmd:"" help:"Check settings files."`
 	Config   configCmd        `cmd:"" help:"Check, compare, apply and show the two lists."`
--- /dev/null
+++ b/internal/cmd/gatewaycmd.go
@@ -0,0 +1,29 @@
+package cmd
+
+import (
+	"github.com/bramleyhatch/bramleyhatch/internal/bramleyhatch"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
+	"github.com/bramleyhatch/bramleyhatch/internal/settings"
+)
+
+// gatewayCmd runs a gateway.
+type gatewayCmd struct {
+	Settings string `required:"" type:"existingfile" env:"BRAMLEYHATCH_SETTINGS" help:"Settings file of the gateway."`
+}
+
+// Help gives an example.
+func (gatewayCmd) Help() string {
+	return "Example:\n  bramleyhatch gateway --settings gateway.ini"
+}
+
+// Run serves until SIGTERM or SIGINT, then drains.
+func (g *gatewayCmd) Run() error {
+	var loaded settingspb.Gateway
+	if err := settings.Load(g.Settings, &loaded); err != nil {
+		return err
+	}
+	ctx, end := stopContext()
+	defer end()
+	process := &bramleyhatch.Gateway{Settings: &loaded}
+	return process.Run(ctx)
+}
--- /dev/null
+++ b/internal/detour/detour.go
@@ -0,0 +1,161 @@
+// Package detour makes calls of the platform's store: directly, or through
+// another process of the system while the store turns this host away.
+package detour
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest/httpc"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+)
+
+const (
+	// directAgain is how long calls go through others after the store turned
+	// this host away, before it is asked directly again. A look every second
+	// costs a call a second during an outage and finds its end that soon.
+	directAgain = time.Second
+	// maxAnswerBytes is above the largest page of the store, base64 included.
+	maxAnswerBytes = 16 << 20
+)
+
+// Call is one call of the store.
+type Call struct {
+	Method string
+	// Target is the path and query.
+	Target string
+	// Body is nil for none.
+	Body []byte
+	// Timeout bounds the wait for the answer.
+	Timeout time.Duration
+}
+
+// Answer is the store's answer.
+type Answer struct {
+	Status int
+	Body   []byte
+}
+
+// Peers makes calls through other processes.
+type Peers interface {
+	// Detour makes the call through another process. It reports false if none
+	// can make it.
+	Detour(ctx context.Context, call Call) (Answer, bool)
+}
+
+// Direct makes calls from this host. Exported fields are set before the first call.
+type Direct struct {
+	// Address is the IP address and port of the store.
+	Address string
+
+	once   sync.Once
+	client httpc.Service
+}
+
+// Do makes one call.
+func (d *Direct) Do(ctx context.Context, call Call) (Answer, error) {
+	d.once.Do(func() { d.client = listen.Client("store " + d.Address) })
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	defer cancel()
+	var body io.Reader = http.NoBody
+	if call.Body != nil {
+		body = bytes.NewReader(call.Body)
+	}
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+d.Address+call.Target, body)
+	if err != nil {
+		return Answer{}, err
+	}
+	// Without GetBody net/http never sends a change twice by itself.
+	request.GetBody = nil
+	if call.Body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := d.client.DoRequest(request)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return Answer{}, err
+	}
+	return Answer{Status: response.StatusCode, Body: answer}, nil
+}
+
+// Caller makes calls directly, or through peers while that fails.
+// Exported fields are set before the first call. It is safe for concurrent use.
+type Caller struct {
+	Direct *Direct
+	// Peers is nil where there are none.
+	Peers Peers
+
+	mutex sync.Mutex
+	// away is when the direct way failed last; zero while it works.
+	away clock.Boot
+}
+
+// Do makes one call.
+//
+// The store may turn some hosts away and serve the others. A gateway that only
+// asked directly would lose its leases, its batches and the view of withdrawn
+// keys though every other gateway could ask for it. All changes are conditional,
+// so one that was done without an answer and is sent again does no harm.
+func (c *Caller) Do(ctx context.Context, call Call) (Answer, error) {
+	if c.Peers != nil && c.isAway() {
+		if answer, ok := c.Peers.Detour(ctx, call); ok {
+			return answer, nil
+		}
+	}
+	answer, err := c.Direct.Do(ctx, call)
+	if err == nil && !isTurnedAway(answer.Status) {
+		c.reached()
+		return answer, nil
+	}
+	if ctx.Err() != nil || c.Peers == nil {
+		return answer, err
+	}
+	c.turnedAway(call, answer.Status, err)
+	if detoured, ok := c.Peers.Detour(ctx, call); ok {
+		return detoured, nil
+	}
+	return answer, err
+}
+
+// IsAway reports whether the direct way to the store is known to fail.
+func (c *Caller) IsAway() bool { return c.isAway() }
+
+func (c *Caller) isAway() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.away != 0 && clock.Now().Sub(c.away) < directAgain
+}
+
+func (c *Caller) reached() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.away != 0 {
+		klog.InfoS("store: regained")
+	}
+	c.away = 0
+}
+
+func (c *Caller) turnedAway(call Call, status int, err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.away == 0 {
+		klog.InfoS("store: lost", "call", call.Method+" "+call.Target, "status", status, "err", err)
+	}
+	c.away = clock.Now()
+}
+
+// isTurnedAway reports whether a status says that the store did nothing for this host.
+func isTurnedAway(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
--- /dev/null
+++ b/internal/gateway/hosts.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/detour"
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+const (
+	// PrefixHost of the store's keys of live gateways.
+	PrefixHost = "live/host/"
+	// detourExtra is what a call through a peer may take longer than a direct one.
+	detourExtra = 100 * time.Millisecond
+	// detourTries is the most peers that one call is made through.
+	detourTries = 2
+)
+
+// Hosts knows the other gateways and speaks to them. Exported fields are set
+// before the first call. It is safe for concurrent use.
+type Hosts struct {
+	// Name of this process.
+	Name string
+
+	mutex       sync.Mutex
+	hosts       map[string]*statepb.Host
+	connections map[string]*grpc.ClientConn
+	// served is the peer that made the last call for this process.
+	served string
+}
+
+var _ detour.Peers = &Hosts{}
+
+// Take takes changes of the store's keys.
+func (h *Hosts) Take(changes []platform.Value) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.hosts == nil {
+		h.hosts = map[string]*statepb.Host{}
+		h.connections = map[string]*grpc.ClientConn{}
+	}
+	for _, change := range changes {
+		name, ok := strings.CutPrefix(change.Key, PrefixHost)
+		if !ok {
+			continue
+		}
+		if change.Deleted {
+			klog.InfoS("hosts: gone", "host", name)
+			delete(h.hosts, name)
+			continue
+		}
+		host := &statepb.Host{}
+		if err := proto.Unmarshal(change.Data, host); err != nil {
+			klog.ErrorS(err, "hosts: an entry can't be read", "key", change.Key)
+			continue
+		}
+		klog.InfoS("hosts: live", "host", name, "address", host.GetAddress(), "zone", host.GetZone())
+		h.hosts[name] = host
+	}
+}
+
+// Names returns the names of the gateways that live.
+func (h *Hosts) Names() []string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	names := make([]string, 0, len(h.hosts))
+	for name := range h.hosts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Processes returns the gateways that live, this one included; of other roles there are none.
+func (h *Hosts) Processes(role peerpb.Role) []*peerpb.Process {
+	if role != peerpb.Role_ROLE_ENTRY {
+		return nil
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	var processes []*peerpb.Process
+	for _, host := range h.hosts {
+		processes = append(processes, peerpb.Process_builder{
+			Name: host.GetName(), Zone: host.GetZone(), Region: host.GetRegion(), Address: host.GetAddress(),
+			Incarnation: host.GetIncarnation(), Role: role, State: peerpb.State_STATE_LIVE,
+		}.Build())
+	}
+	slices.SortFunc(processes, func(a, b *peerpb.Process) int { return cmp.Compare(a.GetName(), b.GetName()) })
+	return processes
+}
+
+// Client returns a client of another gateway, or nil if it isn't known.
+func (h *Hosts) Client(name string) peerpb.GatewayClient {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	host := h.hosts[name]
+	if host == nil || name == h.Name {
+		return nil
+	}
+	connection := h.connections[host.GetAddress()]
+	if connection == nil {
+		dialed, err := listen.Dial(host.GetAddress(), nil)
+		if err != nil {
+			klog.ErrorS(err, "hosts: no connection", "host", name)
+			return nil
+		}
+		connection = dialed
+		h.connections[host.GetAddress()] = connection
+	}
+	return peerpb.NewGatewayClient(connection)
+}
+
+// Detour makes a call of the store through another gateway, first through the
+// one that could make the last.
+func (h *Hosts) Detour(ctx context.Context, call detour.Call) (detour.Answer, bool) {
+	request := peerpb.DetourRequest_builder{
+		Method: call.Method, Target: call.Target, Body: call.Body, Timeout: call.Timeout.Milliseconds(),
+	}.Build()
+	for tries, name := range h.ways() {
+		if tries == detourTries {
+			break
+		}
+		client := h.Client(name)
+		if client == nil {
+			continue
+		}
+		asking, cancel := context.WithTimeout(ctx, call.Timeout+detourExtra)
+		reply, err := client.Detour(asking, request)
+		cancel()
+		if err != nil {
+			klog.V(1).InfoS("hosts: no detour", "host", name, "err", err.Error())
+			continue
+		}
+		h.mutex.Lock()
+		if h.served != name {
+			klog.InfoS("hosts: calls of the store go through another host", "host", name)
+		}
+		h.served = name
+		h.mutex.Unlock()
+		return detour.Answer{Status: int(reply.GetStatus()), Body: reply.GetBody()}, true
+	}
+	return detour.Answer{}, false
+}
+
+// ways returns the other gateways, the one that served last first.
+func (h *Hosts) ways() []string {
+	names := h.Names()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Compare(boolToInt(b == h.served), boolToInt(a == h.served))
+	})
+	return slices.DeleteFunc(names, func(name string) bool { return name == h.Name })
+}
+
+func boolToInt(value bool) int {
+	if value {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/batch"
+	"github.com/bramleyhatch/bramleyhatch/internal/detour"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+)
+
+const (
+	// askTime is what an owner may take to answer, in addition to a wait: many
+	// times its usual answer. An owner that is silent longer is gone or cut off,
+	// and the store answers in its place.
+	askTime = 250 * time.Millisecond
+)
+
+// page returns results of a batch: from here if it is owned here, else from its
+// owner, else from the store.
+func (h *Handler) page(ctx context.Context, caller *caller, call Call) (batch.Page, error) {
+	wait := min(call.Wait, greatestWait)
+	page, isOwn, err := h.Board.ReadOwn(ctx, call.Batch, caller.account.Name, call.After, wait)
+	if isOwn || err != nil {
+		return page, err
+	}
+	if client := h.Hosts.Client(h.Board.Owner(call.Batch)); client != nil {
+		asking, cancel := context.WithTimeout(ctx, wait+askTime)
+		defer cancel()
+		reply, err := client.Read(asking, peerpb.ReadRequest_builder{
+			Batch: call.Batch, After: call.After, Wait: wait.Milliseconds(), Account: caller.account.Name,
+		}.Build())
+		if err == nil && reply.GetOwned() && reply.GetAllowed() {
+			return batch.Page{Total: reply.GetTotal(), Outcomes: reply.GetOutcomes()}, nil
+		}
+		klog.V(1).InfoS("batch: its owner gave no results", "batch", call.Batch, "owner", h.Board.Owner(call.Batch), "err", err)
+	}
+	return h.Board.ReadStored(ctx, call.Batch, caller.account.Name, call.After)
+}
+
+// tellEnd tells the owner of a batch that it is ended.
+func (h *Handler) tellEnd(ctx context.Context, caller *caller, call Call) {
+	client := h.Hosts.Client(h.Board.Owner(call.Batch))
+	if client == nil {
+		return
+	}
+	asking, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	_, err := client.End(asking, peerpb.EndRequest_builder{Batch: call.Batch, Account: caller.account.Name}.Build())
+	if err != nil {
+		klog.InfoS("batch: its owner was not told of its end, the store will", "batch", call.Batch, "err", err.Error())
+	}
+}
+
+// Server answers other gateways. Exported fields are set before it is registered.
+type Server struct {
+	peerpb.UnimplementedGatewayServer
+
+	Board  *batch.Board
+	Direct *detour.Direct
+}
+
+var _ peerpb.GatewayServer = &Server{}
+
+// Detour makes a call of the store from this host.
+func (s *Server) Detour(ctx context.Context, request *peerpb.DetourRequest) (*peerpb.DetourReply, error) {
+	answer, err := s.Direct.Do(ctx, detour.Call{
+		Method: request.GetMethod(), Target: request.GetTarget(), Body: request.GetBody(),
+		Timeout: time.Duration(request.GetTimeout()) * time.Millisecond,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.DetourReply_builder{Status: uint32(answer.Status), Body: answer.Body}.Build(), nil
+}
+
+// End stops a batch that is owned here.
+func (s *Server) End(_ context.Context, request *peerpb.EndRequest) (*peerpb.EndReply, error) {
+	owned := s.Board.StopOwn(request.GetBatch(), request.GetAccount())
+	return peerpb.EndReply_builder{Owned: owned}.Build(), nil
+}
+
+// Read returns results of a batch that is owned here.
+func (s *Server) Read(ctx context.Context, request *peerpb.ReadRequest) (*peerpb.ReadReply, error) {
+	wait := min(time.Duration(request.GetWait())*time.Millisecond, greatestWait)
+	page, isOwn, err := s.Board.ReadOwn(ctx, request.GetBatch(), request.GetAccount(), request.GetAfter(), wait)
+	if err != nil && refusal.Of(err).Code != "no_batch" {
+		return nil, err
+	}
+	return peerpb.ReadReply_builder{Owned: isOwn, Allowed: err == nil, Total: page.Total, Outcomes: page.Outcomes}.Build(), nil
+}
--- /dev/null
+++ b/internal/gateway/scorer.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/batch"
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/forward"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+	"github.com/bramleyhatch/bramleyhatch/internal/table"
+)
+
+// Scorer has the texts of batches judged through the routes of callers.
+// Exported fields are set before the first call.
+type Scorer struct {
+	View      *table.View
+	Forwarder *forward.Forwarder
+	// Proof returns the proof of an answer.
+	Proof func(answer *http.Response) string
+}
+
+var _ batch.Scorer = &Scorer{}
+
+// Score sends a scorer's request and returns the proof of its answer. Such
+// requests need no key and may be repeated.
+func (s *Scorer) Score(ctx context.Context, scorer *statepb.Scorer) (string, error) {
+	now := s.View.Current()
+	var route *table.Route
+	if now != nil {
+		route = now.Route(scorer.GetHost(), scorer.GetPath())
+	}
+	if route == nil {
+		return "", refusal.NotRun(http.StatusNotFound, "no_route", "no route takes the scorer's path")
+	}
+	repeatable := *route
+	repeatable.Kind = table.Idempotent
+	allowed := defaultTime
+	if route.Timeout > 0 {
+		allowed = route.Timeout
+	}
+	answer, err := s.Forwarder.Run(ctx, &forward.Request{
+		ID:     scorer.GetId(),
+		Route:  &repeatable,
+		Host:   scorer.GetHost(),
+		Method: http.MethodPost,
+		Target: scorer.GetPath(),
+		Header: http.Header{},
+		Body:   scorer.GetBody(),
+		Until:  clock.Now().Add(allowed),
+	})
+	if err != nil {
+		return "", err
+	}
+	defer answer.Finish()
+	proof := s.Proof(answer.Response)
+	if answer.StatusCode >= http.StatusMultipleChoices || proof == "" || !answer.Whole {
+		return "", &batch.ScoreError{Status: answer.StatusCode}
+	}
+	return proof, nil
+}
+
+// Routes finds the pool and the rules of batches in a view.
+func Routes(view *table.View) batch.Routes {
+	return func(accepted *statepb.Batch) (string, batch.Rules, bool) {
+		now := view.Current()
+		if now == nil {
+			return "", batch.Rules{}, false
+		}
+		route := now.Route(accepted.GetHost(), accepted.GetPath())
+		if route == nil || route.Kind != table.Batch {
+			return "", batch.Rules{}, false
+		}
+		rules := batch.Rules{Attempts: route.Attempts, Keep: route.Keep, SingleVersion: route.SingleVersion}
+		return route.Pool(table.Draw(accepted.GetId())), rules, true
+	}
+}
--- /dev/null
+++ b/internal/gateway/session.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+const (
+	// renewals is how often the lease is renewed within its length.
+	renewals = 4
+	// sessionPause is the wait after a call that failed.
+	sessionPause = 150 * time.Millisecond
+)
+
+// SessionStore is what a Session needs of the platform's store.
+type SessionStore interface {
+	Commit(ctx context.Context, commit platform.Commit) (uint64, error)
+	End(ctx context.Context, lease uint64) error
+	Grant(ctx context.Context, length time.Duration) (uint64, error)
+	Renew(ctx context.Context, lease uint64, length time.Duration) error
+}
+
+// Session keeps a process known to the others: it holds a lease, and under it
+// the key that tells where the process is reached. Exported fields are set before Run.
+type Session struct {
+	Store  SessionStore
+	Host   *statepb.Host
+	Length time.Duration
+
+	lease atomic.Uint64
+	until atomic.Int64
+}
+
+// Lease returns the present lease; 0 while it may have ended.
+//
+// Its time counts from before the call that got it, on a clock that counts
+// suspensions: a process that stood still for longer has none until it has
+// asked, and takes no work that others may have taken over.
+func (s *Session) Lease() uint64 {
+	if clock.Now() >= clock.Boot(s.until.Load()) {
+		return 0
+	}
+	return s.lease.Load()
+}
+
+// Run keeps the lease until the context ends, then gives it up.
+func (s *Session) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if s.lease.Load() == 0 {
+			if err := s.begin(ctx); err != nil {
+				klog.V(1).InfoS("session: no lease", "err", err.Error())
+				pause.For(ctx, sessionPause)
+				continue
+			}
+		}
+		s.renew(ctx)
+	}
+	return nil
+}
+
+// Close gives the lease up; all keys under it go.
+func (s *Session) Close(ctx context.Context) {
+	lease := s.lease.Swap(0)
+	if lease == 0 {
+		return
+	}
+	if err := s.Store.End(ctx, lease); err != nil {
+		klog.InfoS("session: lease was not given up, it will lapse", "lease", lease, "err", err.Error())
+	}
+}
+
+func (s *Session) begin(ctx context.Context) error {
+	sent := clock.Now()
+	lease, err := s.Store.Grant(ctx, s.Length)
+	if err != nil {
+		return err
+	}
+	data, err := proto.Marshal(s.Host)
+	if err != nil {
+		return err
+	}
+	_, err = s.Store.Commit(ctx, platform.Commit{
+		Writes: []platform.Write{{Key: PrefixHost + s.Host.GetName(), Data: data, Lease: lease}},
+	})
+	if err != nil {
+		return err
+	}
+	klog.InfoS("session: lease", "lease", lease, "length", s.Length)
+	s.until.Store(int64(sent.Add(s.Length)))
+	s.lease.Store(lease)
+	return nil
+}
+
+func (s *Session) renew(ctx context.Context) {
+	if !pause.For(ctx, s.Length/renewals) {
+		return
+	}
+	lease := s.lease.Load()
+	sent := clock.Now()
+	err := s.Store.Renew(ctx, lease, s.Length)
+	var gone *platform.NotFoundError
+	switch {
+	case err == nil:
+		s.until.Store(int64(sent.Add(s.Length)))
+	case errors.As(err, &gone):
+		klog.InfoS("session: lease has lapsed", "lease", lease)
+		s.lease.Store(0)
+	default:
+		klog.V(1).InfoS("session: lease not renewed", "lease", lease, "err", err.Error())
+	}
+}
--- a/internal/listen/client.go
+++ b/internal/listen/client.go
@@ -22,21 +22,37 @@
 // GetBody and without an Idempotency-Key header is never sent twice by
 // net/http; callers that send a request which may not be repeated clear both.
 func Client(name string) httpc.Service {
-	return ClientTLS(name, nil)
+	return ClientWith(name, ClientOptions{})
 }
 
 // ClientTLS returns a Client with TLS settings of its own; nil takes the system's.
 func ClientTLS(name string, config *tls.Config) httpc.Service {
+	return ClientWith(name, ClientOptions{TLS: config})
+}
+
+// ClientOptions differ from service to service.
+type ClientOptions struct {
+	// TLS is nil for the system's own settings.
+	TLS *tls.Config
+	// Idle is how long a connection is kept without requests; 0 takes 30 s.
+	Idle time.Duration
+}
+
+// ClientWith returns a Client with options.
+func ClientWith(name string, options ClientOptions) httpc.Service {
 	setupOnce.Do(setup)
 	logx.SetWriter(klogWriter{})
 	breaker.NoBreakerFor(name)
+	if options.Idle == 0 {
+		options.Idle = idleConnectionAt
+	}
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: aliveTime}
 	client := &http.Client{
 		Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
-			TLSClientConfig:     config,
+			TLSClientConfig:     options.TLS,
 			MaxIdleConnsPerHost: idleConnections,
-			IdleConnTimeout:     idleConnectionAt,
+			IdleConnTimeout:     options.Idle,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,156 @@
+// Package mirror keeps a copy of the store's values under one prefix.
+package mirror
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+const (
+	// retryPause is the wait after a call that failed. The store's outages last
+	// seconds; a tenth of a second finds their end without flooding it.
+	retryPause = 100 * time.Millisecond
+)
+
+// Store is what a Mirror needs of the platform's store.
+type Store interface {
+	List(ctx context.Context, prefix string) (platform.ListReply, error)
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.ListReply, error)
+}
+
+// Mirror keeps a copy of the values under a prefix. Exported fields are set before Run.
+type Mirror struct {
+	Store  Store
+	Prefix string
+	// Wait is the longest wait of one watch.
+	Wait time.Duration
+	// Take is called with what has changed, in the order of the store's revisions.
+	Take func(changes []platform.Value)
+	// Listed is called after a whole list was taken; nil is allowed. After a
+	// history that was lost, values that are missing from the list were reported
+	// to Take as deleted before.
+	Listed func()
+	// Lost is called when the store stops answering, and Regained once it does
+	// again; nil is allowed.
+	Lost     func()
+	Regained func()
+
+	known    map[string]uint64
+	revision uint64
+	isLost   bool
+}
+
+// Run keeps the copy until the context ends.
+//
+// A watch can go silent without an error. So each has an end, and the next one
+// goes on from the last revision seen; where the store has dropped its history
+// since, everything is listed anew and what is missing counts as deleted.
+func (m *Mirror) Run(ctx context.Context) error {
+	isListed := false
+	for ctx.Err() == nil {
+		var err error
+		if !isListed {
+			err = m.list(ctx)
+			isListed = err == nil
+		} else {
+			err = m.watch(ctx)
+		}
+		var compacted *platform.CompactedError
+		switch {
+		case err == nil:
+			m.regained()
+		case ctx.Err() != nil:
+		case errors.As(err, &compacted):
+			klog.InfoS("mirror: the store has dropped its history, listing anew", "prefix", m.Prefix, "after", m.revision)
+			isListed = false
+		default:
+			m.lost(err)
+			pause.For(ctx, retryPause)
+		}
+	}
+	return nil
+}
+
+func (m *Mirror) list(ctx context.Context) error {
+	reply, err := m.Store.List(ctx, m.Prefix)
+	if err != nil {
+		return err
+	}
+	present := map[string]bool{}
+	for _, value := range reply.Values {
+		present[value.Key] = true
+	}
+	var changes []platform.Value
+	for key := range m.known {
+		if !present[key] {
+			changes = append(changes, platform.Value{Key: key, Revision: reply.Revision, Deleted: true})
+		}
+	}
+	m.take(append(changes, reply.Values...))
+	m.revision = max(m.revision, reply.Revision)
+	if m.Listed != nil {
+		m.Listed()
+	}
+	return nil
+}
+
+func (m *Mirror) watch(ctx context.Context) error {
+	reply, err := m.Store.Watch(ctx, m.Prefix, m.revision, m.Wait)
+	if err != nil {
+		return err
+	}
+	m.take(reply.Values)
+	m.revision = max(m.revision, reply.Revision)
+	return nil
+}
+
+// take hands on the values that are newer than those known. An answer that was
+// under way for long may show values that a later one has replaced.
+func (m *Mirror) take(values []platform.Value) {
+	if m.known == nil {
+		m.known = map[string]uint64{}
+	}
+	var changes []platform.Value
+	for _, value := range values {
+		if known, ok := m.known[value.Key]; ok && known >= value.Revision {
+			continue
+		}
+		if value.Deleted {
+			delete(m.known, value.Key)
+		} else {
+			m.known[value.Key] = value.Revision
+		}
+		changes = append(changes, value)
+	}
+	if len(changes) > 0 {
+		m.Take(changes)
+	}
+}
+
+func (m *Mirror) lost(err error) {
+	if m.isLost {
+		return
+	}
+	m.isLost = true
+	klog.InfoS("mirror: the store does not answer", "prefix", m.Prefix, "revision", m.revision, "err", err)
+	if m.Lost != nil {
+		m.Lost()
+	}
+}
+
+func (m *Mirror) regained() {
+	if !m.isLost {
+		return
+	}
+	m.isLost = false
+	klog.InfoS("mirror: the store answers again", "prefix", m.Prefix, "revision", m.revision)
+	if m.Regained != nil {
+		m.Regained()
+	}
+}
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -117,3 +117,35 @@
 	// State is live or leaving.
 	State string `json:"state"`
 }
+
+// Expect is a revision that a key must have for a commit; 0 means that it must not exist.
+type Expect struct {
+	Key      string
+	Revision uint64
+}
+
+// Write is one value that a commit writes. Lease 0 is none.
+type Write struct {
+	Key   string
+	Data  []byte
+	Lease uint64
+}
+
+// Commit changes several keys at once, or none of them.
+type Commit struct {
+	Expect []Expect
+	Writes []Write
+	Remove []string
+}
+
+// Name names the commit in errors by the first key that it changes.
+func (c *Commit) Name() string {
+	switch {
+	case len(c.Writes) > 0:
+		return c.Writes[0].Key
+	case len(c.Remove) > 0:
+		return c.Remove[0]
+	default:
+		return "nothing"
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -26,6 +26,20 @@
 	Key string
 	// Revision is the present one.
 	Revision uint64
+	// Present holds the keys of a commit's expectations as they are, where the
+	// store tells them; a key that doesn't exist is left out.
+	Present []Value
+}
+
+// CompactedError says that the store no longer knows what has changed since a revision.
+type CompactedError struct {
+	Prefix string
+	After  uint64
+}
+
+// Error names the prefix.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("platform: changes of %s since revision %d are no longer known", e.Prefix, e.After)
 }
 
 // Error names the key.
--- a/internal/refusal/http.go
+++ b/internal/refusal/http.go
@@ -38,8 +38,23 @@
 	return Unknown(http.StatusInternalServerError, "internal", "internal fault")
 }
 
-// Write answers a request over HTTP with a refusal.
+// Write answers a request over HTTP with a refusal, in whole seconds for the return.
 func Write(w http.ResponseWriter, err error) {
+	write(w, err, func(retry time.Duration) string {
+		return strconv.FormatInt(int64(math.Ceil(float64(retry)/float64(time.Second))), 10)
+	})
+}
+
+// WriteExact answers like Write, with fractions of seconds for the return: for
+// callers that read them, a request that finds room in 100 ms need not stay
+// away for a second.
+func WriteExact(w http.ResponseWriter, err error) {
+	write(w, err, func(retry time.Duration) string {
+		return strconv.FormatFloat(retry.Seconds(), 'f', 3, 64)
+	})
+}
+
+func write(w http.ResponseWriter, err error, after func(time.Duration) string) {
 	refusal := Of(err)
 	text, failed := json.Marshal(refusal.Body())
 	if failed != nil {
@@ -50,7 +65,7 @@
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderOutcome, refusal.outcome())
 	if refusal.Retry > 0 {
-		header.Set("Retry-After", strconv.FormatInt(int64(math.Ceil(float64(refusal.Retry)/float64(time.Second))), 10))
+		header.Set("Retry-After", after(refusal.Retry))
 	}
 	if refusal.Status == http.StatusUnauthorized {
 		header.Set("WWW-Authenticate", "Bearer")
--- /dev/null
+++ b/internal/roster/engine.go
@@ -0,0 +1,142 @@
+package roster
+
+import (
+	"time"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/route"
+)
+
+const (
+	// paceWeight is the weight of a new event in the moving mean of a server's pace.
+	paceWeight = 0.1
+	// paceAge is how long a pace says anything: a slow server is tried again
+	// after that.
+	paceAge = 5 * time.Second
+	// leastPaceEvents is how many events must have come before a pace counts.
+	leastPaceEvents = 4
+)
+
+// pace is the moving mean of the time between two events of a server.
+type pace struct {
+	mean   time.Duration
+	events int
+	at     clock.Boot
+}
+
+// add takes the time from one event to the next.
+func (p *pace) add(gap time.Duration, now clock.Boot) {
+	if p.events == 0 || now.Sub(p.at) > paceAge {
+		p.mean, p.events = gap, 0
+	}
+	p.events++
+	p.at = now
+	p.mean += time.Duration(paceWeight * float64(gap-p.mean))
+}
+
+// value returns the pace; 0 if it isn't known.
+func (p *pace) value(now clock.Boot) time.Duration {
+	if p.events < leastPaceEvents || now.Sub(p.at) > paceAge {
+		return 0
+	}
+	return p.mean
+}
+
+// Need is what a generation needs of its server.
+type Need struct {
+	Pool  string
+	Model string
+	// Oldest is the oldest weight version that will do.
+	Oldest uint64
+	// Tried servers are passed over.
+	Tried map[string]bool
+}
+
+// Place returns a server with a free slot for a generation, and counts it there
+// until Finish; nil if none has one.
+func (r *Roster) Place(need Need) *Server {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.prepare()
+	now := clock.Now()
+	usual := r.usualPace(need.Pool, now)
+	var candidates []route.Candidate
+	for _, one := range r.pools[need.Pool] {
+		server := r.servers[one.Name()]
+		r.mark(server, now)
+		if need.Tried[one.Name()] || now < server.full || server.version(need.Model) < need.Oldest {
+			continue
+		}
+		candidates = append(candidates, route.Candidate{Server: one, Slowness: slowness(server.pace.value(now), usual)})
+	}
+	chosen := route.Roomiest(candidates, r.Zone)
+	if chosen == nil {
+		return nil
+	}
+	chosen.Begin()
+	return r.servers[chosen.Name()]
+}
+
+// Show notes the weight version that an answer has shown.
+func (r *Roster) Show(server *Server, model string, version uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if version > 0 {
+		server.seen[model] = version
+	}
+}
+
+// Versions returns the weight versions of the servers of a pool that may get work.
+func (r *Roster) Versions(pool, model string) map[string]uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.prepare()
+	now := clock.Now()
+	versions := map[string]uint64{}
+	for _, one := range r.pools[pool] {
+		server := r.servers[one.Name()]
+		r.mark(server, now)
+		if server.Standing() != route.Closed {
+			versions[one.Name()] = server.version(model)
+		}
+	}
+	return versions
+}
+
+// Beat notes the time between two events of a server.
+func (r *Roster) Beat(server *Server, gap time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	server.pace.add(gap, clock.Now())
+}
+
+// Pace returns a server's pace and the usual one of its pool; 0 where it isn't known.
+func (r *Roster) Pace(server *Server) (own, usual time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := clock.Now()
+	return server.pace.value(now), r.usualPace(server.entry.Pool, now)
+}
+
+// usualPace returns the best pace among the servers of a pool; 0 if none is known.
+func (r *Roster) usualPace(pool string, now clock.Boot) time.Duration {
+	var best time.Duration
+	for _, one := range r.pools[pool] {
+		if value := r.servers[one.Name()].pace.value(now); value > 0 && (best == 0 || value < best) {
+			best = value
+		}
+	}
+	return best
+}
+
+func slowness(own, usual time.Duration) float64 {
+	if own == 0 || usual == 0 {
+		return 1
+	}
+	return float64(own) / float64(usual)
+}
+
+// version returns the weight version of a model that the server has shown last.
+func (s *Server) version(model string) uint64 {
+	return max(s.entry.Versions[model], s.seen[model])
+}
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -105,6 +105,10 @@
 // Standing returns whether the server gets new work.
 func (s *Server) Standing() Standing { return s.standing }
 
+// TakeSlots sets the requests that the server runs at the same time, where a
+// registration tells them and no load report does.
+func (s *Server) TakeSlots(slots int64) { s.report.Slots = slots }
+
 // TakeReport takes a report if it is newer than the last one.
 func (s *Server) TakeReport(report Report) {
 	if report.Seq <= s.report.Seq {
