Order new weights and report usage under one duty

One holder (duty/control) now gives each trained model its own part of the samplers (weight.Assign), loads by weight.Wave, and runs the reporter.

--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/batch"
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/detour"
 	"github.com/bramleyhatch/bramleyhatch/internal/forward"
 	"github.com/bramleyhatch/bramleyhatch/internal/gateway"
@@ -24,6 +25,7 @@
 	store "github.com/bramleyhatch/bramleyhatch/internal/platform"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
 	"github.com/bramleyhatch/bramleyhatch/internal/table"
+	"github.com/bramleyhatch/bramleyhatch/internal/usage"
 	"github.com/bramleyhatch/bramleyhatch/platform"
 )
 
@@ -52,6 +54,9 @@
 	roster    *roster.Roster
 	forwarder *forward.Forwarder
 	board     *batch.Board
+	wall      *clock.Wall
+	counter   *usage.Counter
+	wanted    wanted
 	// isDraining is true once the process was asked to stop.
 	isDraining atomic.Bool
 }
@@ -63,6 +68,7 @@
 	g.addServers()
 	g.addBatches()
 	g.addMirrors()
+	g.addDuty()
 	g.addCallers()
 	g.addReady()
 	g.AddDrain(g.drain)
@@ -146,7 +152,18 @@
 
 func (g *Gateway) takeOperator(changes []store.Value) {
 	for _, change := range changes {
-		if change.Deleted || !platform.IsTable(change.Key) {
+		if change.Deleted {
+			continue
+		}
+		if model, version, ok, err := platform.ReadVersion(change.Key, change.Data); ok {
+			if err != nil {
+				klog.ErrorS(err, "weight: a named version can't be read", "revision", change.Revision)
+				continue
+			}
+			g.wanted.take(model, version)
+			continue
+		}
+		if !platform.IsTable(change.Key) {
 			continue
 		}
 		next, err := platform.ReadTable(change.Data)
@@ -184,6 +201,7 @@
 		Board:     g.board,
 		Hosts:     g.hosts,
 		Unknown:   g.Settings.GetFront().GetUnknown().AsDuration(),
+		Count:     g.count,
 	}
 	g.notFound = g.closing(handler)
 }
--- /dev/null
+++ b/internal/bramleyhatch/gatewayduties.go
@@ -0,0 +1,152 @@
+package bramleyhatch
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/duty"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/table"
+	"github.com/bramleyhatch/bramleyhatch/internal/usage"
+	"github.com/bramleyhatch/bramleyhatch/internal/weight"
+	"github.com/bramleyhatch/bramleyhatch/platform"
+)
+
+const (
+	// dutyName is the one duty of gateways: its holder reports usage and orders
+	// samplers. Two leases would cost twice the calls and gain nothing.
+	dutyName = "control"
+	// loadsAtOnce is the share of a pool's samplers that load weights at the same
+	// time: loads share the way to the weights' store, and take longer when more
+	// than about a quarter of the samplers load.
+	loadsAtOnce = 0.34
+)
+
+// holderStore is what the holder of the duty speaks to.
+type holderStore struct {
+	*platform.Store
+	*platform.Duties
+}
+
+// addDuty adds the duty that one gateway has at a time, and the counters for it.
+func (g *Gateway) addDuty() {
+	settings := g.Settings.GetDuty()
+	g.wall = clock.NewWall()
+	g.counter = &usage.Counter{
+		Process:     g.Process.Settings.GetName(),
+		Incarnation: g.Incarnation,
+		Window:      g.Settings.GetUsage().GetWindow().AsDuration(),
+	}
+	server := &usage.Server{Ledger: &usage.Ledger{}, Counter: g.counter}
+	g.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterUsageServer(registrar, server) })
+	keeper := &duty.Keeper{
+		Store:     g.store,
+		Name:      dutyName,
+		Process:   g.Process.Settings.GetName(),
+		Address:   g.Process.Settings.GetPeer(),
+		Lease:     settings.GetLease().AsDuration(),
+		Margin:    settings.GetMargin().AsDuration(),
+		Rank:      func() int { return duty.Rank(dutyName, g.Process.Settings.GetName(), g.hosts.Names()) },
+		Decisions: g.Decisions,
+	}
+	g.AddDuty("control", func(ctx context.Context) error { return keeper.Run(ctx, g.hold) })
+}
+
+// count counts a request that a backend server has begun.
+func (g *Gateway) count(account, route string) {
+	g.counter.Add(account, route, g.wall.Now(), 0, 0)
+}
+
+// hold does the duty until the term ends.
+func (g *Gateway) hold(ctx context.Context, term *duty.Term) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	works := []func(context.Context) error{
+		func(ctx context.Context) error { return g.newSteering().Run(ctx, term) },
+	}
+	if g.Settings.GetStore().GetOrders() != "" {
+		works = append(works, func(ctx context.Context) error { return g.newReporter().Run(ctx, term) })
+	}
+	ended := make(chan error, len(works))
+	for _, work := range works {
+		go func() { ended <- work(ctx) }()
+	}
+	var first error
+	for range works {
+		if err := <-ended; err != nil && first == nil {
+			first = err
+		}
+		cancel()
+	}
+	return first
+}
+
+func (g *Gateway) newReporter() *usage.Reporter {
+	settings, duties := g.Settings.GetUsage(), g.Settings.GetDuty()
+	return &usage.Reporter{
+		Process: g.Process.Settings.GetName(),
+		Platform: holderStore{Store: g.store, Duties: &platform.Duties{
+			Address: g.Settings.GetStore().GetOrders(),
+			Holder:  g.Process.Settings.GetName(),
+			Timeout: duties.GetOrder().AsDuration(),
+		}},
+		Collector: &usage.Collector{Directory: g.hosts, Peers: &usage.GRPCPeers{}},
+		Offer:     func(*peerpb.Fact) bool { return true },
+		Decisions: g.Decisions,
+		Window:    settings.GetWindow().AsDuration(),
+		Settle:    settings.GetSettle().AsDuration(),
+		Retain:    settings.GetRetain().AsDuration(),
+		Keep:      settings.GetKeep().AsDuration(),
+		Interval:  duties.GetInterval().AsDuration(),
+		Lease:     duties.GetLease().AsDuration(),
+		Bound:     duties.GetOrder().AsDuration(),
+		Now:       g.wall.Now,
+	}
+}
+
+func (g *Gateway) newSteering() *weight.Steering {
+	return &weight.Steering{
+		Samplers:  &platform.Samplers{Holder: g.Process.Settings.GetName(), Timeout: g.Settings.GetStore().GetTimeout().AsDuration()},
+		Pools:     g.samplerPools,
+		Wanted:    g.wanted.get,
+		Loaded:    g.loaded,
+		Decisions: g.Decisions,
+		AtOnce:    loadsAtOnce,
+	}
+}
+
+// loaded notes that a sampler has a version.
+func (g *Gateway) loaded(sampler, model string, version uint64) {
+	if server := g.roster.Find(sampler); server != nil {
+		g.roster.Show(server, model, version)
+	}
+}
+
+// samplerPools returns the pools whose samplers have models.
+func (g *Gateway) samplerPools() []weight.Pool {
+	now := g.view.Current()
+	if now == nil {
+		return nil
+	}
+	var pools []weight.Pool
+	for i := range now.Pools {
+		if len(now.Pools[i].Models) > 0 {
+			pools = append(pools, g.samplerPool(now, &now.Pools[i]))
+		}
+	}
+	return pools
+}
+
+func (g *Gateway) samplerPool(now *table.Table, pool *table.Pool) weight.Pool {
+	next := weight.Pool{Name: pool.Name, Models: pool.Models, Targets: map[string]weight.Target{}}
+	for i := range now.Routes {
+		next.Whole = next.Whole || now.Routes[i].SingleVersion
+	}
+	for _, entry := range g.roster.Seats(pool.Name) {
+		next.Seats = append(next.Seats, weight.Seat{ID: entry.ID, Zone: entry.Zone, Versions: entry.Versions})
+		next.Targets[entry.ID] = weight.Target{ID: entry.ID, Address: entry.Address, Born: entry.Born}
+	}
+	return next
+}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -101,6 +101,19 @@
 	return processes
 }
 
+// Fact returns nothing: what processes tell each other here goes through the store.
+func (h *Hosts) Fact(string) *peerpb.Fact { return nil }
+
+// Self returns this process.
+func (h *Hosts) Self() *peerpb.Process {
+	for _, process := range h.Processes(peerpb.Role_ROLE_ENTRY) {
+		if process.GetName() == h.Name {
+			return process
+		}
+	}
+	return peerpb.Process_builder{Name: h.Name, Role: peerpb.Role_ROLE_ENTRY}.Build()
+}
+
 // Client returns a client of another gateway, or nil if it isn't known.
 func (h *Hosts) Client(name string) peerpb.GatewayClient {
 	h.mutex.Lock()
--- a/internal/roster/engine.go
+++ b/internal/roster/engine.go
@@ -86,21 +86,24 @@
 	}
 }
 
-// Versions returns the weight versions of the servers of a pool that may get work.
-func (r *Roster) Versions(pool, model string) map[string]uint64 {
+// Seats returns the servers of a pool that may get work, with the weight
+// versions that they have shown.
+func (r *Roster) Seats(pool string) []Entry {
+	entries := r.Entries(pool)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.prepare()
-	now := clock.Now()
-	versions := map[string]uint64{}
-	for _, one := range r.pools[pool] {
-		server := r.servers[one.Name()]
-		r.mark(server, now)
-		if server.Standing() != route.Closed {
-			versions[one.Name()] = server.version(model)
+	for i := range entries {
+		versions := map[string]uint64{}
+		server := r.servers[entries[i].ID]
+		for model := range entries[i].Versions {
+			versions[model] = entries[i].Versions[model]
+			if server != nil {
+				versions[model] = server.version(model)
+			}
 		}
+		entries[i].Versions = versions
 	}
-	return versions
+	return entries
 }
 
 // Beat notes the time between two events of a server.
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -92,6 +92,8 @@
 	Lease time.Duration
 	// Bound is the longest time that a report may be under way.
 	Bound time.Duration
+	// Now tells the time of day by which windows end; nil takes time.Now.
+	Now func() time.Time
 
 	term    *duty.Term
 	ready   time.Time
@@ -146,7 +148,7 @@
 			return err
 		}
 	}
-	for _, start := range r.due(time.Now()) {
+	for _, start := range r.due(r.now()) {
 		if err := r.settle(ctx, start); err != nil {
 			return err
 		}
@@ -154,7 +156,14 @@
 			return nil
 		}
 	}
-	return r.deleteOld(ctx, time.Now())
+	return r.deleteOld(ctx, r.now())
+}
+
+func (r *Reporter) now() time.Time {
+	if r.Now == nil {
+		return time.Now()
+	}
+	return r.Now()
 }
 
 // load reads all windows.
@@ -232,7 +241,7 @@
 	length := max(int64(r.Window/time.Second), 1)
 	counts, silent := r.Collector.Collect(ctx, start-int64(r.Retain/time.Second), start+length)
 	patience := time.Unix(start+length, 0).Add(2 * r.Settle)
-	if len(silent) > 0 && time.Now().Before(patience) {
+	if len(silent) > 0 && r.now().Before(patience) {
 		return nil
 	}
 	window := statepb.Window_builder{
@@ -292,7 +301,13 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	return r.Platform.Report(ctx, message(window, r.Process), guard)
+	err := r.Platform.Report(ctx, message(window, r.Process), guard)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		// The platform has seen a newer term; this one must not call again.
+		return &SupersededError{Window: window.GetStart(), Fence: r.term.Fence(), Newer: conflict.Revision}
+	}
+	return err
 }
 
 func message(window *statepb.Window, process string) platform.Usage {
