--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -31,6 +31,9 @@
 	acceptTime = 1500 * time.Millisecond
 	// storeAgain is when a trainer should come back while the store is away.
 	storeAgain = 300 * time.Millisecond
+	// placeTime bounds the wait for another process to take a batch: many times
+	// what it takes while the store is well. After that this process takes it.
+	placeTime = 600 * time.Millisecond
 	// handoverTime bounds the writes of a process that stops.
 	handoverTime = 1500 * time.Millisecond
 )
@@ -42,6 +45,13 @@
 	List(ctx context.Context, prefix string) (platform.ListReply, error)
 }
 
+// Peers reaches the other processes.
+type Peers interface {
+	// Accept has another process take a batch. An error says that it isn't known
+	// whether it did.
+	Accept(ctx context.Context, host string, batch *statepb.Batch) (accepted bool, err error)
+}
+
 // Routes finds the pool and the rules of a batch; false once its route is gone.
 type Routes func(batch *statepb.Batch) (pool string, rules Rules, ok bool)
 
@@ -59,6 +69,7 @@
 	Lease func() uint64
 	// Hosts returns the names of the processes that live.
 	Hosts func() []string
+	Peers Peers
 	// Group is how long outcomes are gathered before they are written together.
 	Group time.Duration
 	// ValueBytes is the largest value of the store.
@@ -369,14 +380,46 @@
 	})
 }
 
-// Accept takes a batch. It returns once the store holds it, here or from an
-// earlier try; any other end is a *refusal.Error that says what is known.
+// Accept takes a batch, here or at the process that owns its model's batches.
+// It returns once the store holds it, also from an earlier try; any other end is
+// a *refusal.Error that says what is known.
+//
+// The batches of one model have one owner: it alone knows how many slots of the
+// model's samplers are taken, and goes on using its connections from step to
+// step. Taken by whichever process a trainer reaches, each step opened most of
+// its connections anew, and two steps under way filled each other's slots.
 func (b *Board) Accept(ctx context.Context, batch *statepb.Batch) error {
-	ctx, cancel := context.WithTimeout(ctx, acceptTime)
-	defer cancel()
 	if b.isKnown(batch.GetId()) {
 		return nil
 	}
+	if host := b.home(batch.GetModel()); host != "" && host != b.Process {
+		asking, cancel := context.WithTimeout(ctx, placeTime)
+		accepted, err := b.Peers.Accept(asking, host, batch)
+		cancel()
+		if err == nil && accepted {
+			klog.InfoS("batch: given to its owner", "batch", batch.GetId(), "model", batch.GetModel(), "owner", host)
+			return nil
+		}
+		klog.InfoS("batch: its owner did not take it", "batch", batch.GetId(), "owner", host, "err", err)
+	}
+	return b.AcceptOwn(ctx, batch)
+}
+
+// home returns the process that should own a model's batches.
+func (b *Board) home(model string) string {
+	hosts := b.Hosts()
+	for _, host := range hosts {
+		if duty.Rank("model/"+model, host, hosts) == 0 {
+			return host
+		}
+	}
+	return ""
+}
+
+// AcceptOwn takes a batch here.
+func (b *Board) AcceptOwn(ctx context.Context, batch *statepb.Batch) error {
+	ctx, cancel := context.WithTimeout(ctx, acceptTime)
+	defer cancel()
 	maybe := false
 	for {
 		err := b.accept(ctx, batch)
@@ -416,7 +459,7 @@
 
 func (b *Board) accept(ctx context.Context, batch *statepb.Batch) error {
 	lease := b.Lease()
-	if lease == 0 {
+	if lease == 0 || b.drains() {
 		return refusal.NotRun(http.StatusServiceUnavailable, "store_away", "this process is not known to the store").After(storeAgain)
 	}
 	id := batch.GetId()
@@ -465,6 +508,12 @@
 	return nil
 }
 
+func (b *Board) drains() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.isDraining
+}
+
 // expectOwn keeps the watch from adopting a batch that is being accepted here.
 func (b *Board) expectOwn(id string, isExpected bool) {
 	b.mutex.Lock()
--- a/internal/batch/ledger.go
+++ b/internal/batch/ledger.go
@@ -37,22 +37,31 @@
 	listed  []*statepb.Outcome
 	pending []*statepb.Outcome
 	changed chan struct{}
+	// urgent ends the gathering of outcomes.
+	urgent chan struct{}
 	// owner is the revision of the key that says who owns the batch.
 	owner uint64
 }
 
 func newLedger(store Store, batch string, group time.Duration, valueBytes int, owner uint64, listed []*statepb.Outcome) *ledger {
-	return &ledger{store: store, batch: batch, group: group, valueBytes: valueBytes, owner: owner, listed: listed, changed: make(chan struct{})}
+	return &ledger{store: store, batch: batch, group: group, valueBytes: valueBytes, owner: owner, listed: listed, changed: make(chan struct{}), urgent: make(chan struct{}, 1)}
 }
 
-// add takes outcomes to be listed.
-func (l *ledger) add(outcomes []*statepb.Outcome) {
+// add takes outcomes to be listed: at once if they are urgent, else together
+// with those that come soon after.
+func (l *ledger) add(outcomes []*statepb.Outcome, isUrgent bool) {
 	if len(outcomes) == 0 {
 		return
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.pending = append(l.pending, outcomes...)
+	if isUrgent {
+		select {
+		case l.urgent <- struct{}{}:
+		default:
+		}
+	}
 	l.wake()
 }
 
@@ -74,13 +83,6 @@
 	return l.listed[after:], l.changed
 }
 
-// isEmpty reports whether nothing waits to be written.
-func (l *ledger) isEmpty() bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return len(l.pending) == 0
-}
-
 // run writes outcomes until the context ends.
 func (l *ledger) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -95,13 +97,22 @@
 				continue
 			}
 		}
-		if !pause.For(ctx, l.group) {
-			return
-		}
+		l.gather(ctx)
 		l.write(ctx)
 	}
 }
 
+// gather waits for more outcomes, so that one write lists many.
+func (l *ledger) gather(ctx context.Context) {
+	timer := time.NewTimer(l.group)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-l.urgent:
+	}
+}
+
 // write writes the waiting outcomes as one chunk, and tries until it is known
 // what became of it.
 //
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -110,7 +110,8 @@
 	}
 	for o.startRun(ctx, pool, now) {
 	}
-	o.ledger.add(o.plan.Pending())
+	pending, isUrgent := o.plan.Pending()
+	o.ledger.add(pending, isUrgent)
 	if o.plan.IsEnded() || o.plan.IsWhole() {
 		return true
 	}
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -87,7 +87,12 @@
 	order   []*item
 	open    int
 	pending []*statepb.Outcome
-	ended   bool
+	// groups holds the number of each group's items without an outcome, whole
+	// counts the groups that have none left.
+	groups map[string]int
+	whole  int
+	urgent bool
+	ended  bool
 	// until is when items may be given up; 0 never.
 	until clock.Boot
 }
@@ -95,7 +100,7 @@
 // NewPlan returns the plan of a batch of which nothing has run, accepted at a
 // time of this host's clock.
 func NewPlan(batch *statepb.Batch, rules Rules, accepted clock.Boot) *Plan {
-	plan := &Plan{rules: rules, batch: batch, byID: map[string]*item{}}
+	plan := &Plan{rules: rules, batch: batch, byID: map[string]*item{}, groups: map[string]int{}}
 	if rules.Keep > 0 {
 		plan.until = accepted.Add(rules.Keep)
 	}
@@ -103,6 +108,7 @@
 		one := &item{spec: spec, index: index}
 		plan.items = append(plan.items, one)
 		plan.byID[spec.GetId()] = one
+		plan.groups[spec.GetGroup()]++
 		plan.order = append(plan.order, one)
 	}
 	plan.open = len(plan.items)
@@ -132,6 +138,7 @@
 			one.phase = settled
 			one.outcome = outcome
 			p.open--
+			p.closeGroup(one)
 		}
 	}
 	for _, partial := range partials {
@@ -330,13 +337,30 @@
 	one.events = nil
 	p.open--
 	p.pending = append(p.pending, outcome)
+	p.closeGroup(one)
+}
+
+// closeGroup notes an item of a group that has its outcome.
+func (p *Plan) closeGroup(one *item) {
+	p.groups[one.spec.GetGroup()]--
+	if p.groups[one.spec.GetGroup()] > 0 {
+		return
+	}
+	p.whole++
+	if p.whole >= int(p.batch.GetWanted()) {
+		p.urgent = true
+	}
 }
 
 // Pending returns the outcomes that aren't in the store yet, and forgets them.
-func (p *Plan) Pending() []*statepb.Outcome {
+// They are urgent if they complete what the trainer waits for: all others it
+// would only look at, and each write costs the store a call.
+func (p *Plan) Pending() (outcomes []*statepb.Outcome, isUrgent bool) {
 	pending := p.pending
 	p.pending = nil
-	return pending
+	isUrgent = p.urgent || p.IsWhole()
+	p.urgent = false
+	return pending, isUrgent
 }
 
 // Partials returns the texts that aren't whole, for the next owner.
--- a/internal/batch/plan_test.go
+++ b/internal/batch/plan_test.go
@@ -30,6 +30,11 @@
 	return NewPlan(newBatch(expected...), Rules{Attempts: 3, Keep: 40 * time.Second}, start)
 }
 
+func pendingOf(plan *Plan) []*statepb.Outcome {
+	pending, _ := plan.Pending()
+	return pending
+}
+
 // mustStart starts the next item, which must be the one named.
 func mustStart(t *testing.T, plan *Plan, now clock.Boot, id string) Job {
 	t.Helper()
@@ -65,15 +70,15 @@
 func TestOutcome(t *testing.T) {
 	plan := newPlan(100)
 	scoring := mustGenerate(t, plan, mustStart(t, plan, start, "i0"), 4, "a", "b")
-	must.SliceEmpty(t, plan.Pending())
+	must.SliceEmpty(t, pendingOf(plan))
 	plan.Scored(scoring, "proof")
-	pending := plan.Pending()
+	pending := pendingOf(plan)
 	must.SliceLen(t, 1, pending)
 	must.Eq(t, "a\nb", pending[0].GetText())
 	must.Eq(t, []uint64{4}, pending[0].GetVersions())
 	must.Eq(t, "proof", pending[0].GetScore())
 	must.True(t, plan.IsWhole())
-	must.SliceEmpty(t, plan.Pending())
+	must.SliceEmpty(t, pendingOf(plan))
 }
 
 // A trainer's samples cost seconds of a sampler each. A sampler is lost in the
@@ -92,7 +97,7 @@
 	scoring, ok := plan.NextScore(start.Add(faultPause))
 	must.True(t, ok)
 	plan.Scored(scoring, "proof")
-	pending := plan.Pending()
+	pending := pendingOf(plan)
 	must.Eq(t, "a\nb", pending[0].GetText())
 	must.Eq(t, []uint64{3, 4}, pending[0].GetVersions())
 }
@@ -118,7 +123,7 @@
 	job = mustStart(t, plan, start, "i0")
 	must.Eq(t, 0, job.Events())
 	plan.Scored(mustGenerate(t, plan, job, 4, "a", "b"), "proof")
-	must.Eq(t, []uint64{4}, plan.Pending()[0].GetVersions())
+	must.Eq(t, []uint64{4}, pendingOf(plan)[0].GetVersions())
 }
 
 // Members wait for their balances while a plain service is busy: a few texts
@@ -133,7 +138,7 @@
 	must.True(t, ok)
 	plan.ScorerFailed(again, &ScoreError{Failures: 2, Most: 4}, start)
 	must.True(t, plan.IsWhole())
-	must.True(t, plan.Pending()[0].GetFailed())
+	must.True(t, pendingOf(plan)[0].GetFailed())
 }
 
 func TestFailures(t *testing.T) {
@@ -144,12 +149,12 @@
 			plan.Failed(job, false, now)
 			now = now.Add(greatestPause)
 		}
-		must.True(t, plan.Pending()[0].GetFailed())
+		must.True(t, pendingOf(plan)[0].GetFailed())
 	})
 	t.Run("an item that can never be done is given up at once", func(t *testing.T) {
 		plan := newPlan(100)
 		plan.Failed(mustStart(t, plan, start, "i0"), true, start)
-		must.True(t, plan.Pending()[0].GetFailed())
+		must.True(t, pendingOf(plan)[0].GetFailed())
 	})
 	t.Run("faults of servers give nothing up", func(t *testing.T) {
 		plan, now := newPlan(100), start
@@ -157,13 +162,13 @@
 			plan.Fault(mustStart(t, plan, now, "i0"), now)
 			now = now.Add(greatestPause)
 		}
-		must.SliceEmpty(t, plan.Pending())
+		must.SliceEmpty(t, pendingOf(plan))
 	})
 	t.Run("an item that waited for too long is given up", func(t *testing.T) {
 		plan := newPlan(100)
 		_, ok := plan.Next(start.Add(40 * time.Second))
 		must.False(t, ok)
-		must.True(t, plan.Pending()[0].GetFailed())
+		must.True(t, pendingOf(plan)[0].GetFailed())
 	})
 }
 
@@ -177,7 +182,7 @@
 	plan.Cut(job, 0, start)
 	_, ok := plan.Next(start)
 	must.False(t, ok)
-	must.SliceEmpty(t, plan.Pending())
+	must.SliceEmpty(t, pendingOf(plan))
 }
 
 // An owner dies. The next one lists no item a second time, and goes on behind
@@ -195,3 +200,15 @@
 	_, ok := plan.Next(start)
 	must.False(t, ok)
 }
+
+// A trainer waits for one whole group of two. The first of its outcomes alone is
+// of no use to it and may wait for others; the second is written at once.
+func TestUrgent(t *testing.T) {
+	plan := newPlan(400, 300, 200, 100)
+	plan.Scored(mustGenerate(t, plan, mustStart(t, plan, start, "i0"), 3, "a"), "p")
+	_, isUrgent := plan.Pending()
+	must.False(t, isUrgent)
+	plan.Scored(mustGenerate(t, plan, mustStart(t, plan, start, "i1"), 3, "a"), "p")
+	_, isUrgent = plan.Pending()
+	must.True(t, isUrgent)
+}
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -34,6 +34,10 @@
 	// kept: less than the 10 s after which servers close theirs, since a request
 	// sent on one that is just being closed gets no answer.
 	idleConnection = 8 * time.Second
+	// registrationPause is the wait between two watches of registrations. Loads of
+	// weights change many of them within a second; a quarter of a second late they
+	// still count well within the time in which a draining server must be left.
+	registrationPause = 250 * time.Millisecond
 	// balancerNotices is how long the balancer may still send new connections
 	// after a gateway said that it isn't ready: two questions, a second apart.
 	balancerNotices = 2500 * time.Millisecond
@@ -57,6 +61,9 @@
 	wall      *clock.Wall
 	counter   *usage.Counter
 	wanted    wanted
+	holder    holder
+	// peerServer answers other gateways.
+	peerServer *gateway.Server
 	// isDraining is true once the process was asked to stop.
 	isDraining atomic.Bool
 }
@@ -125,12 +132,13 @@
 		Routes:     gateway.Routes(g.view),
 		Lease:      g.session.Lease,
 		Hosts:      g.hosts.Names,
+		Peers:      &gateway.Peers{Hosts: g.hosts},
 		Group:      settings.GetGroup().AsDuration(),
 		ValueBytes: int(g.Settings.GetStore().GetValueBytes()),
 	}
 	g.AddDuty("batches", g.board.Run)
-	server := &gateway.Server{Board: g.board, Direct: g.caller.Direct}
-	g.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterGatewayServer(registrar, server) })
+	g.peerServer = &gateway.Server{Board: g.board, Direct: g.caller.Direct, Mirrors: map[string]*mirror.Mirror{}}
+	g.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterGatewayServer(registrar, g.peerServer) })
 }
 
 // addMirrors adds the copies of what the store holds.
@@ -138,16 +146,22 @@
 	wait := g.Settings.GetStore().GetWatch().AsDuration()
 	operator := &mirror.Mirror{Store: g.store, Prefix: platform.PrefixOperator, Wait: wait, Take: g.takeOperator}
 	servers := &mirror.Mirror{
-		Store: g.store, Prefix: platform.PrefixServer, Wait: wait, Take: g.takeServers,
+		Store: g.store, Prefix: platform.PrefixServer, Wait: wait, Take: g.takeServers, Pause: registrationPause,
 		Listed: g.roster.Listed, Lost: g.roster.Lost, Regained: g.roster.Regained,
 	}
-	live := &mirror.Mirror{Store: g.store, Prefix: batch.Prefix, Wait: wait, Take: func(changes []store.Value) {
-		g.hosts.Take(changes)
-		g.board.Take(changes)
-	}}
-	g.AddDuty("operator", operator.Run)
-	g.AddDuty("servers", servers.Run)
-	g.AddDuty("live", live.Run)
+	live := &mirror.Mirror{Store: g.store, Prefix: batch.Prefix, Wait: wait, Take: g.takeLive}
+	for name, one := range map[string]*mirror.Mirror{"operator": operator, "servers": servers, "live": live} {
+		one.Follow = g.hosts.Follow
+		g.peerServer.Mirrors[one.Prefix] = one
+		g.AddDuty(name, one.Run)
+	}
+}
+
+// takeLive takes changes of what gateways tell each other through the store.
+func (g *Gateway) takeLive(changes []store.Value) {
+	g.hosts.Take(changes)
+	g.holder.take(changes)
+	g.board.Take(changes)
 }
 
 func (g *Gateway) takeOperator(changes []store.Value) {
--- a/internal/bramleyhatch/gatewayduties.go
+++ b/internal/bramleyhatch/gatewayduties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc"
 
@@ -18,6 +19,9 @@
 	// dutyName is the one duty of gateways: its holder reports usage and orders
 	// samplers. Two leases would cost twice the calls and gain nothing.
 	dutyName = "control"
+	// dutyLook is the wait between two looks whether the duty is free; they cost
+	// no call of the store.
+	dutyLook = 200 * time.Millisecond
 	// loadsAtOnce is the share of a pool's samplers that load weights at the same
 	// time: loads share the way to the weights' store, and take longer when more
 	// than about a quarter of the samplers load.
@@ -46,6 +50,9 @@
 		Name:      dutyName,
 		Process:   g.Process.Settings.GetName(),
 		Address:   g.Process.Settings.GetPeer(),
+		Prefix:    holderPrefix,
+		Free:      g.holder.free,
+		Look:      dutyLook,
 		Lease:     settings.GetLease().AsDuration(),
 		Margin:    settings.GetMargin().AsDuration(),
 		Rank:      func() int { return duty.Rank(dutyName, g.Process.Settings.GetName(), g.hosts.Names()) },
@@ -108,7 +115,7 @@
 
 func (g *Gateway) newSteering() *weight.Steering {
 	return &weight.Steering{
-		Samplers:  &platform.Samplers{Holder: g.Process.Settings.GetName(), Timeout: g.Settings.GetStore().GetTimeout().AsDuration()},
+		Samplers:  &platform.Samplers{Holder: g.Process.Settings.GetName(), Timeout: g.Settings.GetStore().GetTimeout().AsDuration(), Idle: idleConnection},
 		Pools:     g.samplerPools,
 		Wanted:    g.wanted.get,
 		Loaded:    g.loaded,
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -42,6 +42,14 @@
 	Lease time.Duration
 	// Margin is how much earlier a term ends here than in the store.
 	Margin time.Duration
+	// Prefix of the duty's key; "" takes the package's.
+	Prefix string
+	// Free reports whether nobody holds the duty, where that is known without
+	// asking the store; nil asks it.
+	Free func() bool
+	// Look is the wait between two looks at a duty that another process holds; 0
+	// takes a half of the lease.
+	Look time.Duration
 	// Rank returns this process's place among the candidates; nil is 0.
 	Rank func() int
 	// Held is told when the duty is taken and given up; nil is allowed.
@@ -54,7 +62,7 @@
 	for ctx.Err() == nil {
 		term, lease := k.take(ctx)
 		if term == nil {
-			pause.For(ctx, k.Lease/polls)
+			pause.For(ctx, k.look())
 			continue
 		}
 		err := k.hold(ctx, term, lease, work)
@@ -64,11 +72,26 @@
 		if err != nil && !errors.Is(err, context.Canceled) {
 			k.Decisions.Record(k.Name, "duty", "%s failed in its term %d: %v", k.Process, term.Fence(), err)
 		}
-		pause.For(ctx, k.Lease/polls)
+		pause.For(ctx, k.look())
 	}
 	return nil
 }
 
+func (k *Keeper) look() time.Duration {
+	if k.Look > 0 {
+		return k.Look
+	}
+	return k.Lease / polls
+}
+
+// key returns the store's key of the duty.
+func (k *Keeper) key() string {
+	if k.Prefix != "" {
+		return k.Prefix + k.Name
+	}
+	return Key(k.Name)
+}
+
 // take returns a term if the duty was free and is now held here.
 func (k *Keeper) take(ctx context.Context) (*Term, uint64) {
 	rank := k.rank()
@@ -101,7 +124,10 @@
 }
 
 func (k *Keeper) isFree(ctx context.Context) bool {
-	_, err := k.Store.Get(ctx, Key(k.Name))
+	if k.Free != nil {
+		return k.Free()
+	}
+	_, err := k.Store.Get(ctx, k.key())
 	var missing *platform.NotFoundError
 	return errors.As(err, &missing)
 }
@@ -116,7 +142,7 @@
 	if err != nil {
 		return 0, err
 	}
-	fence, err := k.Store.Swap(ctx, Key(k.Name), 0, data, lease)
+	fence, err := k.Store.Swap(ctx, k.key(), 0, data, lease)
 	var lost *platform.UnavailableError
 	for errors.As(err, &lost) && ctx.Err() == nil && time.Now().Before(until) {
 		pause.For(ctx, k.Lease/(2*renewals))
@@ -137,7 +163,7 @@
 }
 
 func (k *Keeper) readBack(ctx context.Context, lease uint64) (uint64, error) {
-	value, err := k.Store.Get(ctx, Key(k.Name))
+	value, err := k.Store.Get(ctx, k.key())
 	if err != nil {
 		return 0, err
 	}
@@ -214,7 +240,7 @@
 	term.End()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := k.Store.Delete(ctx, Key(k.Name), term.Fence()); err != nil {
+	if err := k.Store.Delete(ctx, k.key(), term.Fence()); err != nil {
 		k.Decisions.Record(k.Name, "duty", "term %d was not given up, its lease will lapse: %v", term.Fence(), err)
 		return
 	}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -12,7 +12,9 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/detour"
+	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
@@ -24,6 +26,16 @@
 	PrefixHost = "live/host/"
 	// detourExtra is what a call through a peer may take longer than a direct one.
 	detourExtra = 100 * time.Millisecond
+	// watchers is the number of gateways that watch the store; the others follow
+	// them. With two, one can be lost without the others turning to the store.
+	watchers = 2
+	// followWait is the longest wait of one follow, followExtra what its answer may
+	// take longer: a watcher that went silent is noticed within their sum, well
+	// inside the time in which a change must be in force.
+	followWait  = 500 * time.Millisecond
+	followExtra = 250 * time.Millisecond
+	// watcherAgain is how long a watcher that did not answer is passed over.
+	watcherAgain = 3 * time.Second
 	// detourTries is the most peers that one call is made through.
 	detourTries = 2
 )
@@ -39,6 +51,8 @@
 	connections map[string]*grpc.ClientConn
 	// served is the peer that made the last call for this process.
 	served string
+	// silent is when a watcher did not answer last.
+	silent map[string]clock.Boot
 }
 
 var _ detour.Peers = &Hosts{}
@@ -49,6 +63,7 @@
 	defer h.mutex.Unlock()
 	if h.hosts == nil {
 		h.hosts = map[string]*statepb.Host{}
+		h.silent = map[string]clock.Boot{}
 		h.connections = map[string]*grpc.ClientConn{}
 	}
 	for _, change := range changes {
@@ -167,6 +182,63 @@
 	return detour.Answer{}, false
 }
 
+// Follow waits for changes that a watcher of the store has seen. It reports
+// false where this gateway is to watch the store itself: if it is a watcher, or
+// none answers.
+func (h *Hosts) Follow(ctx context.Context, prefix string, after uint64) (platform.ListReply, bool) {
+	name := h.watcher()
+	client := h.Client(name)
+	if client == nil {
+		return platform.ListReply{}, false
+	}
+	asking, cancel := context.WithTimeout(ctx, followWait+followExtra)
+	defer cancel()
+	reply, err := client.Watch(asking, peerpb.WatchRequest_builder{
+		Prefix: prefix, After: after, Wait: followWait.Milliseconds(),
+	}.Build())
+	if err != nil || !reply.GetKnown() {
+		klog.V(1).InfoS("hosts: a watcher does not help", "host", name, "prefix", prefix, "err", err)
+		h.mutex.Lock()
+		h.silent[name] = clock.Now()
+		h.mutex.Unlock()
+		return platform.ListReply{}, false
+	}
+	list := platform.ListReply{Revision: reply.GetRevision()}
+	for _, change := range reply.GetChanges() {
+		list.Values = append(list.Values, platform.Value{
+			Key: change.GetKey(), Data: change.GetData(), Revision: change.GetRevision(), Lease: change.GetLease(), Deleted: change.GetDeleted(),
+		})
+	}
+	return list, true
+}
+
+// watcher returns the gateway that this one follows; "" if it is to watch the
+// store itself.
+func (h *Hosts) watcher() string {
+	names := h.Names()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	now := clock.Now()
+	best := ""
+	for _, name := range names {
+		rank := duty.Rank("watch", name, names)
+		if rank >= watchers {
+			continue
+		}
+		if name == h.Name {
+			return ""
+		}
+		if at := h.silent[name]; at != 0 && now.Sub(at) < watcherAgain {
+			continue
+		}
+		// Followers are spread over the watchers.
+		if best == "" || duty.Rank(h.Name, name, names) < duty.Rank(h.Name, best, names) {
+			best = name
+		}
+	}
+	return best
+}
+
 // ways returns the other gateways, the one that served last first.
 func (h *Hosts) ways() []string {
 	names := h.Names()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,7 +8,9 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/batch"
 	"github.com/bramleyhatch/bramleyhatch/internal/detour"
+	"github.com/bramleyhatch/bramleyhatch/internal/mirror"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
@@ -55,16 +57,44 @@
 	}
 }
 
+// Peers has other gateways take batches.
+type Peers struct {
+	Hosts *Hosts
+}
+
+var _ batch.Peers = &Peers{}
+
+// Accept has another gateway take a batch.
+func (p *Peers) Accept(ctx context.Context, host string, accepted *statepb.Batch) (bool, error) {
+	client := p.Hosts.Client(host)
+	if client == nil {
+		return false, nil
+	}
+	reply, err := client.Accept(ctx, peerpb.AcceptRequest_builder{Batch: accepted}.Build())
+	return reply.GetAccepted(), err
+}
+
 // Server answers other gateways. Exported fields are set before it is registered.
 type Server struct {
 	peerpb.UnimplementedGatewayServer
 
 	Board  *batch.Board
 	Direct *detour.Direct
+	// Mirrors by their prefix.
+	Mirrors map[string]*mirror.Mirror
 }
 
 var _ peerpb.GatewayServer = &Server{}
 
+// Accept takes a batch that another gateway was sent.
+func (s *Server) Accept(ctx context.Context, request *peerpb.AcceptRequest) (*peerpb.AcceptReply, error) {
+	err := s.Board.AcceptOwn(context.WithoutCancel(ctx), request.GetBatch())
+	if err != nil && !refusal.IsNotRun(err) {
+		return nil, err
+	}
+	return peerpb.AcceptReply_builder{Accepted: err == nil}.Build(), nil
+}
+
 // Detour makes a call of the store from this host.
 func (s *Server) Detour(ctx context.Context, request *peerpb.DetourRequest) (*peerpb.DetourReply, error) {
 	answer, err := s.Direct.Do(ctx, detour.Call{
@@ -92,3 +122,20 @@
 	}
 	return peerpb.ReadReply_builder{Owned: isOwn, Allowed: err == nil, Total: page.Total, Outcomes: page.Outcomes}.Build(), nil
 }
+
+// Watch waits for changes that this gateway has seen by watches of its own.
+func (s *Server) Watch(ctx context.Context, request *peerpb.WatchRequest) (*peerpb.WatchReply, error) {
+	followed := s.Mirrors[request.GetPrefix()]
+	if followed == nil {
+		return &peerpb.WatchReply{}, nil
+	}
+	wait := min(time.Duration(request.GetWait())*time.Millisecond, greatestWait)
+	list, ok := followed.Changes(ctx, request.GetAfter(), wait)
+	reply := peerpb.WatchReply_builder{Known: ok, Revision: list.Revision}
+	for _, value := range list.Values {
+		reply.Changes = append(reply.Changes, peerpb.Change_builder{
+			Key: value.Key, Data: value.Data, Revision: value.Revision, Lease: value.Lease, Deleted: value.Deleted,
+		}.Build())
+	}
+	return reply.Build(), nil
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -16,6 +16,9 @@
 	// retryPause is the wait after a call that failed. The store's outages last
 	// seconds; a tenth of a second finds their end without flooding it.
 	retryPause = 100 * time.Millisecond
+	// freshExtra is how much longer than one watch this process's own view of the
+	// store may be without an answer before others must not follow it.
+	freshExtra = 900 * time.Millisecond
 )
 
 // Store is what a Mirror needs of the platform's store.
@@ -36,6 +39,12 @@
 	// history that was lost, values that are missing from the list were reported
 	// to Take as deleted before.
 	Listed func()
+	// Follow waits for changes that another process has seen; it reports false
+	// where this process is to watch the store itself. nil always does.
+	Follow func(ctx context.Context, prefix string, after uint64) (platform.ListReply, bool)
+	// Pause is the wait between two watches of the store: changes that come close
+	// to each other cost one call.
+	Pause time.Duration
 	// Lost is called when the store stops answering, and Regained once it does
 	// again; nil is allowed.
 	Lost     func()
@@ -44,6 +53,7 @@
 	known    map[string]uint64
 	revision uint64
 	isLost   bool
+	history  history
 }
 
 // Run keeps the copy until the context ends.
@@ -94,6 +104,7 @@
 	}
 	m.take(append(changes, reply.Values...))
 	m.revision = max(m.revision, reply.Revision)
+	m.history.restart(m.revision)
 	if m.Listed != nil {
 		m.Listed()
 	}
@@ -101,13 +112,34 @@
 }
 
 func (m *Mirror) watch(ctx context.Context) error {
+	if m.Follow != nil {
+		if reply, ok := m.Follow(ctx, m.Prefix, m.revision); ok {
+			m.takeReply(reply, false)
+			return nil
+		}
+	}
 	reply, err := m.Store.Watch(ctx, m.Prefix, m.revision, m.Wait)
 	if err != nil {
 		return err
 	}
+	m.takeReply(reply, true)
+	if m.Pause > 0 && len(reply.Values) > 0 {
+		pause.For(ctx, m.Pause)
+	}
+	return nil
+}
+
+func (m *Mirror) takeReply(reply platform.ListReply, direct bool) {
 	m.take(reply.Values)
 	m.revision = max(m.revision, reply.Revision)
-	return nil
+	m.history.add(reply.Values, m.revision, direct)
+}
+
+// Changes waits up to wait for changes after a revision that this process has
+// seen by a watch of its own. It reports false if it has none of late, or
+// doesn't know all changes since: the caller asks the store then.
+func (m *Mirror) Changes(ctx context.Context, after uint64, wait time.Duration) (platform.ListReply, bool) {
+	return m.history.wait(ctx, after, wait, m.Wait+freshExtra)
 }
 
 // take hands on the values that are newer than those known. An answer that was
