--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -365,7 +365,7 @@
 			wire:   b.Wire,
 			ledger: newLedger(b.Store, batch.GetId(), b.Group, b.ValueBytes, revision, listed),
 			plan:   plan,
-			runs:   map[int]context.CancelCauseFunc{},
+			runs:   map[int]*activeRun{},
 			wake:   make(chan struct{}, 1),
 		},
 		cancel:  cancel,
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -67,11 +67,17 @@
 
 	mutex sync.Mutex
 	plan  *Plan
-	runs  map[int]context.CancelCauseFunc
+	runs  map[int]*activeRun
 	wake  chan struct{}
 	done  sync.WaitGroup
 }
 
+// activeRun is a run under way.
+type activeRun struct {
+	server *roster.Server
+	cancel context.CancelCauseFunc
+}
+
 // errSlow ends a run on a slow sampler, so that it goes on at another one.
 var errSlow = errors.New("batch: the sampler is slow and another one has room")
 
@@ -112,6 +118,7 @@
 	}
 	pending, isUrgent := o.plan.Pending()
 	o.ledger.add(pending, isUrgent)
+	o.leaveSlow(pool)
 	if o.plan.IsEnded() || o.plan.IsWhole() {
 		return true
 	}
@@ -131,13 +138,13 @@
 	if !ok {
 		return false
 	}
-	server := o.roster.Place(roster.Need{Pool: pool, Model: o.batch.GetModel(), Oldest: o.batch.GetOldest()})
+	server := o.roster.Place(o.need(pool))
 	if server == nil {
 		return false
 	}
 	o.plan.Start(job)
 	running, cancel := context.WithCancelCause(ctx)
-	o.runs[job.index] = cancel
+	o.runs[job.index] = &activeRun{server: server, cancel: cancel}
 	o.done.Go(func() {
 		defer cancel(nil)
 		o.generate(running, job, server)
@@ -145,6 +152,28 @@
 	return true
 }
 
+// leaveSlow ends a run on a slow sampler if another one has a free slot and
+// nothing waits for it: the run goes on there behind its last event.
+//
+// A sampler that a fault has slowed by three takes three times as long for the
+// rest of a text; the longest item of a step, of 6 s, then kept its trainer
+// waiting for over 10 s, while two thirds of the slots stood idle.
+func (o *owner) leaveSlow(pool string) {
+	if o.plan.Waiting() > 0 {
+		return
+	}
+	for _, run := range o.runs {
+		if o.roster.IsBetter(run.server, o.need(pool)) {
+			run.cancel(errSlow)
+			return
+		}
+	}
+}
+
+func (o *owner) need(pool string) roster.Need {
+	return roster.Need{Pool: pool, Model: o.batch.GetModel(), Oldest: o.batch.GetOldest()}
+}
+
 // generate runs an item at a server and takes its events.
 func (o *owner) generate(ctx context.Context, job Job, server *roster.Server) {
 	began := clock.Now()
@@ -156,7 +185,7 @@
 	delete(o.runs, job.index)
 	now := clock.Now()
 	if err == nil {
-		klog.V(1).InfoS("batch: generated", "id", job.spec.GetId(), "batch", o.batch.GetId(), "server", server.Name(), "took", now.Sub(began))
+		klog.InfoS("batch: generated", "id", job.spec.GetId(), "batch", o.batch.GetId(), "server", server.Name(), "took", now.Sub(began))
 		o.plan.Generated(job)
 		return
 	}
@@ -276,8 +305,8 @@
 		return
 	}
 	o.plan.End()
-	for _, cancel := range o.runs {
-		cancel(errEnded)
+	for _, run := range o.runs {
+		run.cancel(errEnded)
 	}
 	o.nudge()
 }
@@ -295,8 +324,8 @@
 func (o *owner) stopRuns() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	for _, cancel := range o.runs {
-		cancel(context.Canceled)
+	for _, run := range o.runs {
+		run.cancel(context.Canceled)
 	}
 }
 
--- a/internal/roster/engine.go
+++ b/internal/roster/engine.go
@@ -9,7 +9,7 @@
 
 const (
 	// paceWeight is the weight of a new event in the moving mean of a server's pace.
-	paceWeight = 0.1
+	paceWeight = 0.2
 	// paceAge is how long a pace says anything: a slow server is tried again
 	// after that.
 	paceAge = 5 * time.Second
@@ -57,6 +57,35 @@
 func (r *Roster) Place(need Need) *Server {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	chosen := r.roomiest(need)
+	if chosen == nil {
+		return nil
+	}
+	chosen.Begin()
+	server := r.servers[chosen.Name()]
+	server.isAsked = server.refusals > 0
+	return server
+}
+
+// IsBetter reports whether a generation that runs at a slow server would find a
+// free slot at one that is not slow.
+func (r *Roster) IsBetter(server *Server, need Need) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := clock.Now()
+	usual := r.usualPace(need.Pool, now)
+	if !route.IsSlow(slowness(server.pace.value(now), usual)) {
+		return false
+	}
+	need.Tried = map[string]bool{server.Name(): true}
+	chosen := r.roomiest(need)
+	if chosen == nil || chosen.Standing() != route.Open {
+		return false
+	}
+	return !route.IsSlow(slowness(r.servers[chosen.Name()].pace.value(now), usual))
+}
+
+func (r *Roster) roomiest(need Need) *route.Server {
 	r.prepare()
 	now := clock.Now()
 	usual := r.usualPace(need.Pool, now)
@@ -64,17 +93,12 @@
 	for _, one := range r.pools[need.Pool] {
 		server := r.servers[one.Name()]
 		r.mark(server, now)
-		if need.Tried[one.Name()] || now < server.full || server.version(need.Model) < need.Oldest {
+		if need.Tried[one.Name()] || now < server.full || server.isAsked || server.version(need.Model) < need.Oldest {
 			continue
 		}
 		candidates = append(candidates, route.Candidate{Server: one, Slowness: slowness(server.pace.value(now), usual)})
 	}
-	chosen := route.Roomiest(candidates, r.Zone)
-	if chosen == nil {
-		return nil
-	}
-	chosen.Begin()
-	return r.servers[chosen.Name()]
+	return route.Roomiest(candidates, r.Zone)
 }
 
 // Show notes the weight version that an answer has shown.
@@ -113,14 +137,6 @@
 	server.pace.add(gap, clock.Now())
 }
 
-// Pace returns a server's pace and the usual one of its pool; 0 where it isn't known.
-func (r *Roster) Pace(server *Server) (own, usual time.Duration) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	now := clock.Now()
-	return server.pace.value(now), r.usualPace(server.entry.Pool, now)
-}
-
 // usualPace returns the best pace among the servers of a pool; 0 if none is known.
 func (r *Roster) usualPace(pool string, now clock.Boot) time.Duration {
 	var best time.Duration
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -20,8 +20,10 @@
 	suspicion         = time.Second
 	greatestSuspicion = 8 * time.Second
 	// fullPause is how long a server that refused for want of room is passed
-	// over: about the time in which one of its requests ends.
-	fullPause = 50 * time.Millisecond
+	// over, about the time in which one of its requests ends; it doubles with each
+	// refusal in a row up to greatestFullPause, a part of the time of a weight load.
+	fullPause         = 50 * time.Millisecond
+	greatestFullPause = 200 * time.Millisecond
 )
 
 // Entry is a backend server's registration.
@@ -51,6 +53,10 @@
 	failures int
 	suspect  clock.Boot
 	full     clock.Boot
+	// refusals counts refusals for want of room in a row; while there are any,
+	// only one generation at a time is given to the server, to ask it.
+	refusals int
+	isAsked  bool
 	// missing is when the registration went while the store was away; zero if it is there.
 	missing clock.Boot
 	gone    bool
@@ -266,6 +272,7 @@
 func (r *Roster) Failed(server *Server, reason string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	server.isAsked = false
 	length := min(suspicion<<min(server.failures, 4), greatestSuspicion)
 	server.failures++
 	server.suspect = clock.Now().Add(length)
@@ -276,7 +283,9 @@
 func (r *Roster) Full(server *Server) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	server.full = clock.Now().Add(fullPause)
+	server.full = clock.Now().Add(min(fullPause<<min(server.refusals, 4), greatestFullPause))
+	server.refusals++
+	server.isAsked = false
 }
 
 // Replaced notes that another server answers at a server's address: this one is gone.
@@ -296,6 +305,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	server.failures, server.suspect = 0, 0
+	server.refusals, server.isAsked = 0, false
 }
 
 // mark sets whether a server gets new work now.
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,151 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/route"
+)
+
+const pool = "lm"
+
+func newRoster(entries ...Entry) *Roster {
+	roster := &Roster{Zone: "a", Back: 2 * time.Second}
+	for _, entry := range entries {
+		roster.Set(entry)
+	}
+	return roster
+}
+
+func sampler(id string, slots int) Entry {
+	return Entry{ID: id, Pool: pool, Address: "127.0.0.1:1", Zone: "a", Slots: slots, Born: 1, Versions: map[string]uint64{"m": 2}}
+}
+
+// beat tells the time between events of a server until its pace is known.
+func beat(roster *Roster, id string, gap time.Duration) {
+	for range leastPaceEvents + 20 {
+		roster.Beat(roster.servers[id], gap)
+	}
+}
+
+func names(roster *Roster) []string {
+	var found []string
+	for _, entry := range roster.Entries(pool) {
+		found = append(found, entry.ID)
+	}
+	return found
+}
+
+func TestPlace(t *testing.T) {
+	need := Need{Pool: pool, Model: "m", Oldest: 2}
+	t.Run("no more than the slots", func(t *testing.T) {
+		roster := newRoster(sampler("s1", 2))
+		must.NotNil(t, roster.Place(need))
+		must.NotNil(t, roster.Place(need))
+		must.Nil(t, roster.Place(need))
+	})
+	t.Run("a slot that is free again", func(t *testing.T) {
+		roster := newRoster(sampler("s1", 1))
+		roster.Finish(roster.Place(need))
+		must.NotNil(t, roster.Place(need))
+	})
+	t.Run("no version that is too old", func(t *testing.T) {
+		roster := newRoster(sampler("s1", 2))
+		must.Nil(t, roster.Place(Need{Pool: pool, Model: "m", Oldest: 3}))
+		roster.Show(roster.servers["s1"], "m", 3)
+		must.NotNil(t, roster.Place(Need{Pool: pool, Model: "m", Oldest: 3}))
+	})
+	t.Run("the slow one last", func(t *testing.T) {
+		roster := newRoster(sampler("s1", 2), sampler("s2", 2))
+		beat(roster, "s1", 150*time.Millisecond)
+		beat(roster, "s2", 50*time.Millisecond)
+		must.Eq(t, "s2", roster.Place(need).Name())
+		must.Eq(t, "s2", roster.Place(need).Name())
+		must.Eq(t, "s1", roster.Place(need).Name())
+	})
+}
+
+// A sampler loads weights and refuses all new work for a second. Eight items at
+// a time were sent to it twenty times a second, and each came back; the refusals
+// were half of all that samplers were sent.
+func TestRefusingSamplerIsAskedByOne(t *testing.T) {
+	roster := newRoster(sampler("s1", 8))
+	need := Need{Pool: pool, Model: "m", Oldest: 2}
+	server := roster.Place(need)
+	roster.Full(server)
+	roster.Finish(server)
+	must.Nil(t, roster.Place(need))
+	server.full = clock.Now()
+	must.NotNil(t, roster.Place(need))
+	must.Nil(t, roster.Place(need))
+	roster.Answered(server)
+	must.NotNil(t, roster.Place(need))
+}
+
+// A fault slows one of two samplers by three. A run on it is worth moving only
+// if the other has a free slot and is not slow itself.
+func TestIsBetter(t *testing.T) {
+	roster := newRoster(sampler("slow", 2), sampler("fast", 1))
+	need := Need{Pool: pool, Model: "m", Oldest: 2}
+	must.False(t, roster.IsBetter(roster.servers["slow"], need))
+	beat(roster, "slow", 150*time.Millisecond)
+	beat(roster, "fast", 50*time.Millisecond)
+	must.True(t, roster.IsBetter(roster.servers["slow"], need))
+	must.False(t, roster.IsBetter(roster.servers["fast"], need))
+	must.Eq(t, "fast", roster.Place(need).Name())
+	must.False(t, roster.IsBetter(roster.servers["slow"], need))
+}
+
+// The store goes away, and the registrations of samplers that live lapse. They
+// are back two seconds after its return; taken out at once, no request would
+// find a server for that long. One that doesn't come back is gone.
+func TestRegistrationsThatLapse(t *testing.T) {
+	roster := newRoster(sampler("s1", 2), sampler("s2", 2))
+	roster.Lost()
+	roster.Regained()
+	roster.Remove("s1")
+	roster.Remove("s2")
+	must.Eq(t, []string{"s1", "s2"}, names(roster))
+	roster.Set(sampler("s1", 2))
+	roster.regained = clock.Now().Add(-roster.Back)
+	must.Eq(t, []string{"s1"}, names(roster))
+}
+
+func TestRegistrationEnds(t *testing.T) {
+	roster := newRoster(sampler("s1", 2), sampler("s2", 2))
+	roster.Remove("s1")
+	must.Eq(t, []string{"s2"}, names(roster))
+	must.Nil(t, roster.Find("s1"))
+}
+
+// A sampler crashes and starts again under its name. Its old registration comes
+// once more, late: the new start must not get its address back.
+func TestOlderStartIsPassedOver(t *testing.T) {
+	older, newer := sampler("s1", 2), sampler("s1", 2)
+	newer.Born, newer.Address = 2, "127.0.0.1:2"
+	roster := newRoster(older, newer, older)
+	must.Eq(t, newer.Address, roster.Find("s1").Entry().Address)
+}
+
+// An address is used again by another service. Its server says that it is not
+// the one meant; from then on the old one gets nothing, whatever the store says.
+func TestReplaced(t *testing.T) {
+	roster := newRoster(sampler("s1", 2))
+	roster.Replaced(roster.servers["s1"])
+	must.Nil(t, roster.Find("s1"))
+}
+
+func TestSuspected(t *testing.T) {
+	roster := newRoster(sampler("s1", 2), sampler("s2", 2))
+	roster.Failed(roster.servers["s1"], "silent")
+	for range 4 {
+		server, _ := roster.Choose(pool, nil)
+		must.Eq(t, "s2", server.Name())
+	}
+	server, reason := roster.Choose(pool, map[string]bool{"s2": true})
+	must.Eq(t, "s1", server.Name())
+	must.Eq(t, route.ReasonSuspect, reason)
+}
--- a/internal/route/roomiest.go
+++ b/internal/route/roomiest.go
@@ -12,6 +12,9 @@
 // fault has slowed takes three times as long and more.
 const tooSlow = 1.6
 
+// IsSlow reports whether a server's slowness speaks against new work for it.
+func IsSlow(slowness float64) bool { return slowness > tooSlow }
+
 // Roomiest returns the open server with the most free slots for its own part,
 // slow and suspected ones last and those of the zone first among equals; nil if
 // none has a free slot.
@@ -37,7 +40,7 @@
 	if one.Server.standing != other.Server.standing {
 		return one.Server.standing < other.Server.standing
 	}
-	if isSlow, otherIsSlow := one.Slowness > tooSlow, other.Slowness > tooSlow; isSlow != otherIsSlow {
+	if isSlow, otherIsSlow := IsSlow(one.Slowness), IsSlow(other.Slowness); isSlow != otherIsSlow {
 		return otherIsSlow
 	}
 	// The part of the slots in use, compared without division.
