Keep texts that aren't whole on the hosts with disks

Owners now append new events twice a second to the keeper of their zone (one fsync); the next owner goes on behind them. Ruled out: batches and outcomes on disks, since what is agreed lives in the store.

--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -70,6 +70,8 @@
 	// Hosts returns the names of the processes that live.
 	Hosts func() []string
 	Peers Peers
+	// Keeper keeps texts that aren't whole.
+	Keeper Keeper
 	// Group is how long outcomes are gathered before they are written together.
 	Group time.Duration
 	// ValueBytes is the largest value of the store.
@@ -300,19 +302,7 @@
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	value, err := b.Store.Get(ctx, partlyKey(id))
-	var missing *platform.NotFoundError
-	if errors.As(err, &missing) {
-		return batch, listed, nil, nil
-	}
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	handover := &statepb.Handover{}
-	if err := unmarshal(value, handover); err != nil {
-		return nil, nil, nil, err
-	}
-	return batch, listed, handover.GetPartials(), nil
+	return batch, listed, b.Keeper.Fetch(ctx, id), nil
 }
 
 func (b *Board) loadBatch(ctx context.Context, id string) (*statepb.Batch, error) {
@@ -364,6 +354,7 @@
 			scorer: b.Scorer,
 			wire:   b.Wire,
 			ledger: newLedger(b.Store, batch.GetId(), b.Group, b.ValueBytes, revision, listed),
+			keeper: b.Keeper,
 			plan:   plan,
 			runs:   map[int]*activeRun{},
 			wake:   make(chan struct{}, 1),
@@ -378,6 +369,7 @@
 		held.run(ctx)
 		close(held.stopped)
 	})
+	b.running.Go(func() { held.keep(ctx) })
 }
 
 // Accept takes a batch, here or at the process that owns its model's batches.
@@ -538,8 +530,8 @@
 	return b.owners[id]
 }
 
-// Drain hands all batches over: it stops their runs, leaves what came of them in
-// the store and gives them up, so that the next owners go on at once and lose nothing.
+// Drain hands all batches over: it stops their runs, leaves what came of them
+// with a keeper and gives them up, so that the next owners go on at once and lose nothing.
 func (b *Board) Drain(ctx context.Context) {
 	b.mutex.Lock()
 	b.prepare()
@@ -566,20 +558,15 @@
 	case <-held.stopped:
 	case <-ctx.Done():
 	}
-	data, err := proto.Marshal(statepb.Handover_builder{Partials: held.partials()}.Build())
-	if err != nil {
-		klog.ErrorS(err, "batch: partial texts can't be encoded", "batch", id)
-		return
-	}
+	held.keepOnce(ctx)
 	held.ledger.mutex.Lock()
 	revision := held.ledger.owner
 	held.ledger.mutex.Unlock()
-	_, err = b.Store.Commit(ctx, platform.Commit{
+	_, err := b.Store.Commit(ctx, platform.Commit{
 		Expect: []platform.Expect{{Key: ownerKey(id), Revision: revision}},
-		Writes: []platform.Write{{Key: partlyKey(id), Data: data}},
 		Remove: []string{ownerKey(id)},
 	})
-	klog.InfoS("batch: handed over", "batch", id, "bytes", len(data), "err", err)
+	klog.InfoS("batch: handed over", "batch", id, "err", err)
 }
 
 func (b *Board) nudge() {
--- a/internal/batch/ledger.go
+++ b/internal/batch/ledger.go
@@ -196,18 +196,16 @@
 // Keys of the store.
 const (
 	// Prefix of the small keys that every gateway watches.
-	Prefix       = "live/"
-	prefixOpen   = Prefix + "open/"
-	prefixOwner  = Prefix + "owner/"
-	prefixBulk   = "bulk/"
-	prefixOut    = "out/"
-	prefixPartly = "partial/"
+	Prefix      = "live/"
+	prefixOpen  = Prefix + "open/"
+	prefixOwner = Prefix + "owner/"
+	prefixBulk  = "bulk/"
+	prefixOut   = "out/"
 )
 
-func openKey(batch string) string   { return prefixOpen + batch }
-func ownerKey(batch string) string  { return prefixOwner + batch }
-func bulkKey(batch string) string   { return prefixBulk + batch }
-func partlyKey(batch string) string { return prefixPartly + batch }
+func openKey(batch string) string  { return prefixOpen + batch }
+func ownerKey(batch string) string { return prefixOwner + batch }
+func bulkKey(batch string) string  { return prefixBulk + batch }
 
 func chunkPrefix(batch string) string { return prefixOut + batch + "/" }
 
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -23,6 +23,8 @@
 	// lookAgain is how long an owner waits at most before it looks again for free
 	// slots and slow servers: about one event of a sampler.
 	lookAgain = 50 * time.Millisecond
+	// keepInterval is the time between two looks for events that a keeper lacks.
+	keepInterval = 500 * time.Millisecond
 	// silence is how long a sampler may send nothing before its run goes on
 	// elsewhere: many times the usual gap, and above the time of a weight load.
 	silence = 1500 * time.Millisecond
@@ -35,6 +37,16 @@
 	WriteItem(headers map[string]string) http.Header
 }
 
+// Keeper keeps texts that aren't whole on hosts with disks.
+type Keeper interface {
+	// Append keeps events. An error says that what is kept isn't known.
+	Append(ctx context.Context, batch string, parts []*statepb.Part) error
+	// Fetch returns what is kept of a batch, as far as keepers answer.
+	Fetch(ctx context.Context, batch string) []*statepb.Partial
+	// Drop forgets a batch.
+	Drop(ctx context.Context, batch string)
+}
+
 // Scorer has texts judged.
 type Scorer interface {
 	// Score returns the proof of the scorer's answer. A *ScoreError says that it
@@ -64,6 +76,8 @@
 	scorer Scorer
 	wire   Wire
 	ledger *ledger
+	// keeper keeps the texts that aren't whole; nil keeps them nowhere.
+	keeper Keeper
 
 	mutex sync.Mutex
 	plan  *Plan
@@ -104,6 +118,40 @@
 	o.done.Wait()
 }
 
+// keep gives the texts that aren't whole to a keeper until the context ends.
+//
+// An owner that dies takes with it what its samplers have made. The next one
+// would begin each text anew: the longest of a step take 6 s, and the trainer
+// waits 7.5 s for all of them. Kept twice a second, half a second is lost.
+func (o *owner) keep(ctx context.Context) {
+	ticker := time.NewTicker(keepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o.keepOnce(ctx)
+		}
+	}
+}
+
+// keepOnce gives what came since the last time to a keeper.
+func (o *owner) keepOnce(ctx context.Context) {
+	o.mutex.Lock()
+	parts := o.plan.Parts()
+	o.mutex.Unlock()
+	if len(parts) == 0 {
+		return
+	}
+	if err := o.keeper.Append(ctx, o.batch.GetId(), parts); err != nil {
+		klog.InfoS("batch: texts not kept", "batch", o.batch.GetId(), "err", err.Error())
+		o.mutex.Lock()
+		o.plan.KeepAll()
+		o.mutex.Unlock()
+	}
+}
+
 // pump starts what can start now. It reports whether nothing is left to do.
 func (o *owner) pump(ctx context.Context) bool {
 	o.mutex.Lock()
@@ -316,13 +364,6 @@
 // errEnded ends the runs of a batch that its trainer has ended.
 var errEnded = errors.New("batch: ended by its trainer")
 
-// partials returns the texts that aren't whole.
-func (o *owner) partials() []*statepb.Partial {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	return o.plan.Partials()
-}
-
 func (o *owner) stopRuns() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -56,9 +56,11 @@
 	spec  *statepb.Item
 	index int
 	phase phase
-	// events and versions are the text so far.
+	// events and versions are the text so far, a version for each event.
 	events   []string
 	versions []uint64
+	// kept is the number of events that a keeper has.
+	kept int
 	// failures counts answers that say that the run failed, faults all others.
 	failures       int
 	faults         int
@@ -147,7 +149,11 @@
 		}
 	}
 	for _, partial := range partials {
-		if one := p.byID[partial.GetItem()]; one != nil && one.phase == waiting && p.fits(partial.GetVersions()) {
+		one := p.byID[partial.GetItem()]
+		if one == nil || one.phase != waiting || !p.fits(partial.GetVersions()) || len(partial.GetEvents()) != len(partial.GetVersions()) {
+			continue
+		}
+		if len(partial.GetEvents()) > len(one.events) {
 			one.events, one.versions = partial.GetEvents(), partial.GetVersions()
 		}
 	}
@@ -161,7 +167,7 @@
 			return false
 		}
 	}
-	return !p.rules.SingleVersion || len(versions) <= 1
+	return !p.rules.SingleVersion || len(distinct(versions)) <= 1
 }
 
 // End notes that the trainer has ended the batch: nothing starts any more.
@@ -226,16 +232,13 @@
 	if version < p.batch.GetOldest() {
 		return false
 	}
-	isNew := !slices.Contains(one.versions, version)
-	if isNew && p.rules.SingleVersion && len(one.versions) > 0 {
+	if p.rules.SingleVersion && len(one.versions) > 0 && one.versions[0] != version {
 		// Nothing of the text can be used: the rest is of another version.
-		one.events, one.versions = nil, nil
+		one.events, one.versions, one.kept = nil, nil, 0
 		return false
 	}
-	if isNew {
-		one.versions = append(one.versions, version)
-	}
 	one.events = append(one.events, data)
+	one.versions = append(one.versions, version)
 	return true
 }
 
@@ -336,7 +339,14 @@
 
 func (p *Plan) settle(one *item, proof string) {
 	text := strings.Join(one.events, "\n")
-	p.list(one, statepb.Outcome_builder{Item: one.spec.GetId(), Text: text, Versions: one.versions, Score: proof}.Build())
+	p.list(one, statepb.Outcome_builder{Item: one.spec.GetId(), Text: text, Versions: distinct(one.versions), Score: proof}.Build())
+}
+
+// distinct returns the versions, each once.
+func distinct(versions []uint64) []uint64 {
+	found := slices.Clone(versions)
+	slices.Sort(found)
+	return slices.Compact(found)
 }
 
 func (p *Plan) list(one *item, outcome *statepb.Outcome) {
@@ -345,7 +355,7 @@
 	}
 	one.phase = settled
 	one.outcome = outcome
-	one.events = nil
+	one.events, one.versions = nil, nil
 	p.open--
 	p.pending = append(p.pending, outcome)
 	p.closeGroup(one)
@@ -374,15 +384,27 @@
 	return pending, isUrgent
 }
 
-// Partials returns the texts that aren't whole, for the next owner.
-func (p *Plan) Partials() []*statepb.Partial {
-	var partials []*statepb.Partial
+// Parts returns the events that came since the last call, for a keeper.
+func (p *Plan) Parts() []*statepb.Part {
+	var parts []*statepb.Part
 	for _, one := range p.items {
-		if one.phase != settled && len(one.events) > 0 {
-			partials = append(partials, statepb.Partial_builder{Item: one.spec.GetId(), Events: one.events, Versions: one.versions}.Build())
+		if one.phase == settled || one.kept >= len(one.events) {
+			continue
 		}
+		parts = append(parts, statepb.Part_builder{
+			Item: one.spec.GetId(), After: uint32(one.kept), Events: one.events[one.kept:], Versions: one.versions[one.kept:],
+		}.Build())
+		one.kept = len(one.events)
+	}
+	return parts
+}
+
+// KeepAll makes Parts return all texts from their start: what a keeper had is
+// not known any more.
+func (p *Plan) KeepAll() {
+	for _, one := range p.items {
+		one.kept = 0
 	}
-	return partials
 }
 
 // Item returns an item by its identity, or nil.
--- a/internal/batch/plan_test.go
+++ b/internal/batch/plan_test.go
@@ -192,7 +192,7 @@
 	plan.Restore(
 		[]*statepb.Outcome{statepb.Outcome_builder{Item: "i0", Text: "x"}.Build()},
 		[]*statepb.Partial{
-			statepb.Partial_builder{Item: "i2", Events: []string{"a", "b"}, Versions: []uint64{3}}.Build(),
+			statepb.Partial_builder{Item: "i2", Events: []string{"a", "b"}, Versions: []uint64{3, 3}}.Build(),
 			statepb.Partial_builder{Item: "i1", Events: []string{"a"}, Versions: []uint64{2}}.Build(),
 		})
 	must.Eq(t, 2, mustStart(t, plan, start, "i2").Events())
@@ -212,3 +212,22 @@
 	_, isUrgent = plan.Pending()
 	must.True(t, isUrgent)
 }
+
+// A keeper is told of each event once, in order, and of everything anew where it
+// may have lost what it had.
+func TestParts(t *testing.T) {
+	plan := newPlan(100)
+	job := mustStart(t, plan, start, "i0")
+	must.True(t, plan.Event(job, "a", 3))
+	parts := plan.Parts()
+	must.SliceLen(t, 1, parts)
+	must.Eq(t, 0, parts[0].GetAfter())
+	must.SliceEmpty(t, plan.Parts())
+	must.True(t, plan.Event(job, "b", 4))
+	parts = plan.Parts()
+	must.Eq(t, 1, parts[0].GetAfter())
+	must.Eq(t, []string{"b"}, parts[0].GetEvents())
+	must.Eq(t, []uint64{4}, parts[0].GetVersions())
+	plan.KeepAll()
+	must.Eq(t, []string{"a", "b"}, plan.Parts()[0].GetEvents())
+}
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -98,6 +98,7 @@
 	g.store = &platform.Store{Caller: g.caller, Timeout: settings.GetTimeout().AsDuration()}
 	g.session = &gateway.Session{
 		Store:  g.store,
+		Prefix: gateway.PrefixHost,
 		Length: settings.GetLease().AsDuration(),
 		Host: statepb.Host_builder{
 			Name:        g.Process.Settings.GetName(),
@@ -136,6 +137,7 @@
 		Lease:      g.session.Lease,
 		Hosts:      g.hosts.Names,
 		Peers:      &gateway.Peers{Hosts: g.hosts},
+		Keeper:     &gateway.Keepers{Hosts: g.hosts, Zone: g.Process.Settings.GetZone()},
 		Group:      settings.GetGroup().AsDuration(),
 		ValueBytes: int(g.Settings.GetStore().GetValueBytes()),
 	}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	// PrefixHost of the store's keys of live gateways.
-	PrefixHost = "live/host/"
+	// PrefixHost of the store's keys of live gateways, PrefixKeeper of keepers.
+	PrefixHost   = "live/host/"
+	PrefixKeeper = "live/keeper/"
 	// detourExtra is what a call through a peer may take longer than a direct one.
 	detourExtra = 100 * time.Millisecond
 	// watchers is the number of gateways that watch the store; the others follow
@@ -49,6 +50,7 @@
 
 	mutex       sync.Mutex
 	hosts       map[string]*statepb.Host
+	keepers     map[string]*statepb.Host
 	connections map[string]*grpc.ClientConn
 	// served is the peer that made the last call for this process.
 	served string
@@ -64,29 +66,35 @@
 	defer h.mutex.Unlock()
 	if h.hosts == nil {
 		h.hosts = map[string]*statepb.Host{}
+		h.keepers = map[string]*statepb.Host{}
 		h.silent = map[string]clock.Boot{}
 		h.connections = map[string]*grpc.ClientConn{}
 	}
 	for _, change := range changes {
-		name, ok := strings.CutPrefix(change.Key, PrefixHost)
-		if !ok {
-			continue
-		}
-		if change.Deleted {
-			klog.InfoS("hosts: gone", "host", name)
-			delete(h.hosts, name)
-			continue
+		if name, ok := strings.CutPrefix(change.Key, PrefixHost); ok {
+			takeHost(h.hosts, name, change)
 		}
-		host := &statepb.Host{}
-		if err := proto.Unmarshal(change.Data, host); err != nil {
-			klog.ErrorS(err, "hosts: an entry can't be read", "key", change.Key)
-			continue
+		if name, ok := strings.CutPrefix(change.Key, PrefixKeeper); ok {
+			takeHost(h.keepers, name, change)
 		}
-		klog.InfoS("hosts: live", "host", name, "address", host.GetAddress(), "zone", host.GetZone())
-		h.hosts[name] = host
 	}
 }
 
+func takeHost(hosts map[string]*statepb.Host, name string, change platform.Value) {
+	if change.Deleted {
+		klog.InfoS("hosts: gone", "host", name)
+		delete(hosts, name)
+		return
+	}
+	host := &statepb.Host{}
+	if err := proto.Unmarshal(change.Data, host); err != nil {
+		klog.ErrorS(err, "hosts: an entry can't be read", "key", change.Key)
+		return
+	}
+	klog.InfoS("hosts: live", "host", name, "address", host.GetAddress(), "zone", host.GetZone())
+	hosts[name] = host
+}
+
 // Names returns the names of the gateways that live.
 func (h *Hosts) Names() []string {
 	h.mutex.Lock()
@@ -138,19 +146,51 @@
 	if host == nil || name == h.Name {
 		return nil
 	}
-	connection := h.connections[host.GetAddress()]
+	connection := h.connect(host)
 	if connection == nil {
-		dialed, err := listen.Dial(host.GetAddress(), nil)
-		if err != nil {
-			klog.ErrorS(err, "hosts: no connection", "host", name)
-			return nil
-		}
-		connection = dialed
-		h.connections[host.GetAddress()] = connection
+		return nil
 	}
 	return peerpb.NewGatewayClient(connection)
 }
 
+// connect returns the connection to a process, or nil. The mutex is held.
+func (h *Hosts) connect(host *statepb.Host) *grpc.ClientConn {
+	if connection := h.connections[host.GetAddress()]; connection != nil {
+		return connection
+	}
+	connection, err := listen.Dial(host.GetAddress(), nil)
+	if err != nil {
+		klog.ErrorS(err, "hosts: no connection", "host", host.GetName())
+		return nil
+	}
+	h.connections[host.GetAddress()] = connection
+	return connection
+}
+
+// keeperClients returns clients of the keepers, those of a zone first and else
+// in an order that differs from process to process.
+func (h *Hosts) keeperClients(zone string) []namedKeeper {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	names := make([]string, 0, len(h.keepers))
+	for name := range h.keepers {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(boolToInt(h.keepers[b].GetZone() == zone), boolToInt(h.keepers[a].GetZone() == zone)),
+			cmp.Compare(duty.Rank(h.Name, a, names), duty.Rank(h.Name, b, names)),
+		)
+	})
+	var clients []namedKeeper
+	for _, name := range names {
+		if connection := h.connect(h.keepers[name]); connection != nil {
+			clients = append(clients, namedKeeper{name: name, KeeperClient: peerpb.NewKeeperClient(connection)})
+		}
+	}
+	return clients
+}
+
 // Detour makes a call of the store through another gateway, first through the
 // one that could make the last.
 func (h *Hosts) Detour(ctx context.Context, call detour.Call) (detour.Answer, bool) {
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -33,8 +33,10 @@
 // Session keeps a process known to the others: it holds a lease, and under it
 // the key that tells where the process is reached. Exported fields are set before Run.
 type Session struct {
-	Store  SessionStore
-	Host   *statepb.Host
+	Store SessionStore
+	Host  *statepb.Host
+	// Prefix of the key that tells where the process is reached.
+	Prefix string
 	Length time.Duration
 
 	lease atomic.Uint64
@@ -90,7 +92,7 @@
 		return err
 	}
 	_, err = s.Store.Commit(ctx, platform.Commit{
-		Writes: []platform.Write{{Key: PrefixHost + s.Host.GetName(), Data: data, Lease: lease}},
+		Writes: []platform.Write{{Key: s.Prefix + s.Host.GetName(), Data: data, Lease: lease}},
 	})
 	if err != nil {
 		return err
