Log to standard output without waiting, take SIGHUP, empty hosts, remove old batches

Lines go through a bounded ring and a rate; those of failures are dropped last (TestReaderThatStopped blocks without the ring). SIGHUP would end a Go process that does not take it. Retired hosts are reported as empty at once: a keeper holds nothing that must last. Counters of usage are held by two other gateways, so one that dies loses no window.

--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -72,6 +72,8 @@
 	Peers Peers
 	// Keeper keeps texts that aren't whole.
 	Keeper Keeper
+	// Keep is how long after its acceptance a batch can be read.
+	Keep time.Duration
 	// Group is how long outcomes are gathered before they are written together.
 	Group time.Duration
 	// ValueBytes is the largest value of the store.
@@ -97,9 +99,12 @@
 type held struct {
 	*owner
 
-	cancel context.CancelFunc
-	ended  bool
-	total  uint64
+	cancel   context.CancelFunc
+	ended    bool
+	total    uint64
+	accepted clock.Boot
+	// removing is true once it is being removed from the store.
+	removing bool
 	// stopped is closed once the owner has stopped.
 	stopped chan struct{}
 }
@@ -111,9 +116,13 @@
 	b.ctx = ctx
 	b.mutex.Unlock()
 	for ctx.Err() == nil {
-		for _, id := range b.claimable(clock.Now()) {
+		now := clock.Now()
+		for _, id := range b.claimable(now) {
 			b.running.Go(func() { b.claim(ctx, id) })
 		}
+		for _, id := range b.outdated(now) {
+			b.running.Go(func() { b.remove(ctx, id) })
+		}
 		select {
 		case <-ctx.Done():
 		case <-b.wake:
@@ -167,6 +176,7 @@
 		klog.InfoS("batch: ended", "batch", id)
 		held.ended = true
 		held.end()
+		b.running.Go(func() { b.Keeper.Drop(b.ctx, id) })
 	}
 }
 
@@ -359,9 +369,10 @@
 			runs:   map[int]*activeRun{},
 			wake:   make(chan struct{}, 1),
 		},
-		cancel:  cancel,
-		total:   uint64(len(batch.GetItems())),
-		stopped: make(chan struct{}),
+		cancel:   cancel,
+		accepted: accepted,
+		total:    uint64(len(batch.GetItems())),
+		stopped:  make(chan struct{}),
 	}
 	b.held[batch.GetId()] = held
 	b.running.Go(func() { held.ledger.run(ctx) })
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -65,6 +65,8 @@
 	counter   *usage.Counter
 	wanted    wanted
 	holder    holder
+	// retirements are the hosts that are to be emptied.
+	retirements retirements
 	// peerServer answers other gateways.
 	peerServer *gateway.Server
 	// isDraining is true once the process was asked to stop.
@@ -137,7 +139,8 @@
 		Lease:      g.session.Lease,
 		Hosts:      g.hosts.Names,
 		Peers:      &gateway.Peers{Hosts: g.hosts},
-		Keeper:     &gateway.Keepers{Hosts: g.hosts, Zone: g.Process.Settings.GetZone()},
+		Keeper:     &gateway.Keepers{Hosts: g.hosts, Zone: g.Process.Settings.GetZone(), Retired: g.retirements.has},
+		Keep:       settings.GetKeep().AsDuration(),
 		Group:      settings.GetGroup().AsDuration(),
 		ValueBytes: int(g.Settings.GetStore().GetValueBytes()),
 	}
@@ -171,6 +174,10 @@
 
 func (g *Gateway) takeOperator(changes []store.Value) {
 	for _, change := range changes {
+		if platform.IsRetirement(change.Key) {
+			g.retirements.take(change)
+			continue
+		}
 		if change.Deleted {
 			continue
 		}
--- a/internal/bramleyhatch/gatewayduties.go
+++ b/internal/bramleyhatch/gatewayduties.go
@@ -45,6 +45,15 @@
 	}
 	server := &usage.Server{Ledger: &usage.Ledger{}, Counter: g.counter}
 	g.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterUsageServer(registrar, server) })
+	pusher := &usage.Pusher{
+		Source:    g.counter,
+		Directory: g.hosts,
+		Peers:     &usage.GRPCPeers{},
+		Interval:  g.Settings.GetUsage().GetPush().AsDuration(),
+		Retain:    g.Settings.GetUsage().GetRetain().AsDuration(),
+		Keep:      g.Settings.GetUsage().GetKeep().AsDuration(),
+	}
+	g.AddDuty("usage", pusher.Run)
 	keeper := &duty.Keeper{
 		Store:     g.store,
 		Name:      dutyName,
@@ -72,6 +81,7 @@
 	defer cancel()
 	works := []func(context.Context) error{
 		func(ctx context.Context) error { return g.newSteering().Run(ctx, term) },
+		func(ctx context.Context) error { return g.retire(ctx, term) },
 	}
 	if g.Settings.GetStore().GetOrders() != "" {
 		works = append(works, func(ctx context.Context) error { return g.newReporter().Run(ctx, term) })
--- a/internal/bramleyhatch/process.go
+++ b/internal/bramleyhatch/process.go
@@ -204,7 +204,9 @@
 		err = errors.Join(err, <-stopped)
 	}
 	stopWorking()
-	return errors.Join(err, <-finished)
+	err = errors.Join(err, <-finished)
+	klog.InfoS("process: stopped", "name", p.addresses.Name, "err", err)
+	return err
 }
 
 // listen starts the servers, returns their number and writes the ready file.
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/bramleyhatch/bramleyhatch/internal/bramleyhatch"
+	"github.com/bramleyhatch/bramleyhatch/internal/logging"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
 	"github.com/bramleyhatch/bramleyhatch/internal/settings"
 )
@@ -17,13 +18,19 @@
 }
 
 // Run serves until SIGTERM or SIGINT, then drains.
-func (g *gatewayCmd) Run() error {
+func (g *gatewayCmd) Run(c *config) error {
 	var loaded settingspb.Gateway
 	if err := settings.Load(g.Settings, &loaded); err != nil {
 		return err
 	}
+	stopLog, err := logging.Start(c.stdout)
+	if err != nil {
+		return err
+	}
+	defer stopLog()
 	ctx, end := stopContext()
 	defer end()
+	go watchSettings(ctx, g.Settings, &loaded)
 	process := &bramleyhatch.Gateway{Settings: &loaded}
 	return process.Run(ctx)
 }
--- a/internal/gateway/keepers.go
+++ b/internal/gateway/keepers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,8 @@
 type Keepers struct {
 	Hosts *Hosts
 	Zone  string
+	// Retired reports whether a keeper is to be emptied: it gets no more texts.
+	Retired func(keeper string) bool
 
 	mutex sync.Mutex
 	// used is the keeper that has the texts of a batch.
@@ -50,7 +53,7 @@
 // Append keeps events with one keeper, which has all of a batch's texts. After
 // a change of the keeper, everything is to be appended anew.
 func (k *Keepers) Append(ctx context.Context, batch string, parts []*statepb.Part) error {
-	clients := k.Hosts.keeperClients(k.Zone)
+	clients := slices.DeleteFunc(k.Hosts.keeperClients(k.Zone), func(one namedKeeper) bool { return k.Retired(one.name) })
 	if len(clients) == 0 {
 		return errNoKeeper
 	}
--- /dev/null
+++ b/internal/logging/output_test.go
@@ -0,0 +1,70 @@
+package logging
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+)
+
+// safeBuffer is a buffer that is read while it is written.
+type safeBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (s *safeBuffer) Write(p []byte) (int, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.buffer.Write(p)
+}
+
+func (s *safeBuffer) String() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.buffer.String()
+}
+
+// Whoever collects a gateway's log stops reading. The pipe fills, and each
+// request that logs a line would wait in its write for good.
+func TestReaderThatStopped(t *testing.T) {
+	reader, writer := io.Pipe()
+	t.Cleanup(func() { _ = reader.Close() })
+	output := NewOutput(writer)
+	go output.run()
+	began := time.Now()
+	for i := range 2 * ringLines {
+		_, err := fmt.Fprintf(output, "E line %d\n", i)
+		must.NoError(t, err)
+	}
+	must.Less(t, time.Second, time.Since(began))
+	must.GreaterEq(t, uint64(ringLines-1), output.Dropped())
+}
+
+// A fault repeats itself thousands of times a second. Its lines are counted in
+// place of being written, and those of refused requests still come through.
+func TestTooManyLines(t *testing.T) {
+	written := &safeBuffer{}
+	output := NewOutput(written)
+	for i := range burstLines + 500 {
+		_, err := fmt.Fprintf(output, "I line %d\n", i)
+		must.NoError(t, err)
+	}
+	_, err := output.Write([]byte("I caller: refused id=7\n"))
+	must.NoError(t, err)
+	must.GreaterEq(t, uint64(400), output.Dropped())
+	go output.run()
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(func() bool {
+			return strings.Contains(written.String(), "id=7") && strings.Contains(written.String(), "lines were dropped")
+		}),
+		wait.Timeout(5*time.Second),
+	))
+	output.stop()
+}
