--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
@@ -78,6 +79,8 @@
 	Group time.Duration
 	// ValueBytes is the largest value of the store.
 	ValueBytes int
+	// Metrics takes the board's metrics; nil keeps them to itself.
+	Metrics prometheus.Registerer
 
 	mutex sync.Mutex
 	held  map[string]*held
@@ -93,6 +96,7 @@
 	ctx            context.Context
 	running        sync.WaitGroup
 	wake           chan struct{}
+	metrics        *metrics
 }
 
 // held is a batch that this process owns, or has owned.
@@ -144,6 +148,19 @@
 	b.unowned = map[string]clock.Boot{}
 	b.claiming = map[string]bool{}
 	b.wake = make(chan struct{}, 1)
+	b.metrics = newMetrics(b.Metrics, b.countOpen)
+}
+
+func (b *Board) countOpen() float64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	open := 0
+	for _, held := range b.held {
+		if !held.ended {
+			open++
+		}
+	}
+	return float64(open)
 }
 
 // Take takes changes of the store's small keys.
@@ -293,6 +310,7 @@
 	}
 	klog.InfoS("batch: taken over", "batch", id, "owner", revision, "listed", len(listed), "partly", len(partials))
 	delete(b.unowned, id)
+	b.metrics.taken.Inc()
 	b.start(batch, revision, listed, partials, clock.Now())
 }
 
@@ -358,16 +376,17 @@
 	ctx, cancel := context.WithCancel(b.ctx)
 	held := &held{
 		owner: &owner{
-			batch:  batch,
-			pool:   func() (string, bool) { pool, _, ok := b.Routes(batch); return pool, ok },
-			roster: b.Roster,
-			scorer: b.Scorer,
-			wire:   b.Wire,
-			ledger: newLedger(b.Store, batch.GetId(), b.Group, b.ValueBytes, revision, listed),
-			keeper: b.Keeper,
-			plan:   plan,
-			runs:   map[int]*activeRun{},
-			wake:   make(chan struct{}, 1),
+			batch:   batch,
+			pool:    func() (string, bool) { pool, _, ok := b.Routes(batch); return pool, ok },
+			roster:  b.Roster,
+			scorer:  b.Scorer,
+			wire:    b.Wire,
+			ledger:  newLedger(b.Store, batch.GetId(), b.Group, b.ValueBytes, revision, listed, b.metrics),
+			keeper:  b.Keeper,
+			metrics: b.metrics,
+			plan:    plan,
+			runs:    map[int]*activeRun{},
+			wake:    make(chan struct{}, 1),
 		},
 		cancel:   cancel,
 		accepted: accepted,
@@ -503,6 +522,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.held[id] == nil {
+		b.metrics.accepted.Inc()
 		b.open[id] = true
 		b.owners[id] = b.Process
 		b.ownerRevisions[id] = revision
--- a/internal/batch/ledger.go
+++ b/internal/batch/ledger.go
@@ -32,6 +32,7 @@
 	// group is how long outcomes are gathered before they are written together.
 	group      time.Duration
 	valueBytes int
+	metrics    *metrics
 
 	mutex   sync.Mutex
 	listed  []*statepb.Outcome
@@ -43,8 +44,8 @@
 	owner uint64
 }
 
-func newLedger(store Store, batch string, group time.Duration, valueBytes int, owner uint64, listed []*statepb.Outcome) *ledger {
-	return &ledger{store: store, batch: batch, group: group, valueBytes: valueBytes, owner: owner, listed: listed, changed: make(chan struct{}), urgent: make(chan struct{}, 1)}
+func newLedger(store Store, batch string, group time.Duration, valueBytes int, owner uint64, listed []*statepb.Outcome, metrics *metrics) *ledger {
+	return &ledger{store: store, batch: batch, group: group, valueBytes: valueBytes, metrics: metrics, owner: owner, listed: listed, changed: make(chan struct{}), urgent: make(chan struct{}, 1)}
 }
 
 // add takes outcomes to be listed: at once if they are urgent, else together
@@ -130,9 +131,11 @@
 	}
 	for ctx.Err() == nil {
 		if l.commit(ctx, chunk.GetFirst(), data) {
+			l.metrics.writes.WithLabelValues("held").Inc()
 			l.list(chunk.GetOutcomes())
 			return
 		}
+		l.metrics.writes.WithLabelValues("open").Inc()
 		pause.For(ctx, writePause)
 	}
 }
@@ -184,6 +187,9 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.listed = append(l.listed, outcomes...)
+	for _, outcome := range outcomes {
+		l.metrics.countOutcome(outcome.GetFailed())
+	}
 	l.pending = l.pending[len(outcomes):]
 	l.wake()
 }
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -77,7 +77,8 @@
 	wire   Wire
 	ledger *ledger
 	// keeper keeps the texts that aren't whole; nil keeps them nowhere.
-	keeper Keeper
+	keeper  Keeper
+	metrics *metrics
 
 	mutex sync.Mutex
 	plan  *Plan
@@ -234,25 +235,39 @@
 	delete(o.runs, job.index)
 	now := clock.Now()
 	if err == nil {
-		klog.InfoS("batch: generated", "id", job.spec.GetId(), "batch", o.batch.GetId(), "server", server.Name(), "took", now.Sub(began))
+		klog.V(1).InfoS("batch: generated", "id", job.spec.GetId(), "batch", o.batch.GetId(), "server", server.Name(), "took", now.Sub(began))
+		o.metrics.runs.WithLabelValues(endWhole).Inc()
 		o.plan.Generated(job)
 		return
 	}
+	end := o.settleRun(ctx, job, server, err, now)
+	o.metrics.runs.WithLabelValues(end).Inc()
+	if end != endStopped && end != endRefused {
+		klog.InfoS("batch: run ended", "id", job.spec.GetId(), "batch", o.batch.GetId(), "server", server.Name(), "end", end, "err", err.Error(), "events", o.plan.Events(job), "took", now.Sub(began))
+	}
+}
+
+// settleRun tells the plan and the roster what a run's end means, and names it.
+func (o *owner) settleRun(ctx context.Context, job Job, server *roster.Server, err error, now clock.Boot) string {
 	refused := refusal.Of(err)
-	klog.InfoS("batch: run ended", "id", job.spec.GetId(), "batch", o.batch.GetId(), "server", server.Name(), "err", err.Error(), "events", o.plan.job(o.plan.items[job.index]).events, "took", now.Sub(began))
 	switch {
 	case errors.Is(context.Cause(ctx), errSlow):
 		o.plan.Cut(job, 0, now)
+		return endSlow
 	case ctx.Err() != nil:
 		o.plan.Cut(job, 0, now)
+		return endStopped
 	case refused.Code == codeFailed:
 		o.plan.Failed(job, refused.Status == http.StatusUnprocessableEntity, now)
+		return endFailed
 	case refusal.IsNotRun(err), errors.Is(err, errUnfit):
 		forward.NoteFailure(ctx, o.roster, server, err)
 		o.plan.Cut(job, 0, now)
+		return endRefused
 	default:
 		forward.NoteFailure(ctx, o.roster, server, err)
 		o.plan.Fault(job, now)
+		return endFault
 	}
 }
 
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -245,6 +245,9 @@
 // MayMove reports whether a running item may leave its server for a faster one.
 func (p *Plan) MayMove(index int) bool { return p.items[index].moves < mostMoves }
 
+// Events returns the number of events of an item so far.
+func (p *Plan) Events(job Job) int { return len(p.items[job.index].events) }
+
 // Moved notes that a running item leaves its server for a faster one.
 func (p *Plan) Moved(index int) { p.items[index].moves++ }
 
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/zeromicro/go-zero/rest"
 	"google.golang.org/grpc"
@@ -17,6 +18,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/forward"
 	"github.com/bramleyhatch/bramleyhatch/internal/gateway"
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/logging"
 	"github.com/bramleyhatch/bramleyhatch/internal/mirror"
 	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
@@ -41,9 +43,6 @@
 	// livePause is that wait for what gateways tell each other. A batch begins and
 	// ends with a handful of changes.
 	livePause = 100 * time.Millisecond
-	// balancerNotices is how long the balancer may still send new connections
-	// after a gateway said that it isn't ready: two questions, a second apart.
-	balancerNotices = 2500 * time.Millisecond
 )
 
 // Gateway is the process on an entry host whose backend servers it reaches by itself.
@@ -83,6 +82,7 @@
 	g.addDuty()
 	g.addCallers()
 	g.addReady()
+	g.addGauges()
 	g.AddDrain(g.drain)
 	err := g.run(ctx, settingspb.Caller_builder{Listen: g.Settings.GetFront().GetListen()}.Build())
 	closing, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -96,7 +96,7 @@
 	settings := g.Settings.GetStore()
 	g.hosts = &gateway.Hosts{Name: g.Process.Settings.GetName()}
 	direct := &detour.Direct{Address: settings.GetAddress()}
-	g.caller = &detour.Caller{Direct: direct, Peers: g.hosts}
+	g.caller = &detour.Caller{Direct: direct, Peers: g.hosts, Metrics: g.Metrics}
 	g.store = &platform.Store{Caller: g.caller, Timeout: settings.GetTimeout().AsDuration()}
 	g.session = &gateway.Session{
 		Store:  g.store,
@@ -136,6 +136,7 @@
 		Scorer:     &gateway.Scorer{View: g.view, Forwarder: g.forwarder, Proof: platform.Wire{}.Proof},
 		Wire:       platform.Wire{},
 		Routes:     gateway.Routes(g.view),
+		Metrics:    g.Metrics,
 		Lease:      g.session.Lease,
 		Hosts:      g.hosts.Names,
 		Peers:      &gateway.Peers{Hosts: g.hosts},
@@ -228,10 +229,36 @@
 		Hosts:     g.hosts,
 		Unknown:   g.Settings.GetFront().GetUnknown().AsDuration(),
 		Count:     g.count,
+		Metrics:   g.Metrics,
 	}
 	g.notFound = g.closing(handler)
 }
 
+// addGauges adds what this process knows of the others and of what is in force.
+func (g *Gateway) addGauges() {
+	g.Metrics.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramleyhatch_gateway_hosts",
+			Help: "Gateways that live, this one included.",
+		}, func() float64 { return float64(len(g.hosts.Names())) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramleyhatch_gateway_table_version",
+			Help: "Version of the operators' configuration in force here; 0 if none is known.",
+		}, g.tableVersion),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramleyhatch_log_dropped_lines",
+			Help: "Lines of the log that were dropped.",
+		}, func() float64 { return float64(logging.Dropped()) }),
+	)
+}
+
+func (g *Gateway) tableVersion() float64 {
+	if now := g.view.Current(); now != nil {
+		return float64(now.Version)
+	}
+	return 0
+}
+
 // closing tells callers to open no more requests on their connection once the
 // process was asked to stop.
 func (g *Gateway) closing(next http.Handler) http.Handler {
@@ -286,5 +313,5 @@
 	g.isDraining.Store(true)
 	began := time.Now()
 	g.board.Drain(ctx)
-	pause.For(ctx, balancerNotices-time.Since(began))
+	pause.For(ctx, g.Settings.GetFront().GetLinger().AsDuration()-time.Since(began))
 }
--- a/internal/bramleyhatch/gatewayduties.go
+++ b/internal/bramleyhatch/gatewayduties.go
@@ -119,6 +119,7 @@
 		Interval:  duties.GetInterval().AsDuration(),
 		Lease:     duties.GetLease().AsDuration(),
 		Bound:     duties.GetOrder().AsDuration(),
+		Fenced:    duties.GetFenced(),
 		Now:       g.wall.Now,
 	}
 }
--- a/internal/cmd/settingscmd.go
+++ b/internal/cmd/settingscmd.go
@@ -17,7 +17,7 @@
 
 // settingsCheckCmd checks one settings file.
 type settingsCheckCmd struct {
-	Kind string `arg:"" enum:"entry,sidecar" help:"Kind of process: entry or sidecar."`
+	Kind string `arg:"" enum:"entry,sidecar,gateway,keeper" help:"Kind of process: entry, sidecar, gateway or keeper."`
 	File string `arg:"" type:"existingfile" help:"Settings file."`
 }
 
@@ -28,10 +28,12 @@
 
 // Run prints each fault with file, section and key.
 func (s *settingsCheckCmd) Run(c *config) error {
-	var message proto.Message = &settingspb.Entry{}
-	if s.Kind == "sidecar" {
-		message = &settingspb.Sidecar{}
-	}
+	message := map[string]proto.Message{
+		"entry":   &settingspb.Entry{},
+		"sidecar": &settingspb.Sidecar{},
+		"gateway": &settingspb.Gateway{},
+		"keeper":  &settingspb.Keeper{},
+	}[s.Kind]
 	if err := settings.Load(s.File, message); err != nil {
 		return err
 	}
@@ -52,5 +54,7 @@
 	fmt.Fprint(c.stdout, "# Settings\n\nGenerated from the schema by `bramleyhatch settings reference`.\n\n")
 	fmt.Fprint(c.stdout, settings.Reference("Entry", &settingspb.Entry{}))
 	fmt.Fprint(c.stdout, "\n"+settings.Reference("Sidecar", &settingspb.Sidecar{}))
+	fmt.Fprint(c.stdout, "\n"+settings.Reference("Gateway", &settingspb.Gateway{}))
+	fmt.Fprint(c.stdout, "\n"+settings.Reference("Keeper", &settingspb.Keeper{}))
 	return nil
 }
--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeromicro/go-zero/rest/httpc"
 	"k8s.io/klog/v2"
 
@@ -95,7 +96,11 @@
 	Direct *Direct
 	// Peers is nil where there are none.
 	Peers Peers
+	// Metrics takes the caller's metrics; nil keeps them to itself.
+	Metrics prometheus.Registerer
 
+	once  sync.Once
+	calls *prometheus.CounterVec
 	mutex sync.Mutex
 	// away is when the direct way failed last; zero while it works.
 	away clock.Boot
@@ -108,28 +113,46 @@
 // keys though every other gateway could ask for it. All changes are conditional,
 // so one that was done without an answer and is sent again does no harm.
 func (c *Caller) Do(ctx context.Context, call Call) (Answer, error) {
-	if c.Peers != nil && c.isAway() {
-		if answer, ok := c.Peers.Detour(ctx, call); ok {
+	c.once.Do(func() { c.calls = newCalls(c.Metrics) })
+	if c.isAway() {
+		if answer, ok := c.detour(ctx, call); ok {
 			return answer, nil
 		}
 	}
 	answer, err := c.Direct.Do(ctx, call)
 	if err == nil && !isTurnedAway(answer.Status) {
+		c.calls.WithLabelValues(wayDirect, resultDone).Inc()
 		c.reached()
 		return answer, nil
 	}
-	if ctx.Err() != nil || c.Peers == nil {
+	if err == nil {
+		c.calls.WithLabelValues(wayDirect, resultAway).Inc()
+	} else {
+		c.calls.WithLabelValues(wayDirect, resultNone).Inc()
+	}
+	if ctx.Err() != nil {
 		return answer, err
 	}
 	c.turnedAway(call, answer.Status, err)
-	if detoured, ok := c.Peers.Detour(ctx, call); ok {
+	if detoured, ok := c.detour(ctx, call); ok {
 		return detoured, nil
 	}
 	return answer, err
 }
 
-// IsAway reports whether the direct way to the store is known to fail.
-func (c *Caller) IsAway() bool { return c.isAway() }
+// detour makes a call through another process; false if there is none, or none can.
+func (c *Caller) detour(ctx context.Context, call Call) (Answer, bool) {
+	if c.Peers == nil {
+		return Answer{}, false
+	}
+	answer, ok := c.Peers.Detour(ctx, call)
+	if !ok {
+		c.calls.WithLabelValues(wayDetour, resultNone).Inc()
+		return Answer{}, false
+	}
+	c.calls.WithLabelValues(wayDetour, resultDone).Inc()
+	return answer, true
+}
 
 func (c *Caller) isAway() bool {
 	c.mutex.Lock()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -9,8 +9,10 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/batch"
@@ -87,8 +89,13 @@
 	Hosts     *Hosts
 	// Unknown is when a caller should come back before the first configuration is known.
 	Unknown time.Duration
+	// Metrics takes the handler's metrics; nil keeps them to itself.
+	Metrics prometheus.Registerer
 	// Count is told of a request that a backend server has begun; nil is allowed.
 	Count func(account, pool string)
+
+	once    sync.Once
+	metrics *metrics
 }
 
 // caller is a request that was found to be allowed.
@@ -101,7 +108,15 @@
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.once.Do(func() { h.metrics = newMetrics(h.Metrics) })
 	call := h.Wire.Call(r)
+	answer := &observed{ResponseWriter: w}
+	began := clock.Now()
+	defer func() { h.metrics.observe(call.Kind, answer.status, began) }()
+	h.serve(answer, r, call)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, call Call) {
 	caller, err := h.admit(r, call)
 	if err != nil {
 		h.refuse(w, r, err)
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	// PrefixHost of the store's keys of live gateways, PrefixKeeper of keepers.
-	PrefixHost   = "live/host/"
+	// PrefixHost of the store's keys of live gateways.
+	PrefixHost = "live/host/"
+	// PrefixKeeper of the store's keys of live keepers.
 	PrefixKeeper = "live/keeper/"
 	// detourExtra is what a call through a peer may take longer than a direct one.
 	detourExtra = 100 * time.Millisecond
@@ -209,7 +210,7 @@
 		reply, err := client.Detour(asking, request)
 		cancel()
 		if err != nil {
-			klog.V(1).InfoS("hosts: no detour", "host", name, "err", err.Error())
+			klog.InfoS("hosts: no detour", "host", name, "err", err.Error())
 			continue
 		}
 		h.mutex.Lock()
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+)
+
+// callNames are the values of the label call.
+var callNames = map[CallKind]string{CallRun: "run", CallRead: "read", CallEnd: "end", CallItem: "item"}
+
+// metrics counts requests. Labels hold kinds and statuses alone, so that no
+// caller can make new ones.
+type metrics struct {
+	requests *prometheus.CounterVec
+	duration *prometheus.HistogramVec
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleyhatch_gateway_requests_total",
+			Help: "Requests of callers and trainers by what they asked and HTTP status; status 0 is an answer that was cut off.",
+		}, []string{"call", "status"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "bramleyhatch_gateway_request_duration_seconds",
+			Help:    "Time from a request's arrival to the end of its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 2, 14),
+		}, []string{"call"}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.requests, m.duration)
+	}
+	return m
+}
+
+// observed remembers the status of an answer.
+type observed struct {
+	http.ResponseWriter
+
+	status int
+}
+
+// Flush passes on what was written so far.
+func (o *observed) Flush() {
+	if flusher, ok := o.ResponseWriter.(http.Flusher); ok {
+		flusher.Flush()
+	}
+}
+
+// WriteHeader remembers the status.
+func (o *observed) WriteHeader(status int) {
+	o.status = status
+	o.ResponseWriter.WriteHeader(status)
+}
+
+func (m *metrics) observe(kind CallKind, status int, began clock.Boot) {
+	name := callNames[kind]
+	m.requests.WithLabelValues(name, strconv.Itoa(status)).Inc()
+	m.duration.WithLabelValues(name).Observe(time.Duration(clock.Now() - began).Seconds())
+}
--- a/internal/keeper/journal.go
+++ b/internal/keeper/journal.go
@@ -75,8 +75,8 @@
 		if _, err := io.ReadFull(file, body); err != nil {
 			return size, atEnd(err, size)
 		}
-		record := &statepb.Record{}
-		if crc32.Checksum(body, checksums) != sum || proto.Unmarshal(body, record) != nil {
+		record := readRecord(body, sum)
+		if record == nil {
 			klog.InfoS("keeper: the file is torn, the rest is cut", "at", size)
 			return size, nil
 		}
@@ -85,6 +85,15 @@
 	}
 }
 
+// readRecord returns the record in bytes with a checksum; nil if they are torn.
+func readRecord(body []byte, sum uint32) *statepb.Record {
+	record := &statepb.Record{}
+	if crc32.Checksum(body, checksums) != sum || proto.Unmarshal(body, record) != nil {
+		return nil
+	}
+	return record
+}
+
 // atEnd tells the end of the file from a fault of the disk.
 func atEnd(err error, size int64) error {
 	if errors.Is(err, io.EOF) {
--- /dev/null
+++ b/internal/keeper/server_test.go
@@ -0,0 +1,126 @@
+package keeper
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+)
+
+func open(t *testing.T, folder string) *Server {
+	t.Helper()
+	server := &Server{Folder: folder}
+	must.NoError(t, server.Open())
+	t.Cleanup(func() { _ = server.journal.close() })
+	return server
+}
+
+func mustAppend(t *testing.T, server *Server, batch, item string, after uint32, events ...string) {
+	t.Helper()
+	versions := make([]uint64, len(events))
+	part := statepb.Part_builder{Item: item, After: after, Events: events, Versions: versions}.Build()
+	_, err := server.Append(t.Context(), peerpb.AppendRequest_builder{Batch: batch, Parts: []*statepb.Part{part}}.Build())
+	must.NoError(t, err)
+}
+
+// mustHave checks the text kept of a batch's only item.
+func mustHave(t *testing.T, server *Server, batch string, events ...string) {
+	t.Helper()
+	reply, err := server.Texts(t.Context(), peerpb.TextsRequest_builder{Batch: batch}.Build())
+	must.NoError(t, err)
+	if len(events) == 0 {
+		must.SliceEmpty(t, reply.GetPartials())
+		return
+	}
+	must.SliceLen(t, 1, reply.GetPartials())
+	must.Eq(t, events, reply.GetPartials()[0].GetEvents())
+}
+
+func TestAppend(t *testing.T) {
+	folder := t.TempDir()
+	server := open(t, folder)
+	mustAppend(t, server, "b1", "i1", 0, "a", "b")
+	mustAppend(t, server, "b1", "i1", 2, "c")
+	mustAppend(t, server, "b2", "i1", 0, "x")
+	mustHave(t, server, "b1", "a", "b", "c")
+	t.Run("read again", func(t *testing.T) {
+		again := open(t, folder)
+		mustHave(t, again, "b1", "a", "b", "c")
+		mustHave(t, again, "b2", "x")
+	})
+	t.Run("a gap is passed over", func(t *testing.T) {
+		mustAppend(t, server, "b1", "i1", 7, "z")
+		mustHave(t, server, "b1", "a", "b", "c")
+	})
+	t.Run("begun anew", func(t *testing.T) {
+		mustAppend(t, server, "b1", "i1", 0, "y")
+		mustHave(t, server, "b1", "y")
+	})
+	t.Run("dropped", func(t *testing.T) {
+		_, err := server.Drop(t.Context(), peerpb.DropRequest_builder{Batches: []string{"b1"}}.Build())
+		must.NoError(t, err)
+		mustHave(t, server, "b1")
+	})
+}
+
+// The host loses power in the middle of a write: the file ends in a record that
+// is there in part, or whose bytes were never written. A text from it would be
+// given to a trainer as a sampler's. The tail goes, and what is appended after
+// it can be read.
+func TestTornTail(t *testing.T) {
+	for name, tear := range map[string]func([]byte) []byte{
+		"short":        func(data []byte) []byte { return data[:len(data)-3] },
+		"other bytes":  func(data []byte) []byte { data[len(data)-2] ^= 0xff; return data },
+		"zeros behind": func(data []byte) []byte { return append(data[:len(data)-20], make([]byte, 20)...) },
+		"huge length":  func(data []byte) []byte { return append(data, 0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			folder := t.TempDir()
+			server := open(t, folder)
+			mustAppend(t, server, "b1", "i1", 0, "a")
+			mustAppend(t, server, "b2", "i1", 0, "a second record that is long enough to be torn")
+			file := filepath.Join(folder, journalName)
+			data, err := os.ReadFile(file)
+			must.NoError(t, err)
+			must.NoError(t, os.WriteFile(file, tear(data), 0o600))
+			again := open(t, folder)
+			mustHave(t, again, "b1", "a")
+			if name != "huge length" {
+				mustHave(t, again, "b2")
+			}
+			mustAppend(t, again, "b3", "i1", 0, "new")
+			mustHave(t, open(t, folder), "b3", "new")
+		})
+	}
+}
+
+// A disk comes back empty. The keeper serves on; what it had is made again.
+func TestEmptyDisk(t *testing.T) {
+	server := open(t, filepath.Join(t.TempDir(), "new"))
+	mustHave(t, server, "b1")
+	mustAppend(t, server, "b1", "i1", 0, "a")
+	mustHave(t, server, "b1", "a")
+}
+
+func TestRewrite(t *testing.T) {
+	folder := t.TempDir()
+	server := open(t, folder)
+	for i := range 50 {
+		mustAppend(t, server, "old", "i1", uint32(i), "event")
+	}
+	mustAppend(t, server, "b1", "i1", 0, "a")
+	server.drop("old")
+	before := server.journal.length()
+	must.NoError(t, server.journal.rewrite([]*statepb.Record{
+		statepb.Record_builder{Batch: "b1", Parts: []*statepb.Part{statepb.Part_builder{Item: "i1", Events: []string{"a"}, Versions: []uint64{1}}.Build()}}.Build(),
+	}))
+	must.Less(t, before, server.journal.length())
+	mustAppend(t, server, "b1", "i1", 1, "b")
+	again := open(t, folder)
+	mustHave(t, again, "b1", "a", "b")
+	mustHave(t, again, "old")
+}
--- a/internal/logging/output.go
+++ b/internal/logging/output.go
@@ -70,6 +70,7 @@
 		}
 	}
 	output := NewOutput(writer)
+	started.Store(output)
 	klog.SetOutput(output)
 	go output.run()
 	return output.stop, nil
@@ -89,6 +90,17 @@
 	return len(line), nil
 }
 
+// started is the output of the process.
+var started atomic.Pointer[Output]
+
+// Dropped returns the number of lines that the process's log has dropped.
+func Dropped() uint64 {
+	if output := started.Load(); output != nil {
+		return output.Dropped()
+	}
+	return 0
+}
+
 // Dropped returns the number of lines dropped so far.
 func (o *Output) Dropped() uint64 { return o.dropped.Load() }
 
--- a/internal/platform/platformtest/store.go
+++ b/internal/platform/platformtest/store.go
@@ -3,7 +3,9 @@
 package platformtest
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +26,139 @@
 	before   func()
 	calls    int
 	swaps    int
+	// deleted holds the newest deletion of each key, for watches.
+	deleted map[string]platform.Value
+	// compacted is the revision up to which changes are no longer known.
+	compacted uint64
+	leases    map[uint64]*time.Timer
+}
+
+// Commit changes several keys at once if all have the expected revisions.
+func (s *Store) Commit(_ context.Context, commit platform.Commit) (uint64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.call("commit"); err != nil {
+		return 0, err
+	}
+	if conflict := s.conflict(commit); conflict != nil {
+		return 0, conflict
+	}
+	for _, write := range commit.Writes {
+		if write.Lease != 0 && s.leases[write.Lease] == nil {
+			return 0, &platform.NotFoundError{Key: "lease"}
+		}
+	}
+	for _, write := range commit.Writes {
+		s.write(write.Key, write.Data, write.Lease)
+	}
+	for _, key := range commit.Remove {
+		s.remove(key)
+	}
+	if s.lose > 0 {
+		s.lose--
+		return 0, &platform.UnavailableError{Operation: "commit"}
+	}
+	return s.revision, nil
+}
+
+// conflict returns the present values of a commit's expectations if one fails.
+func (s *Store) conflict(commit platform.Commit) error {
+	failed := &platform.ConflictError{}
+	for _, expect := range commit.Expect {
+		if present := s.values[expect.Key]; present.Revision != expect.Revision && failed.Key == "" {
+			failed.Key, failed.Revision = expect.Key, present.Revision
+		}
+	}
+	if failed.Key == "" {
+		return nil
+	}
+	for _, expect := range commit.Expect {
+		if value, found := s.values[expect.Key]; found {
+			failed.Present = append(failed.Present, value)
+		}
+	}
+	return failed
+}
+
+// Compact forgets what has changed so far.
+func (s *Store) Compact() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.compacted = s.revision
+	s.deleted = nil
+}
+
+// End ends a lease and removes its keys.
+func (s *Store) End(_ context.Context, lease uint64) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.call("end"); err != nil {
+		return err
+	}
+	return s.end(lease)
+}
+
+func (s *Store) end(lease uint64) error {
+	timer := s.leases[lease]
+	if timer == nil {
+		return &platform.NotFoundError{Key: "lease"}
+	}
+	timer.Stop()
+	delete(s.leases, lease)
+	for key, value := range s.values {
+		if value.Lease == lease {
+			s.remove(key)
+		}
+	}
+	return nil
+}
+
+// Grant makes a lease.
+func (s *Store) Grant(_ context.Context, length time.Duration) (uint64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.call("grant"); err != nil {
+		return 0, err
+	}
+	if s.leases == nil {
+		s.leases = map[uint64]*time.Timer{}
+	}
+	s.revision++
+	lease := s.revision
+	s.leases[lease] = time.AfterFunc(length, func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		_ = s.end(lease)
+	})
+	return lease, nil
+}
+
+// Renew lengthens a lease.
+func (s *Store) Renew(_ context.Context, lease uint64, length time.Duration) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.call("renew"); err != nil {
+		return err
+	}
+	timer := s.leases[lease]
+	if timer == nil {
+		return &platform.NotFoundError{Key: "lease"}
+	}
+	timer.Reset(length)
+	return nil
+}
+
+func (s *Store) remove(key string) {
+	if _, found := s.values[key]; !found {
+		return
+	}
+	s.revision++
+	delete(s.values, key)
+	if s.deleted == nil {
+		s.deleted = map[string]platform.Value{}
+	}
+	s.deleted[key] = platform.Value{Key: key, Revision: s.revision, Deleted: true}
+	s.wake()
 }
 
 // Before calls do once, just before the next swap: the place of a racing writer.
@@ -50,8 +185,7 @@
 	if present := s.values[key].Revision; present != expect {
 		return &platform.ConflictError{Key: key, Revision: present}
 	}
-	s.revision++
-	delete(s.values, key)
+	s.remove(key)
 	return nil
 }
 
@@ -162,7 +296,17 @@
 	if s.silent {
 		return platform.ListReply{Revision: after}, s.changed, nil
 	}
-	return s.list(prefix, after), s.changed, nil
+	if after < s.compacted {
+		return platform.ListReply{}, nil, &platform.CompactedError{Prefix: prefix, After: after}
+	}
+	reply := s.list(prefix, after)
+	for key, value := range s.deleted {
+		if strings.HasPrefix(key, prefix) && value.Revision > after {
+			reply.Values = append(reply.Values, value)
+		}
+	}
+	slices.SortFunc(reply.Values, func(a, b platform.Value) int { return cmp.Compare(a.Revision, b.Revision) })
+	return reply, s.changed, nil
 }
 
 func (s *Store) list(prefix string, after uint64) platform.ListReply {
--- /dev/null
+++ b/internal/route/roomiest_test.go
@@ -0,0 +1,47 @@
+package route_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/route"
+)
+
+func candidate(name, zone string, slots int64, own int, slowness float64) route.Candidate {
+	server := route.NewServer(name, "r", zone)
+	server.TakeSlots(slots)
+	for range own {
+		server.Begin()
+	}
+	return route.Candidate{Server: server, Slowness: slowness}
+}
+
+func TestRoomiest(t *testing.T) {
+	suspect := candidate("s", "a", 8, 0, 1)
+	suspect.Server.SetStanding(route.Suspect)
+	closed := candidate("c", "a", 8, 0, 1)
+	closed.Server.SetStanding(route.Closed)
+	for name, test := range map[string]struct {
+		candidates []route.Candidate
+		want       string
+	}{
+		"most free slots":        {[]route.Candidate{candidate("x", "a", 8, 3, 1), candidate("y", "b", 8, 2, 1)}, "y"},
+		"by the part in use":     {[]route.Candidate{candidate("x", "a", 4, 2, 1), candidate("y", "a", 8, 3, 1)}, "y"},
+		"own zone among equals":  {[]route.Candidate{candidate("x", "b", 8, 2, 1), candidate("y", "a", 8, 2, 1)}, "y"},
+		"slow ones last":         {[]route.Candidate{candidate("x", "a", 8, 0, 3), candidate("y", "a", 8, 7, 1)}, "y"},
+		"slow if no other":       {[]route.Candidate{candidate("x", "a", 8, 0, 3), candidate("y", "a", 8, 8, 1)}, "x"},
+		"suspected ones last":    {[]route.Candidate{suspect, candidate("y", "a", 8, 7, 3)}, "y"},
+		"none that gets no work": {[]route.Candidate{closed}, ""},
+		"none that is full":      {[]route.Candidate{candidate("x", "a", 8, 8, 1)}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := route.Roomiest(test.candidates, "a")
+			if test.want == "" {
+				must.Nil(t, got)
+				return
+			}
+			must.Eq(t, test.want, got.Name())
+		})
+	}
+}
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -92,6 +92,8 @@
 	Lease time.Duration
 	// Bound is the longest time that a report may be under way.
 	Bound time.Duration
+	// Fenced says that the platform refuses reports with an old fencing number.
+	Fenced bool
 	// Now tells the time of day by which windows end; nil takes time.Now.
 	Now func() time.Time
 
@@ -188,13 +190,13 @@
 }
 
 // check ends the term if a newer reporter wrote the window, and makes the first
-// report wait if an earlier one did.
+// report wait if an earlier one did and the platform would take its late report.
 func (r *Reporter) check(window *statepb.Window) error {
 	own, other := r.term.Fence(), window.GetFence()
 	if other > own {
 		return &SupersededError{Window: window.GetStart(), Fence: own, Newer: other}
 	}
-	if other < own && r.ready.IsZero() {
+	if other < own && r.ready.IsZero() && !r.Fenced {
 		r.ready = time.Now().Add(r.Lease + r.Bound)
 	}
 	return nil
--- /dev/null
+++ b/internal/weight/steering_test.go
@@ -0,0 +1,171 @@
+package weight
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+func seats(count int) []Seat {
+	var all []Seat
+	for i := range count {
+		all = append(all, Seat{ID: fmt.Sprintf("s%02d", i), Zone: string(rune('a' + i%4)), Versions: map[string]uint64{}})
+	}
+	return all
+}
+
+// Each model has its own part, the parts differ by one at most, and a sampler
+// stays with its model as long as the parts allow it.
+func TestAssign(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		models := []string{"m1", "m2", "m3"}[:rapid.IntRange(1, 3).Draw(t, "models")]
+		all := seats(rapid.IntRange(0, 20).Draw(t, "seats"))
+		before := Assign(models, all, nil)
+		kept := all[:rapid.IntRange(0, len(all)).Draw(t, "kept")]
+		after := Assign(models, kept, before)
+		must.MapLen(t, len(kept), after)
+		counts := map[string]int{}
+		for _, model := range after {
+			counts[model]++
+		}
+		for _, model := range models {
+			must.GreaterEq(t, len(kept)/len(models), counts[model])
+			must.LessEq(t, (len(kept)+len(models)-1)/len(models), counts[model])
+		}
+		must.Eq(t, after, Assign(models, kept, after))
+	})
+}
+
+// A new holder knows nothing of what the one before it decided. It reads it off
+// the versions, since each change of a sampler's model costs a load.
+func TestAssignAfterTakeover(t *testing.T) {
+	all := seats(4)
+	for i, model := range []string{"m2", "m1", "m2", "m1"} {
+		all[i].Versions[model] = 5
+	}
+	must.Eq(t, map[string]string{"s00": "m2", "s01": "m1", "s02": "m2", "s03": "m1"}, Assign([]string{"m1", "m2"}, all, nil))
+}
+
+// fleet is a pool of samplers that load for a second.
+type fleet struct {
+	mutex    sync.Mutex
+	versions map[string]uint64
+	orders   map[string]uint64
+	loading  map[string]bool
+	most     int
+	fences   []uint64
+	// lose makes the next order take effect without an answer.
+	lose bool
+	// newer makes samplers refuse orders as old.
+	newer bool
+}
+
+func newFleet() *fleet {
+	return &fleet{versions: map[string]uint64{}, orders: map[string]uint64{}, loading: map[string]bool{}}
+}
+
+func (f *fleet) Load(_ context.Context, sampler Target, load Load, guard func() error) error {
+	if err := guard(); err != nil {
+		return err
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	switch {
+	case f.newer:
+		return &platform.ConflictError{Key: sampler.ID}
+	case f.loading[sampler.ID] || load.Orders != f.orders[sampler.ID]:
+		return &platform.UnavailableError{Operation: "load", Status: 409}
+	}
+	f.fences = append(f.fences, load.Fence)
+	f.orders[sampler.ID]++
+	f.loading[sampler.ID] = true
+	f.most = max(f.most, len(f.loading))
+	time.AfterFunc(time.Second, func() {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		delete(f.loading, sampler.ID)
+		f.versions[sampler.ID] = load.Version
+	})
+	if f.lose {
+		f.lose = false
+		return &platform.UnavailableError{Operation: "load"}
+	}
+	return nil
+}
+
+func (f *fleet) State(_ context.Context, sampler Target) (State, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return State{IsLoading: f.loading[sampler.ID], Orders: f.orders[sampler.ID], Versions: map[string]uint64{"m": f.versions[sampler.ID]}}, nil
+}
+
+func (f *fleet) pools() []Pool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	pool := Pool{Name: "lm", Models: []string{"m"}, Targets: map[string]Target{}}
+	for _, seat := range seats(6) {
+		seat.Versions["m"] = max(1, f.versions[seat.ID])
+		pool.Seats = append(pool.Seats, seat)
+		pool.Targets[seat.ID] = Target{ID: seat.ID}
+	}
+	return []Pool{pool}
+}
+
+type term struct{}
+
+func (term) Fence() uint64        { return 7 }
+func (term) Valid(time.Time) bool { return true }
+
+// steer runs a steering that wants version 2 for a while of fake time.
+func steer(t *testing.T, f *fleet, length time.Duration) error {
+	t.Helper()
+	steering := &Steering{
+		Samplers: f, Pools: f.pools, AtOnce: 0.34,
+		Wanted: func(string) uint64 { return 2 },
+		Loaded: func(string, string, uint64) {},
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), length)
+	defer cancel()
+	return steering.Run(ctx, term{})
+}
+
+func TestSteering(t *testing.T) {
+	t.Run("all load, a few at a time", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet()
+			must.NoError(t, steer(t, f, 20*time.Second))
+			must.MapLen(t, 6, f.versions)
+			must.SliceLen(t, 6, f.fences)
+			must.LessEq(t, 2, f.most)
+		})
+	})
+	// The answer to an order is lost, and the order is carried out all the same. It
+	// is sent again only with the number of orders that the sampler has accepted, so
+	// that it can't be set back by one that comes late.
+	t.Run("an answer is lost", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet()
+			f.lose = true
+			must.NoError(t, steer(t, f, 30*time.Second))
+			must.MapLen(t, 6, f.versions)
+		})
+	})
+	// A holder that was suspended wakes, and samplers have had orders of a newer
+	// one: it must stop at once, and send nothing more.
+	t.Run("a newer holder", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet()
+			f.newer = true
+			must.Error(t, steer(t, f, 10*time.Second))
+			must.SliceEmpty(t, f.fences)
+		})
+	})
+}
--- /dev/null
+++ b/test/gateway/fixture_test.go
@@ -0,0 +1,275 @@
+// Package gateway_test runs gateways and keepers against stand-ins of the users'
+// platform, over real connections on loopback.
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/bramleyhatch"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
+	"github.com/bramleyhatch/bramleyhatch/platform/wiretest"
+)
+
+const patience = 15 * time.Second
+
+// world is a platform with gateways.
+type world struct {
+	*wiretest.Platform
+}
+
+// gateway is a running gateway.
+type gateway struct {
+	name    string
+	front   string
+	ready   string
+	metrics string
+	door    *wiretest.Door
+	stop    context.CancelFunc
+	ended   chan struct{}
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{Platform: wiretest.NewPlatform()}
+	w.PutTable(t, 2, []string{"acme", "other"}, wiretest.Routes()...)
+	return w
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	address := listener.Addr().String()
+	must.NoError(t, listener.Close())
+	return address
+}
+
+func storeSettings(door, duties string) *settingspb.Store {
+	return settingspb.Store_builder{
+		Address:    door,
+		Orders:     duties,
+		Timeout:    durationpb.New(300 * time.Millisecond),
+		Lease:      durationpb.New(wiretest.LeaseLength),
+		Watch:      durationpb.New(500 * time.Millisecond),
+		ValueBytes: 1 << 20,
+	}.Build()
+}
+
+func processSettings(name, peer, data string) *settingspb.Process {
+	return settingspb.Process_builder{
+		Name: name, Region: "r", Zone: "z1", Peer: peer, Data: data, Grace: durationpb.New(2 * time.Second),
+	}.Build()
+}
+
+// start starts a gateway and waits until it is ready.
+func (w *world) start(t *testing.T, name string) *gateway {
+	t.Helper()
+	g := w.begin(t, name)
+	g.awaitReady(t)
+	return g
+}
+
+func (w *world) begin(t *testing.T, name string) *gateway {
+	t.Helper()
+	door := w.Open(t)
+	g := &gateway{name: name, front: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t), door: door, ended: make(chan struct{})}
+	settings := settingspb.Gateway_builder{
+		Process:   processSettings(name, freeAddress(t), ""),
+		Store:     storeSettings(door.Address, w.Open(t).Address),
+		Front:     settingspb.Front_builder{Listen: g.front, Ready: g.ready, Metrics: g.metrics, Unknown: durationpb.New(time.Second), Linger: durationpb.New(50 * time.Millisecond)}.Build(),
+		Directory: settingspb.Directory_builder{Back: durationpb.New(2 * time.Second)}.Build(),
+		Batches:   settingspb.Batches_builder{Keep: durationpb.New(time.Minute), Group: durationpb.New(50 * time.Millisecond)}.Build(),
+		Duty: settingspb.Duty_builder{
+			Lease: durationpb.New(wiretest.LeaseLength), Margin: durationpb.New(300 * time.Millisecond),
+			Interval: durationpb.New(100 * time.Millisecond), Order: durationpb.New(time.Second), Fenced: true,
+		}.Build(),
+		Usage: settingspb.Usage_builder{
+			Window: durationpb.New(time.Second), Settle: durationpb.New(300 * time.Millisecond), Push: durationpb.New(200 * time.Millisecond),
+			Retain: durationpb.New(5 * time.Second), Keep: durationpb.New(20 * time.Second),
+		}.Build(),
+	}.Build()
+	ctx, cancel := context.WithCancel(context.Background())
+	g.stop = cancel
+	go func() {
+		defer close(g.ended)
+		_ = (&bramleyhatch.Gateway{Settings: settings}).Run(ctx)
+	}()
+	t.Cleanup(g.end)
+	return g
+}
+
+// startKeeper starts a keeper on a folder.
+func (w *world) startKeeper(t *testing.T, name, folder string) {
+	t.Helper()
+	settings := settingspb.Keeper_builder{
+		Process: processSettings(name, freeAddress(t), folder),
+		Store:   storeSettings(w.Open(t).Address, ""),
+	}.Build()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = (&bramleyhatch.Keeper{Settings: settings}).Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-ended })
+}
+
+func (g *gateway) end() {
+	g.stop()
+	<-g.ended
+}
+
+func await(t *testing.T, what string, isSo func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(isSo), wait.Timeout(patience), wait.Gap(20*time.Millisecond)), must.Sprint(what))
+}
+
+func (g *gateway) awaitReady(t *testing.T) {
+	t.Helper()
+	await(t, g.name+" is ready", func() bool {
+		response, err := http.Get("http://" + g.ready + "/bramleyhatch/ready")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+// awaitMetric waits until a gateway serves a line of metrics.
+func (g *gateway) awaitMetric(t *testing.T, line string) {
+	t.Helper()
+	await(t, g.name+" serves "+line, func() bool {
+		response, err := http.Get("http://" + g.metrics + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		text, err := io.ReadAll(response.Body)
+		return err == nil && strings.Contains(string(text), "\n"+line+"\n")
+	})
+}
+
+// answer is an answer that a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// err says that the answer was cut off.
+	err error
+}
+
+// send sends a request as a caller does.
+func (g *gateway) send(t *testing.T, method, path, key, id string, body []byte, headers ...string) answer {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+g.front+path, bytes.NewReader(body))
+	must.NoError(t, err)
+	request.Host = "h.example"
+	request.GetBody = nil
+	if id != "" {
+		request.Header.Set("Attempt-Id", id)
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(text), err: err}
+}
+
+// batchBody returns a batch of items "ID-i0" and so on, each with a scorer.
+func batchBody(t *testing.T, id string, items int) []byte {
+	t.Helper()
+	var list []map[string]any
+	for i := range items {
+		item := fmt.Sprintf("%s-i%d", id, i)
+		list = append(list, map[string]any{
+			"id": item, "path": "/batch/run/" + item, "headers": map[string]string{"Model": "m"},
+			"body": base64.StdEncoding.EncodeToString([]byte("prompt " + item)), "token-count": 100, "group": fmt.Sprintf("g%d", i/2),
+			"scorer": map[string]any{"id": "s-" + item, "hostname": "h.example", "path": "/score/x", "body": base64.StdEncoding.EncodeToString([]byte(item))},
+		})
+	}
+	text, err := json.Marshal(map[string]any{"step": 1, "model": "m", "min-version": 1, "desired": 1, "items": list})
+	must.NoError(t, err)
+	return text
+}
+
+// results is an answer to a read of a batch.
+type results struct {
+	Total   int `json:"total"`
+	Next    int `json:"next"`
+	Results []struct {
+		ID       string   `json:"id"`
+		State    string   `json:"state"`
+		Text     string   `json:"text"`
+		Versions []uint64 `json:"weight-versions"`
+		Score    string   `json:"score"`
+	} `json:"results"`
+}
+
+func (g *gateway) read(t *testing.T, id string, after int) (results, int) {
+	t.Helper()
+	got := g.send(t, http.MethodGet, fmt.Sprintf("/bramleyhatch/lots/%s?after=%d", id, after), "key-acme", "", nil, "Wait-Ms", "200")
+	var page results
+	if got.status == http.StatusOK {
+		must.NoError(t, json.Unmarshal([]byte(got.body), &page))
+	}
+	return page, got.status
+}
+
+// submit sends batch "b1" in until it is taken.
+func (g *gateway) submit(t *testing.T, items int) {
+	t.Helper()
+	const id = "b1"
+	body := batchBody(t, id, items)
+	await(t, "batch is taken", func() bool {
+		return g.send(t, http.MethodPost, "/batch/"+id, "key-acme", id, body).status == http.StatusAccepted
+	})
+}
+
+// awaitResults waits until a gateway shows all results of batch "b1".
+func (g *gateway) awaitResults(t *testing.T, items int) results {
+	t.Helper()
+	var page results
+	await(t, "batch is whole", func() bool {
+		page, _ = g.read(t, "b1", 0)
+		return len(page.Results) == items
+	})
+	return page
+}
+
+// mustBeWhole checks that each item stands once, with its whole text and proof.
+func mustBeWhole(t *testing.T, page results, items, events int) {
+	t.Helper()
+	must.Eq(t, items, page.Total)
+	seen := map[string]bool{}
+	for _, result := range page.Results {
+		must.False(t, seen[result.ID])
+		seen[result.ID] = true
+		must.Eq(t, "completed", result.State)
+		must.Eq(t, wiretest.Whole(result.ID, events), result.Text)
+		must.Eq(t, "proof.s-"+result.ID, result.Score)
+	}
+	must.MapLen(t, items, seen)
+}
--- /dev/null
+++ b/test/gateway/gateway_test.go
@@ -0,0 +1,321 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/platform/wiretest"
+)
+
+func TestRequests(t *testing.T) {
+	w := newWorld(t)
+	app := w.NewSampler(t, "a1", "app", "")
+	g := w.start(t, "g1")
+	t.Run("served", func(t *testing.T) {
+		got := g.send(t, http.MethodPost, "/look/x?q=1", "key-acme", "r1", []byte("ask"), "X-Own", "kept")
+		must.Eq(t, http.StatusOK, got.status)
+		must.Eq(t, "answer to ask", got.body)
+		must.Eq(t, "proof.r1", got.header.Get("Sampler-Signature"))
+		must.Eq(t, "acme", app.Header("r1").Get("Tenant"))
+		must.Eq(t, "kept", app.Header("r1").Get("X-Own"))
+		must.Eq(t, "", app.Header("r1").Get("Authorization"))
+	})
+	t.Run("a caller can't name its account", func(t *testing.T) {
+		g.send(t, http.MethodPost, "/look/x", "key-acme", "r2", nil, "Tenant", "other")
+		must.Eq(t, "acme", app.Header("r2").Get("Tenant"))
+	})
+	t.Run("unknown key", func(t *testing.T) {
+		must.Eq(t, http.StatusUnauthorized, g.send(t, http.MethodPost, "/look/x", "key-none", "r3", nil).status)
+	})
+	t.Run("unknown path", func(t *testing.T) {
+		must.Eq(t, http.StatusNotFound, g.send(t, http.MethodPost, "/none/x", "key-acme", "r4", nil).status)
+	})
+	t.Run("a path is not cleaned", func(t *testing.T) {
+		must.Eq(t, http.StatusOK, g.send(t, http.MethodPost, "/look//x/../y", "key-acme", "r5", nil).status)
+	})
+	t.Run("time over", func(t *testing.T) {
+		app.SetFault(func(string, int) wiretest.Fault { return wiretest.Hang })
+		began := time.Now()
+		got := g.send(t, http.MethodPost, "/look/x", "key-acme", "r6", nil, "Deadline-Ms", "400")
+		must.Eq(t, http.StatusGatewayTimeout, got.status)
+		must.Less(t, 700*time.Millisecond, time.Since(began))
+	})
+}
+
+// A server breaks off, or answers another request, in the middle of a member's
+// look-up. The member gets the whole answer of another try, and never those bytes.
+func TestServersThatSpoilAnswers(t *testing.T) {
+	for name, fault := range map[string]wiretest.Fault{"cut": wiretest.Cut, "foreign": wiretest.Foreign, "refused": wiretest.Refuse, "failed": wiretest.Fail} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			once := func(_ string, runs int) wiretest.Fault {
+				if runs == 0 {
+					return fault
+				}
+				return wiretest.None
+			}
+			w.NewSampler(t, "a1", "app", "").SetFault(once)
+			w.NewSampler(t, "a2", "app", "")
+			g := w.start(t, "g1")
+			for _, id := range []string{"r1", "r2", "r3", "r4"} {
+				got := g.send(t, http.MethodPost, "/look/x", "key-acme", id, []byte(id))
+				must.NoError(t, got.err)
+				must.Eq(t, http.StatusOK, got.status)
+				must.Eq(t, "answer to "+id, got.body)
+			}
+		})
+	}
+}
+
+// A volunteer's hours are posted, and the server's answer is lost. Sent once
+// more, they would be counted twice; "not run" would be untrue.
+func TestPostingRunsOnce(t *testing.T) {
+	w := newWorld(t)
+	first, second := w.NewSampler(t, "a1", "app", ""), w.NewSampler(t, "a2", "app", "")
+	g := w.start(t, "g1")
+	for _, fault := range []wiretest.Fault{wiretest.Cut, wiretest.Foreign} {
+		for _, server := range []*wiretest.Sampler{first, second} {
+			server.SetFault(func(string, int) wiretest.Fault { return fault })
+		}
+		id := map[wiretest.Fault]string{wiretest.Cut: "p1", wiretest.Foreign: "p2"}[fault]
+		got := g.send(t, http.MethodPost, "/post/x", "key-acme", id, []byte("3 hours"))
+		must.Eq(t, http.StatusBadGateway, got.status)
+		must.Eq(t, 1, first.Runs(id)+second.Runs(id))
+	}
+	for _, server := range []*wiretest.Sampler{first, second} {
+		server.SetFault(func(string, int) wiretest.Fault { return wiretest.Refuse })
+	}
+	got := g.send(t, http.MethodPost, "/post/x", "key-acme", "p3", nil, "Deadline-Ms", "300")
+	must.Eq(t, http.StatusServiceUnavailable, got.status)
+	must.Eq(t, 0, first.Runs("p3")+second.Runs("p3"))
+	must.NotEq(t, "", got.header.Get("Retry-After"))
+}
+
+func TestBatch(t *testing.T) {
+	w := newWorld(t)
+	w.NewSampler(t, "a1", "app", "")
+	sampler := w.NewSampler(t, "s1", "lm", "m")
+	g, other := w.start(t, "g1"), w.start(t, "g2")
+	g.submit(t, 6)
+	page := g.awaitResults(t, 6)
+	mustBeWhole(t, page, 6, 5)
+	t.Run("any gateway shows the same places", func(t *testing.T) {
+		must.Eq(t, page, other.awaitResults(t, 6))
+		rest, status := other.read(t, "b1", 4)
+		must.Eq(t, http.StatusOK, status)
+		must.Eq(t, page.Results[4:], rest.Results)
+		must.Eq(t, 6, rest.Next)
+	})
+	t.Run("taken once", func(t *testing.T) {
+		got := other.send(t, http.MethodPost, "/batch/b1", "key-acme", "b1", batchBody(t, "b1", 6))
+		must.Eq(t, http.StatusAccepted, got.status)
+		must.Eq(t, 1, sampler.Runs("b1-i0"))
+	})
+	t.Run("another account's", func(t *testing.T) {
+		got := other.send(t, http.MethodGet, "/bramleyhatch/lots/b1?after=0", "key-other", "", nil)
+		must.Eq(t, http.StatusNotFound, got.status)
+	})
+	t.Run("body of an item", func(t *testing.T) {
+		got := other.send(t, http.MethodGet, "/bramleyhatch/items/b1?id=b1-i2", "key-acme", "", nil)
+		must.Eq(t, "prompt b1-i2", got.body)
+	})
+	t.Run("unknown", func(t *testing.T) {
+		_, status := other.read(t, "none", 0)
+		must.Eq(t, http.StatusNotFound, status)
+	})
+	t.Run("can't be read", func(t *testing.T) {
+		got := g.send(t, http.MethodPost, "/batch/b9", "key-acme", "b9", []byte(`{"items":[`))
+		must.Eq(t, http.StatusBadRequest, got.status)
+		_, status := g.read(t, "b9", 0)
+		must.Eq(t, http.StatusNotFound, status)
+	})
+}
+
+// A trainer ends its step at another gateway than the one that runs it. The
+// samplers' runs stop at once, and a repeated end is fine.
+func TestEndAtAnotherGateway(t *testing.T) {
+	w := newWorld(t)
+	w.NewSampler(t, "a1", "app", "")
+	sampler := w.NewSampler(t, "s1", "lm", "m")
+	sampler.SetPace(1000, 20*time.Millisecond)
+	g, other := w.start(t, "g1"), w.start(t, "g2")
+	g.submit(t, 8)
+	await(t, "an item runs", func() bool { return sampler.Runs("b1-i0")+sampler.Runs("b1-i1") > 0 })
+	for range 2 {
+		must.Eq(t, http.StatusOK, other.send(t, http.MethodDelete, "/bramleyhatch/lots/b1", "key-acme", "", nil).status)
+	}
+	ran := func() int {
+		sum := 0
+		for _, id := range []string{"0", "1", "2", "3", "4", "5", "6", "7"} {
+			sum += sampler.Runs("b1-i" + id)
+		}
+		return sum
+	}
+	before := ran()
+	time.Sleep(300 * time.Millisecond)
+	must.Eq(t, before, ran())
+	must.Eq(t, 4, before)
+}
+
+// A sampler dies in the middle of its texts. They go on behind their last event
+// at another one, and nothing is missing or stands twice.
+func TestCutRunGoesOn(t *testing.T) {
+	w := newWorld(t)
+	w.NewSampler(t, "a1", "app", "")
+	bad, good := w.NewSampler(t, "s1", "lm", "m"), w.NewSampler(t, "s2", "lm", "m")
+	bad.SetFault(func(string, int) wiretest.Fault { return wiretest.Cut })
+	g := w.start(t, "g1")
+	g.submit(t, 6)
+	mustBeWhole(t, g.awaitResults(t, 6), 6, 5)
+	must.SliceNotEmpty(t, good.Resumed())
+}
+
+// The owner of a batch dies with its texts half made. Another gateway takes the
+// batch over, goes on behind what a keeper has, and lists no item twice.
+func TestOwnerDies(t *testing.T) {
+	w := newWorld(t)
+	w.NewSampler(t, "a1", "app", "")
+	sampler := w.NewSampler(t, "s1", "lm", "m")
+	sampler.SetPace(60, 25*time.Millisecond)
+	w.startKeeper(t, "k1", t.TempDir())
+	gateways := []*gateway{w.start(t, "g1"), w.start(t, "g2")}
+	gateways[0].submit(t, 4)
+	await(t, "texts are under way", func() bool { return sampler.Runs("b1-i0") > 0 })
+	time.Sleep(time.Second)
+	// Which of the two owns it is not told; each is cut off from the store in
+	// turn until one has taken the batch from the other.
+	gateways[0].door.Close(true)
+	gateways[0].stop()
+	page := gateways[1].awaitResults(t, 4)
+	mustBeWhole(t, page, 4, 60)
+}
+
+// Weights are named in the middle of a step. Samplers load them in waves, each
+// order under a fence, and later steps allow no older version.
+func TestNewWeights(t *testing.T) {
+	w := newWorld(t)
+	w.NewSampler(t, "a1", "app", "")
+	first, second := w.NewSampler(t, "s1", "lm", "m"), w.NewSampler(t, "s2", "lm", "m")
+	w.start(t, "g1")
+	w.start(t, "g2")
+	w.Put(t, "op/version/m", map[string]any{"model": "m", "version": 2})
+	await(t, "both samplers have version 2", func() bool { return first.Version() == 2 && second.Version() == 2 })
+}
+
+// The store turns one gateway away and serves the others. A key that is
+// withdrawn meanwhile must end there as well, and batches must be taken.
+func TestTurnedAwayByTheStore(t *testing.T) {
+	w := newWorld(t)
+	w.NewSampler(t, "a1", "app", "")
+	w.NewSampler(t, "s1", "lm", "m")
+	away, _ := w.start(t, "g1"), w.start(t, "g2")
+	must.Eq(t, http.StatusOK, away.send(t, http.MethodPost, "/look/x", "key-other", "r1", nil).status)
+	away.awaitMetric(t, "bramleyhatch_gateway_hosts 2")
+	away.door.Close(true)
+	w.PutTable(t, 3, []string{"acme"}, wiretest.Routes()...)
+	began := time.Now()
+	await(t, "the key has ended", func() bool {
+		return away.send(t, http.MethodPost, "/look/x", "key-other", "r2", nil).status == http.StatusUnauthorized
+	})
+	must.Less(t, 2*time.Second, time.Since(began))
+	away.submit(t, 2)
+	mustBeWhole(t, away.awaitResults(t, 2), 2, 5)
+}
+
+// The store drops its history while a watch of it is silent. What has ended
+// meanwhile is in no change any more; the gateway must find it missing.
+func TestHistoryDropped(t *testing.T) {
+	w := newWorld(t)
+	w.NewSampler(t, "a1", "app", "")
+	g := w.start(t, "g1")
+	w.SetSilent(true)
+	w.Take(t, "servers/a1")
+	second := w.NewSampler(t, "a2", "app", "")
+	w.Compact()
+	w.SetSilent(false)
+	await(t, "the new server serves", func() bool {
+		return g.send(t, http.MethodPost, "/look/x", "key-acme", "r", nil).status == http.StatusOK && second.Runs("r") > 0
+	})
+	before := second.Runs("q")
+	for range 5 {
+		must.Eq(t, http.StatusOK, g.send(t, http.MethodPost, "/look/x", "key-acme", "q", nil).status)
+	}
+	must.Eq(t, before+5, second.Runs("q"))
+}
+
+// The answer of the store to an accepted batch is lost. The gateway must not say
+// that nothing runs, and the trainer's next try must find the batch there.
+func TestAcceptedWithoutAnswer(t *testing.T) {
+	w := newWorld(t)
+	w.NewSampler(t, "a1", "app", "")
+	sampler := w.NewSampler(t, "s1", "lm", "m")
+	g := w.start(t, "g1")
+	w.LoseAnswers(1)
+	status := g.send(t, http.MethodPost, "/batch/b1", "key-acme", "b1", batchBody(t, "b1", 2)).status
+	must.NotEq(t, http.StatusServiceUnavailable, status)
+	g.submit(t, 2)
+	mustBeWhole(t, g.awaitResults(t, 2), 2, 5)
+	must.Eq(t, 1, sampler.Runs("b1-i0"))
+}
+
+// While the store is away, no batch can be taken: the trainer is told so at once
+// and when to come back, and nothing of it may run later.
+func TestStoreAway(t *testing.T) {
+	w := newWorld(t)
+	w.NewSampler(t, "a1", "app", "")
+	sampler := w.NewSampler(t, "s1", "lm", "m")
+	g := w.start(t, "g1")
+	g.door.Close(true)
+	got := g.send(t, http.MethodPost, "/batch/b1", "key-acme", "b1", batchBody(t, "b1", 2))
+	must.Eq(t, http.StatusServiceUnavailable, got.status)
+	must.NotEq(t, "", got.header.Get("Retry-After"))
+	must.Eq(t, http.StatusOK, g.send(t, http.MethodPost, "/look/x", "key-acme", "r1", nil).status)
+	g.door.Close(false)
+	time.Sleep(500 * time.Millisecond)
+	must.Eq(t, 0, sampler.Runs("b1-i0"))
+}
+
+// Windows of usage are reported once, with all requests that servers began.
+func TestUsage(t *testing.T) {
+	w := newWorld(t)
+	w.NewSampler(t, "a1", "app", "")
+	g, other := w.start(t, "g1"), w.start(t, "g2")
+	for range 6 {
+		must.Eq(t, http.StatusOK, g.send(t, http.MethodPost, "/look/x", "key-acme", "r", nil).status)
+		must.Eq(t, http.StatusOK, other.send(t, http.MethodPost, "/look/x", "key-other", "q", nil).status)
+	}
+	await(t, "usage is reported", func() bool {
+		return w.Reports()["acme"] == 6 && w.Reports()["other"] == 6
+	})
+}
+
+// A caller reads a text as it is made. Its sampler dies in the middle: the
+// answer must look cut off, and not whole.
+func TestStreamCut(t *testing.T) {
+	w := newWorld(t)
+	sampler := w.NewSampler(t, "s1", "lm", "m")
+	g := w.start(t, "g1")
+	got := g.send(t, http.MethodPost, "/stream/x", "key-acme", "r1", nil)
+	must.NoError(t, got.err)
+	must.Eq(t, 5, strings.Count(got.body, "data: "))
+	sampler.SetFault(func(string, int) wiretest.Fault { return wiretest.Cut })
+	must.Error(t, g.send(t, http.MethodPost, "/stream/x", "key-acme", "r2", nil).err)
+}
+
+// Entries of the store that can't be read name no server, and change nothing.
+func TestBadEntries(t *testing.T) {
+	w := newWorld(t)
+	w.NewSampler(t, "a1", "app", "")
+	w.PutText(t, "servers/bad", []byte("{"))
+	w.Put(t, "servers/odd", map[string]any{"backend": "app", "address": 7})
+	g := w.start(t, "g1")
+	w.PutText(t, "op/config", []byte(`{"version":"x"}`))
+	time.Sleep(200 * time.Millisecond)
+	for range 5 {
+		must.Eq(t, http.StatusOK, g.send(t, http.MethodPost, "/look/x", "key-acme", "r", nil).status)
+	}
+}
