Wait for the configuration before a batch is judged by it

Cause, by the log: a gateway that was killed came back, heard of its batch by the mirror of live keys 20 ms before it had read op/config, found no route and gave all items up. Ruled out: the keeper's texts, a real change of routes. Routes now tell 'not known yet' from 'gone'; TestNoConfigurationYet fails without that.

--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -53,8 +53,15 @@
 	Accept(ctx context.Context, host string, batch *statepb.Batch) (accepted bool, err error)
 }
 
-// Routes finds the pool and the rules of a batch; false once its route is gone.
-type Routes func(batch *statepb.Batch) (pool string, rules Rules, ok bool)
+// Route is what the operators' configuration says of a batch.
+type Route struct {
+	// Pool that runs it; "" once its route is gone.
+	Pool  string
+	Rules Rules
+}
+
+// Routes finds the route of a batch; false while no configuration is known.
+type Routes func(batch *statepb.Batch) (Route, bool)
 
 // Board holds the batches that this process owns. Exported fields are set before Run.
 type Board struct {
@@ -302,6 +309,9 @@
 		pause.For(ctx, claimStep)
 		batch, listed, partials, err = b.load(ctx, id)
 	}
+	if err == nil {
+		b.awaitRoute(ctx, batch)
+	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	delete(b.claiming, id)
@@ -314,6 +324,16 @@
 	b.start(batch, revision, listed, partials, clock.Now())
 }
 
+// awaitRoute waits until a configuration is known. A process that has just
+// started may know of its batches before it knows of their route.
+func (b *Board) awaitRoute(ctx context.Context, batch *statepb.Batch) {
+	for {
+		if _, known := b.Routes(batch); known || !pause.For(ctx, claimLook) {
+			return
+		}
+	}
+}
+
 // ownsAt reports whether this process is still the owner that it became at a revision.
 func (b *Board) ownsAt(id string, revision uint64) bool {
 	b.mutex.Lock()
@@ -370,14 +390,14 @@
 
 // start runs a batch that this process owns. The mutex is held.
 func (b *Board) start(batch *statepb.Batch, revision uint64, listed []*statepb.Outcome, partials []*statepb.Partial, accepted clock.Boot) {
-	_, rules, _ := b.Routes(batch)
-	plan := NewPlan(batch, rules, accepted)
+	route, _ := b.Routes(batch)
+	plan := NewPlan(batch, route.Rules, accepted)
 	plan.Restore(listed, partials)
 	ctx, cancel := context.WithCancel(b.ctx)
 	held := &held{
 		owner: &owner{
 			batch:   batch,
-			pool:    func() (string, bool) { pool, _, ok := b.Routes(batch); return pool, ok },
+			route:   func() (Route, bool) { return b.Routes(batch) },
 			roster:  b.Roster,
 			scorer:  b.Scorer,
 			wire:    b.Wire,
--- /dev/null
+++ b/internal/batch/board_test.go
@@ -0,0 +1,249 @@
+package batch
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform/platformtest"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+	"github.com/bramleyhatch/bramleyhatch/internal/roster"
+)
+
+// noKeeper keeps nothing.
+type noKeeper struct{}
+
+func (noKeeper) Append(context.Context, string, []*statepb.Part) error        { return nil }
+func (noKeeper) Drop(context.Context, string)                                 {}
+func (noKeeper) Fetch(context.Context, string) []*statepb.Partial             { return nil }
+func (noKeeper) Accept(context.Context, string, *statepb.Batch) (bool, error) { return false, nil }
+
+// routes is a route that tests set.
+type routes struct {
+	mutex sync.Mutex
+	route Route
+	known bool
+}
+
+func (r *routes) set(route Route, known bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.route, r.known = route, known
+}
+
+func (r *routes) get(*statepb.Batch) (Route, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.route, r.known
+}
+
+// process is a board on a store, with the watch that feeds it.
+type process struct {
+	*Board
+
+	routes *routes
+	// lease is the process's own.
+	lease atomic.Uint64
+	stop  func()
+}
+
+var known = Route{Pool: "lm", Rules: Rules{Attempts: 3}}
+
+// begin starts a process on a store that others may use too.
+func begin(t *testing.T, store *platformtest.Store, name string, hosts ...string) *process {
+	t.Helper()
+	lease, err := store.Grant(t.Context(), time.Hour)
+	must.NoError(t, err)
+	p := &process{routes: &routes{route: known, known: true}}
+	p.lease.Store(lease)
+	p.Board = &Board{
+		Process: name, Store: store, Roster: &roster.Roster{}, Keeper: noKeeper{}, Peers: noKeeper{}, Routes: p.routes.get,
+		Lease: p.lease.Load, Hosts: func() []string { return hosts },
+		Keep: time.Hour, Group: time.Millisecond, ValueBytes: 1 << 20,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var ended sync.WaitGroup
+	ended.Go(func() { _ = p.Run(ctx) })
+	ended.Go(func() { p.follow(ctx, store) })
+	p.stop = func() {
+		cancel()
+		ended.Wait()
+	}
+	t.Cleanup(p.stop)
+	return p
+}
+
+func (p *process) follow(ctx context.Context, store *platformtest.Store) {
+	var revision uint64
+	for ctx.Err() == nil {
+		reply, err := store.Watch(ctx, Prefix, revision, 20*time.Millisecond)
+		if err != nil {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		revision = max(revision, reply.Revision)
+		p.Take(reply.Values)
+	}
+}
+
+func await(t *testing.T, isSo func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(isSo), wait.Timeout(5*time.Second), wait.Gap(2*time.Millisecond)))
+}
+
+func (p *process) holds() bool {
+	const id = "b1"
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.held[id] != nil && p.owners[id] == p.Process
+}
+
+func (p *process) outcomes(t *testing.T) []*statepb.Outcome {
+	t.Helper()
+	page, isOwn, err := p.ReadOwn(t.Context(), "b1", "", 0, 0)
+	must.NoError(t, err)
+	must.True(t, isOwn)
+	return page.Outcomes
+}
+
+func TestAccept(t *testing.T) {
+	store := &platformtest.Store{}
+	p := begin(t, store, "g1", "g1")
+	must.NoError(t, p.Accept(t.Context(), newBatch(10, 20)))
+	must.NoError(t, p.Accept(t.Context(), newBatch(10, 20)))
+	must.True(t, p.holds())
+	t.Run("the store is away", func(t *testing.T) {
+		store.SetAway(true)
+		defer store.SetAway(false)
+		other := newBatch(10)
+		other.SetId("b2")
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		err := p.Accept(ctx, other)
+		must.Error(t, err)
+		must.False(t, refusal.IsNotRun(err))
+	})
+}
+
+// The store takes a batch and its answer is lost. Whatever the trainer is told,
+// it must not be "not run", and the batch must run, once.
+func TestAcceptWithoutAnswer(t *testing.T) {
+	store := &platformtest.Store{}
+	p := begin(t, store, "g1", "g1")
+	store.LoseAnswers(1)
+	must.NoError(t, p.Accept(t.Context(), newBatch(10)))
+	await(t, func() bool { return p.holds() })
+}
+
+// A gateway is killed and starts again. It hears of its batches before it has
+// read the configuration; taken for a route that is gone, that listed every item
+// of a step as failed, 270 ms after the step was accepted.
+func TestNoConfigurationYet(t *testing.T) {
+	store := &platformtest.Store{}
+	first := begin(t, store, "g1", "g1")
+	must.NoError(t, first.Accept(t.Context(), newBatch(10, 20)))
+	first.stop()
+	second := begin(t, store, "g1", "g1")
+	second.routes.set(Route{}, false)
+	time.Sleep(3 * claimLook)
+	must.False(t, second.holds())
+	second.routes.set(known, true)
+	await(t, func() bool { return second.holds() })
+	time.Sleep(2 * lookAgain)
+	must.SliceEmpty(t, second.outcomes(t))
+}
+
+// The route of a batch is taken out of the configuration: its items are given up.
+func TestRouteGone(t *testing.T) {
+	p := begin(t, &platformtest.Store{}, "g1", "g1")
+	must.NoError(t, p.Accept(t.Context(), newBatch(10, 20)))
+	p.routes.set(Route{}, true)
+	await(t, func() bool { return len(p.outcomes(t)) == 2 })
+	must.True(t, p.outcomes(t)[0].GetFailed())
+}
+
+// The lease of an owner ends. Another process takes the batch over; the old one,
+// which does not know yet, can list nothing any more.
+func TestTakeover(t *testing.T) {
+	store := &platformtest.Store{}
+	first, second := begin(t, store, "g1", "g1", "g2"), begin(t, store, "g2", "g1", "g2")
+	must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10, 20)))
+	await(t, func() bool { return second.Owner("b1") == "g1" })
+	old := first.held["b1"].ledger
+	first.stop()
+	must.NoError(t, store.End(t.Context(), first.Lease()))
+	await(t, func() bool { return second.holds() })
+	must.False(t, old.commit(t.Context(), 0, []byte("late")))
+	must.Eq(t, 0, len(second.outcomes(t)))
+}
+
+// The lease of an owner lapses although it lives: the store was away. It claims
+// its batch again at once, before others do, and lists on.
+func TestClaimedAgain(t *testing.T) {
+	store := &platformtest.Store{}
+	p := begin(t, store, "g1", "g1")
+	must.NoError(t, p.Accept(t.Context(), newBatch(10)))
+	before := p.held["b1"].ledger.owner
+	must.NoError(t, store.End(t.Context(), p.Lease()))
+	lease, err := store.Grant(t.Context(), time.Hour)
+	must.NoError(t, err)
+	p.lease.Store(lease)
+	await(t, func() bool {
+		p.held["b1"].ledger.mutex.Lock()
+		defer p.held["b1"].ledger.mutex.Unlock()
+		return p.held["b1"].ledger.owner > before
+	})
+}
+
+// Outcomes are listed at places that never change, whatever answers are lost.
+func TestLedger(t *testing.T) {
+	store := &platformtest.Store{}
+	p := begin(t, store, "g1", "g1")
+	must.NoError(t, p.Accept(t.Context(), newBatch(10, 20, 30)))
+	ledger := p.held["b1"].ledger
+	for i, id := range []string{"i0", "i1", "i2"} {
+		store.LoseAnswers(1)
+		ledger.add([]*statepb.Outcome{statepb.Outcome_builder{Item: id}.Build()}, true)
+		await(t, func() bool { return len(p.outcomes(t)) == i+1 })
+	}
+	stored, err := p.loadListed(t.Context(), "b1")
+	must.NoError(t, err)
+	must.SliceLen(t, 3, stored)
+	for i, outcome := range p.outcomes(t) {
+		must.Eq(t, outcome.GetItem(), stored[i].GetItem())
+	}
+}
+
+// A process that stops gives its batches up at once; nobody waits for its lease.
+func TestDrain(t *testing.T) {
+	store := &platformtest.Store{}
+	first, second := begin(t, store, "g1", "g1", "g2"), begin(t, store, "g2", "g1", "g2")
+	must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10)))
+	await(t, func() bool { return second.Owner("b1") == "g1" })
+	first.Drain(t.Context())
+	await(t, func() bool { return second.holds() })
+	must.Error(t, first.AcceptOwn(t.Context(), newBatch(10, 20)))
+}
+
+// Batches that nobody reads any more leave nothing in the store.
+func TestRemoved(t *testing.T) {
+	store := &platformtest.Store{}
+	p := begin(t, store, "g1", "g1")
+	must.NoError(t, p.Accept(t.Context(), newBatch(10)))
+	p.held["b1"].ledger.add([]*statepb.Outcome{statepb.Outcome_builder{Item: "i0"}.Build()}, true)
+	await(t, func() bool { return len(p.outcomes(t)) == 1 })
+	must.NoError(t, p.End(t.Context(), "b1", ""))
+	p.mutex.Lock()
+	p.held["b1"].accepted = p.held["b1"].accepted.Add(-2 * p.Keep)
+	p.mutex.Unlock()
+	await(t, func() bool {
+		list, err := store.List(t.Context(), "")
+		return err == nil && len(list.Values) == 0
+	})
+}
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -70,8 +70,8 @@
 // owner runs one batch. Its fields are set before run.
 type owner struct {
 	batch *statepb.Batch
-	// pool returns the pool that runs the batch now; false once its route is gone.
-	pool   func() (string, bool)
+	// route returns what is said of the batch now; false while nothing is known.
+	route  func() (Route, bool)
 	roster *roster.Roster
 	scorer Scorer
 	wire   Wire
@@ -158,8 +158,12 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	now := clock.Now()
-	pool, ok := o.pool()
-	if !ok {
+	route, isKnown := o.route()
+	if !isKnown {
+		return false
+	}
+	pool := route.Pool
+	if pool == "" {
 		klog.InfoS("batch: its route is gone, the rest is given up", "batch", o.batch.GetId())
 		o.plan.GiveUp()
 	}
--- a/internal/forward/policy_test.go
+++ b/internal/forward/policy_test.go
@@ -10,33 +10,33 @@
 )
 
 var (
-	notRun  = refusal.NotRun(503, "server_full", "full")
-	unknown = refusal.Unknown(502, "backend_cut", "cut")
+	errNotRun  = refusal.NotRun(503, "server_full", "full")
+	errUnknown = refusal.Unknown(502, "backend_cut", "cut")
 )
 
 func TestFailed(t *testing.T) {
 	const left = time.Second
 	t.Run("an idempotent request goes on until its attempts are used", func(t *testing.T) {
 		p := policy{attempts: 2, repeats: true}
-		must.True(t, p.failed(unknown, left))
-		must.False(t, p.failed(unknown, left))
+		must.True(t, p.failed(errUnknown, left))
+		must.False(t, p.failed(errUnknown, left))
 	})
 	t.Run("what was not run costs no attempt", func(t *testing.T) {
 		p := policy{attempts: 1, repeats: true}
 		for range 5 {
-			must.True(t, p.failed(notRun, left))
+			must.True(t, p.failed(errNotRun, left))
 		}
-		must.False(t, p.failed(unknown, left))
+		must.False(t, p.failed(errUnknown, left))
 	})
 	t.Run("a request that runs once goes on only if it was not run", func(t *testing.T) {
 		p := policy{attempts: 3}
-		must.True(t, p.failed(notRun, left))
-		must.False(t, p.failed(unknown, left))
+		must.True(t, p.failed(errNotRun, left))
+		must.False(t, p.failed(errUnknown, left))
 		must.True(t, p.ran)
 	})
 	t.Run("no time is left", func(t *testing.T) {
 		p := policy{attempts: 3, repeats: true}
-		must.False(t, p.failed(notRun, 0))
+		must.False(t, p.failed(errNotRun, 0))
 	})
 }
 
@@ -44,7 +44,7 @@
 	p := policy{attempts: 2, repeats: true, target: 150 * time.Millisecond}
 	must.Eq(t, 400*time.Millisecond, p.silence(800*time.Millisecond))
 	must.Eq(t, 300*time.Millisecond, p.silence(500*time.Millisecond))
-	must.True(t, p.failed(unknown, time.Second))
+	must.True(t, p.failed(errUnknown, time.Second))
 	must.Eq(t, 400*time.Millisecond, p.silence(400*time.Millisecond))
 	once := policy{attempts: 2, target: 150 * time.Millisecond}
 	must.Eq(t, 800*time.Millisecond, once.silence(800*time.Millisecond))
--- a/internal/gateway/scorer.go
+++ b/internal/gateway/scorer.go
@@ -66,18 +66,20 @@
 	return proof, nil
 }
 
-// Routes finds the pool and the rules of batches in a view.
+// Routes finds the routes of batches in a view.
 func Routes(view *table.View) batch.Routes {
-	return func(accepted *statepb.Batch) (string, batch.Rules, bool) {
+	return func(accepted *statepb.Batch) (batch.Route, bool) {
 		now := view.Current()
 		if now == nil {
-			return "", batch.Rules{}, false
+			return batch.Route{}, false
 		}
 		route := now.Route(accepted.GetHost(), accepted.GetPath())
 		if route == nil || route.Kind != table.Batch {
-			return "", batch.Rules{}, false
+			return batch.Route{}, true
 		}
-		rules := batch.Rules{Attempts: route.Attempts, Keep: route.Keep, SingleVersion: route.SingleVersion}
-		return route.Pool(table.Draw(accepted.GetId())), rules, true
+		return batch.Route{
+			Pool:  route.Pool(table.Draw(accepted.GetId())),
+			Rules: batch.Rules{Attempts: route.Attempts, Keep: route.Keep, SingleVersion: route.SingleVersion},
+		}, true
 	}
 }
--- a/internal/keeper/server_test.go
+++ b/internal/keeper/server_test.go
@@ -19,10 +19,10 @@
 	return server
 }
 
-func mustAppend(t *testing.T, server *Server, batch, item string, after uint32, events ...string) {
+func mustAppend(t *testing.T, server *Server, batch string, after uint32, events ...string) {
 	t.Helper()
 	versions := make([]uint64, len(events))
-	part := statepb.Part_builder{Item: item, After: after, Events: events, Versions: versions}.Build()
+	part := statepb.Part_builder{Item: "i1", After: after, Events: events, Versions: versions}.Build()
 	_, err := server.Append(t.Context(), peerpb.AppendRequest_builder{Batch: batch, Parts: []*statepb.Part{part}}.Build())
 	must.NoError(t, err)
 }
@@ -43,9 +43,9 @@
 func TestAppend(t *testing.T) {
 	folder := t.TempDir()
 	server := open(t, folder)
-	mustAppend(t, server, "b1", "i1", 0, "a", "b")
-	mustAppend(t, server, "b1", "i1", 2, "c")
-	mustAppend(t, server, "b2", "i1", 0, "x")
+	mustAppend(t, server, "b1", 0, "a", "b")
+	mustAppend(t, server, "b1", 2, "c")
+	mustAppend(t, server, "b2", 0, "x")
 	mustHave(t, server, "b1", "a", "b", "c")
 	t.Run("read again", func(t *testing.T) {
 		again := open(t, folder)
@@ -53,11 +53,11 @@
 		mustHave(t, again, "b2", "x")
 	})
 	t.Run("a gap is passed over", func(t *testing.T) {
-		mustAppend(t, server, "b1", "i1", 7, "z")
+		mustAppend(t, server, "b1", 7, "z")
 		mustHave(t, server, "b1", "a", "b", "c")
 	})
 	t.Run("begun anew", func(t *testing.T) {
-		mustAppend(t, server, "b1", "i1", 0, "y")
+		mustAppend(t, server, "b1", 0, "y")
 		mustHave(t, server, "b1", "y")
 	})
 	t.Run("dropped", func(t *testing.T) {
@@ -81,8 +81,8 @@
 		t.Run(name, func(t *testing.T) {
 			folder := t.TempDir()
 			server := open(t, folder)
-			mustAppend(t, server, "b1", "i1", 0, "a")
-			mustAppend(t, server, "b2", "i1", 0, "a second record that is long enough to be torn")
+			mustAppend(t, server, "b1", 0, "a")
+			mustAppend(t, server, "b2", 0, "a second record that is long enough to be torn")
 			file := filepath.Join(folder, journalName)
 			data, err := os.ReadFile(file)
 			must.NoError(t, err)
@@ -92,7 +92,7 @@
 			if name != "huge length" {
 				mustHave(t, again, "b2")
 			}
-			mustAppend(t, again, "b3", "i1", 0, "new")
+			mustAppend(t, again, "b3", 0, "new")
 			mustHave(t, open(t, folder), "b3", "new")
 		})
 	}
@@ -102,7 +102,7 @@
 func TestEmptyDisk(t *testing.T) {
 	server := open(t, filepath.Join(t.TempDir(), "new"))
 	mustHave(t, server, "b1")
-	mustAppend(t, server, "b1", "i1", 0, "a")
+	mustAppend(t, server, "b1", 0, "a")
 	mustHave(t, server, "b1", "a")
 }
 
@@ -110,16 +110,16 @@
 	folder := t.TempDir()
 	server := open(t, folder)
 	for i := range 50 {
-		mustAppend(t, server, "old", "i1", uint32(i), "event")
+		mustAppend(t, server, "old", uint32(i), "event")
 	}
-	mustAppend(t, server, "b1", "i1", 0, "a")
+	mustAppend(t, server, "b1", 0, "a")
 	server.drop("old")
 	before := server.journal.length()
 	must.NoError(t, server.journal.rewrite([]*statepb.Record{
 		statepb.Record_builder{Batch: "b1", Parts: []*statepb.Part{statepb.Part_builder{Item: "i1", Events: []string{"a"}, Versions: []uint64{1}}.Build()}}.Build(),
 	}))
 	must.Less(t, before, server.journal.length())
-	mustAppend(t, server, "b1", "i1", 1, "b")
+	mustAppend(t, server, "b1", 1, "b")
 	again := open(t, folder)
 	mustHave(t, again, "b1", "a", "b")
 	mustHave(t, again, "old")
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -18,7 +18,6 @@
 type copied struct {
 	mutex  sync.Mutex
 	values map[string]string
-	lost   int
 }
 
 func (c *copied) take(changes []platform.Value) {
--- a/test/gateway/fixture_test.go
+++ b/test/gateway/fixture_test.go
@@ -198,9 +198,10 @@
 	return answer{status: response.StatusCode, header: response.Header, body: string(text), err: err}
 }
 
-// batchBody returns a batch of items "ID-i0" and so on, each with a scorer.
-func batchBody(t *testing.T, id string, items int) []byte {
+// batchBody returns batch "b1" of items "b1-i0" and so on, each with a scorer.
+func batchBody(t *testing.T, items int) []byte {
 	t.Helper()
+	const id = "b1"
 	var list []map[string]any
 	for i := range items {
 		item := fmt.Sprintf("%s-i%d", id, i)
@@ -242,7 +243,7 @@
 func (g *gateway) submit(t *testing.T, items int) {
 	t.Helper()
 	const id = "b1"
-	body := batchBody(t, id, items)
+	body := batchBody(t, items)
 	await(t, "batch is taken", func() bool {
 		return g.send(t, http.MethodPost, "/batch/"+id, "key-acme", id, body).status == http.StatusAccepted
 	})
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -111,7 +111,7 @@
 		must.Eq(t, 6, rest.Next)
 	})
 	t.Run("taken once", func(t *testing.T) {
-		got := other.send(t, http.MethodPost, "/batch/b1", "key-acme", "b1", batchBody(t, "b1", 6))
+		got := other.send(t, http.MethodPost, "/batch/b1", "key-acme", "b1", batchBody(t, 6))
 		must.Eq(t, http.StatusAccepted, got.status)
 		must.Eq(t, 1, sampler.Runs("b1-i0"))
 	})
@@ -255,7 +255,7 @@
 	sampler := w.NewSampler(t, "s1", "lm", "m")
 	g := w.start(t, "g1")
 	w.LoseAnswers(1)
-	status := g.send(t, http.MethodPost, "/batch/b1", "key-acme", "b1", batchBody(t, "b1", 2)).status
+	status := g.send(t, http.MethodPost, "/batch/b1", "key-acme", "b1", batchBody(t, 2)).status
 	must.NotEq(t, http.StatusServiceUnavailable, status)
 	g.submit(t, 2)
 	mustBeWhole(t, g.awaitResults(t, 2), 2, 5)
@@ -270,7 +270,7 @@
 	sampler := w.NewSampler(t, "s1", "lm", "m")
 	g := w.start(t, "g1")
 	g.door.Close(true)
-	got := g.send(t, http.MethodPost, "/batch/b1", "key-acme", "b1", batchBody(t, "b1", 2))
+	got := g.send(t, http.MethodPost, "/batch/b1", "key-acme", "b1", batchBody(t, 2))
 	must.Eq(t, http.StatusServiceUnavailable, got.status)
 	must.NotEq(t, "", got.header.Get("Retry-After"))
 	must.Eq(t, http.StatusOK, g.send(t, http.MethodPost, "/look/x", "key-acme", "r1", nil).status)
