Order chunks by their keys before they are read

Found by TestLedger in one of three repeated runs: the store in memory lists in no order, and a batch whose chunks come out of order could not be read. Ten repeated runs with -race pass.

--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -367,6 +368,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// The keys order chunks by their first place; pages of a list need not come in order.
+	slices.SortFunc(reply.Values, func(a, b platform.Value) int { return strings.Compare(a.Key, b.Key) })
 	var listed []*statepb.Outcome
 	for _, value := range reply.Values {
 		chunk := &statepb.Chunk{}
