Let a board be used before its duty has begun

Found by ten repeated runs of internal/batch: a watch's change or a trainer's call that comes before Board.Run crashed the process (nil context, nil map). Every method prepares the board now. TestBatchesBeforeRun crashes without it; 20 repeated runs with -race pass.

--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -101,10 +101,12 @@
 	ownerRevisions map[string]uint64
 	claiming       map[string]bool
 	isDraining     bool
-	ctx            context.Context
-	running        sync.WaitGroup
-	wake           chan struct{}
-	metrics        *metrics
+	// ctx is that of all work on batches, which may begin before Run does.
+	ctx     context.Context
+	end     context.CancelFunc
+	running sync.WaitGroup
+	wake    chan struct{}
+	metrics *metrics
 }
 
 // held is a batch that this process owns, or has owned.
@@ -123,10 +125,10 @@
 
 // Run claims batches without an owner until the context ends.
 func (b *Board) Run(ctx context.Context) error {
-	b.mutex.Lock()
-	b.prepare()
-	b.ctx = ctx
+	b.lock()
 	b.mutex.Unlock()
+	defer b.running.Wait()
+	defer b.end()
 	for ctx.Err() == nil {
 		now := clock.Now()
 		for _, id := range b.claimable(now) {
@@ -141,10 +143,16 @@
 		case <-time.After(claimLook):
 		}
 	}
-	b.running.Wait()
 	return nil
 }
 
+// lock locks the mutex. Callers, watches and the duty of a process begin in any
+// order, so whichever comes first prepares the board.
+func (b *Board) lock() {
+	b.mutex.Lock()
+	b.prepare()
+}
+
 func (b *Board) prepare() {
 	if b.held != nil {
 		return
@@ -156,11 +164,12 @@
 	b.unowned = map[string]clock.Boot{}
 	b.claiming = map[string]bool{}
 	b.wake = make(chan struct{}, 1)
+	b.ctx, b.end = context.WithCancel(context.Background())
 	b.metrics = newMetrics(b.Metrics, b.countOpen)
 }
 
 func (b *Board) countOpen() float64 {
-	b.mutex.Lock()
+	b.lock()
 	defer b.mutex.Unlock()
 	open := 0
 	for _, held := range b.held {
@@ -173,9 +182,8 @@
 
 // Take takes changes of the store's small keys.
 func (b *Board) Take(changes []platform.Value) {
-	b.mutex.Lock()
+	b.lock()
 	defer b.mutex.Unlock()
-	b.prepare()
 	for _, change := range changes {
 		if id, ok := strings.CutPrefix(change.Key, prefixOpen); ok {
 			b.takeOpen(id, change)
@@ -239,7 +247,7 @@
 
 // claimable returns the batches without an owner that this process should claim now.
 func (b *Board) claimable(now clock.Boot) []string {
-	b.mutex.Lock()
+	b.lock()
 	defer b.mutex.Unlock()
 	if b.isDraining {
 		return nil
@@ -267,18 +275,18 @@
 	if err != nil {
 		klog.InfoS("batch: not claimed", "batch", id, "err", err.Error())
 		pause.For(ctx, claimStep)
-		b.mutex.Lock()
+		b.lock()
 		delete(b.claiming, id)
 		b.mutex.Unlock()
 		return
 	}
-	b.mutex.Lock()
+	b.lock()
 	known := b.held[id]
 	b.mutex.Unlock()
 	if known != nil {
 		klog.InfoS("batch: claimed again", "batch", id, "owner", revision)
 		known.ledger.reclaimed(revision)
-		b.mutex.Lock()
+		b.lock()
 		delete(b.claiming, id)
 		delete(b.unowned, id)
 		b.mutex.Unlock()
@@ -313,7 +321,7 @@
 	if err == nil {
 		b.awaitRoute(ctx, batch)
 	}
-	b.mutex.Lock()
+	b.lock()
 	defer b.mutex.Unlock()
 	delete(b.claiming, id)
 	if err != nil || ctx.Err() != nil || b.held[id] != nil || !b.open[id] {
@@ -337,7 +345,7 @@
 
 // ownsAt reports whether this process is still the owner that it became at a revision.
 func (b *Board) ownsAt(id string, revision uint64) bool {
-	b.mutex.Lock()
+	b.lock()
 	defer b.mutex.Unlock()
 	return b.ownerRevisions[id] <= revision && b.open[id]
 }
@@ -496,9 +504,8 @@
 }
 
 func (b *Board) isKnown(id string) bool {
-	b.mutex.Lock()
+	b.lock()
 	defer b.mutex.Unlock()
-	b.prepare()
 	return b.open[id] || b.held[id] != nil
 }
 
@@ -542,7 +549,7 @@
 		return err
 	}
 	klog.InfoS("batch: accepted", "batch", id, "account", batch.GetAccount(), "step", batch.GetStep(), "model", batch.GetModel(), "items", len(batch.GetItems()), "owner", revision)
-	b.mutex.Lock()
+	b.lock()
 	defer b.mutex.Unlock()
 	if b.held[id] == nil {
 		b.metrics.accepted.Inc()
@@ -555,14 +562,14 @@
 }
 
 func (b *Board) drains() bool {
-	b.mutex.Lock()
+	b.lock()
 	defer b.mutex.Unlock()
 	return b.isDraining
 }
 
 // expectOwn keeps the watch from adopting a batch that is being accepted here.
 func (b *Board) expectOwn(id string, isExpected bool) {
-	b.mutex.Lock()
+	b.lock()
 	defer b.mutex.Unlock()
 	if isExpected {
 		b.claiming[id] = true
@@ -579,7 +586,7 @@
 
 // Owner returns the process that owns a batch; "" if none is known.
 func (b *Board) Owner(id string) string {
-	b.mutex.Lock()
+	b.lock()
 	defer b.mutex.Unlock()
 	return b.owners[id]
 }
@@ -587,8 +594,7 @@
 // Drain hands all batches over: it stops their runs, leaves what came of them
 // with a keeper and gives them up, so that the next owners go on at once and lose nothing.
 func (b *Board) Drain(ctx context.Context) {
-	b.mutex.Lock()
-	b.prepare()
+	b.lock()
 	b.isDraining = true
 	batches := map[string]*held{}
 	for id, held := range b.held {
--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -131,6 +131,29 @@
 	})
 }
 
+// A gateway starts: the watch of the store and a trainer's call come before the
+// duty that runs batches has begun. The process crashed on that in one of some
+// hundred starts.
+func TestBatchesBeforeRun(t *testing.T) {
+	store := &platformtest.Store{}
+	first := begin(t, store, "g1", "g1")
+	must.NoError(t, first.Accept(t.Context(), newBatch(10)))
+	list, err := store.List(t.Context(), Prefix)
+	must.NoError(t, err)
+	board := &Board{
+		Process: "g1", Store: store, Roster: &roster.Roster{}, Keeper: noKeeper{}, Peers: noKeeper{}, Routes: first.routes.get,
+		Lease: first.lease.Load, Hosts: func() []string { return []string{"g1"} }, Keep: time.Hour, ValueBytes: 1 << 20,
+	}
+	board.Take(list.Values)
+	await(t, func() bool {
+		_, isOwn, err := board.ReadOwn(t.Context(), "b1", "", 0, 0)
+		return err == nil && isOwn
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	must.NoError(t, board.Run(ctx))
+}
+
 // The store takes a batch and its answer is lost. Whatever the trainer is told,
 // it must not be "not run", and the batch must run, once.
 func TestAcceptWithoutAnswer(t *testing.T) {
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -25,8 +25,7 @@
 // ReadOwn returns the outcomes of a batch that this process owns from a place
 // on; it waits for one if there is none. It reports false if the batch isn't held here.
 func (b *Board) ReadOwn(ctx context.Context, id, account string, after uint64, wait time.Duration) (Page, bool, error) {
-	b.mutex.Lock()
-	b.prepare()
+	b.lock()
 	held := b.held[id]
 	b.mutex.Unlock()
 	if held == nil {
@@ -72,8 +71,7 @@
 // Find returns a batch of an account. A *refusal.Error of status 404 says that
 // there is none, one of 503 that this isn't known.
 func (b *Board) Find(ctx context.Context, id, account string) (*statepb.Batch, error) {
-	b.mutex.Lock()
-	b.prepare()
+	b.lock()
 	held := b.held[id]
 	b.mutex.Unlock()
 	var batch *statepb.Batch
@@ -123,8 +121,7 @@
 
 // StopOwn stops the runs of a batch that this process owns, and reports whether it does.
 func (b *Board) StopOwn(id, account string) bool {
-	b.mutex.Lock()
-	b.prepare()
+	b.lock()
 	held := b.held[id]
 	b.mutex.Unlock()
 	if held == nil || held.batch.GetAccount() != account {
--- a/internal/batch/remove.go
+++ b/internal/batch/remove.go
@@ -16,7 +16,7 @@
 // outdated returns the batches of this process that nobody reads any more. One
 // that its trainer never ended counts too: its items were given up long before.
 func (b *Board) outdated(now clock.Boot) []string {
-	b.mutex.Lock()
+	b.lock()
 	defer b.mutex.Unlock()
 	var ids []string
 	for id, held := range b.held {
@@ -33,7 +33,7 @@
 func (b *Board) remove(ctx context.Context, id string) {
 	if err := b.removeKeys(ctx, id); err != nil {
 		klog.InfoS("batch: not removed, tried again", "batch", id, "err", err.Error())
-		b.mutex.Lock()
+		b.lock()
 		if held := b.held[id]; held != nil {
 			held.removing = false
 		}
@@ -41,7 +41,7 @@
 		return
 	}
 	klog.InfoS("batch: removed", "batch", id)
-	b.mutex.Lock()
+	b.lock()
 	defer b.mutex.Unlock()
 	if held := b.held[id]; held != nil {
 		held.cancel()
