--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -79,8 +79,6 @@
 	// Hosts returns the names of the processes that live.
 	Hosts func() []string
 	Peers Peers
-	// Rank returns this process's place among those that may take over a batch.
-	Rank func(batch string) int
 	// Keeper keeps texts that aren't whole.
 	Keeper Keeper
 	// Keep is how long after its acceptance a batch can be read.
@@ -261,7 +259,7 @@
 		}
 		rank := 0
 		if b.held[id] == nil {
-			rank = 1 + b.Rank(id)
+			rank = 1 + duty.Rank(id, b.Process, b.Hosts())
 		}
 		if now.Sub(since) >= time.Duration(rank)*claimStep {
 			b.claiming[id] = true
--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -65,7 +64,7 @@
 	p.lease.Store(lease)
 	p.Board = &Board{
 		Process: name, Store: store, Roster: &roster.Roster{}, Keeper: noKeeper{}, Peers: noKeeper{}, Routes: p.routes.get,
-		Rank: func(string) int { return slices.Index(hosts, name) }, Lease: p.lease.Load, Hosts: func() []string { return hosts },
+		Lease: p.lease.Load, Hosts: func() []string { return hosts },
 		Keep: time.Hour, Group: time.Millisecond, ValueBytes: 1 << 20,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -139,7 +139,6 @@
 		Metrics:    g.Metrics,
 		Lease:      g.session.Lease,
 		Hosts:      g.hosts.Names,
-		Rank:       g.hosts.Rank,
 		Peers:      &gateway.Peers{Hosts: g.hosts},
 		Keeper:     &gateway.Keepers{Hosts: g.hosts, Zone: g.Process.Settings.GetZone(), Retired: g.retirements.has},
 		Keep:       settings.GetKeep().AsDuration(),
