--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -165,11 +165,12 @@
 	pool := route.Pool
 	if pool == "" {
 		klog.InfoS("batch: its route is gone, the rest is given up", "batch", o.batch.GetId())
-		o.plan.GiveUp()
+		o.plan.GiveUp("its route is gone")
 	}
 	for o.startRun(ctx, pool, now) {
 	}
 	pending, isUrgent := o.plan.Pending()
+	o.logFailures(pending)
 	o.ledger.add(pending, isUrgent)
 	o.leaveSlow(pool)
 	if o.plan.IsEnded() || o.plan.IsWhole() {
@@ -185,6 +186,15 @@
 	return false
 }
 
+// logFailures tells why items were given up.
+func (o *owner) logFailures(outcomes []*statepb.Outcome) {
+	for _, outcome := range outcomes {
+		if outcome.GetFailed() {
+			klog.InfoS("batch: item given up", "id", outcome.GetItem(), "batch", o.batch.GetId(), "reason", o.plan.Reason(outcome.GetItem()))
+		}
+	}
+}
+
 // startRun starts the next item if a sampler has a free slot for it.
 func (o *owner) startRun(ctx context.Context, pool string, now clock.Boot) bool {
 	job, ok := o.plan.Next(now)
@@ -196,6 +206,7 @@
 		return false
 	}
 	o.plan.Start(job)
+	klog.InfoS("batch: placed", "id", job.spec.GetId(), "batch", o.batch.GetId(), "server", server.Name(), "running", o.roster.Running(server), "after", job.events, "waiting", o.plan.Waiting())
 	running, cancel := context.WithCancelCause(ctx)
 	o.runs[job.index] = &activeRun{server: server, cancel: cancel}
 	o.done.Go(func() {
@@ -239,7 +250,7 @@
 	delete(o.runs, job.index)
 	now := clock.Now()
 	if err == nil {
-		klog.V(1).InfoS("batch: generated", "id", job.spec.GetId(), "batch", o.batch.GetId(), "server", server.Name(), "took", now.Sub(began))
+		klog.InfoS("batch: generated", "id", job.spec.GetId(), "batch", o.batch.GetId(), "server", server.Name(), "took", now.Sub(began))
 		o.metrics.runs.WithLabelValues(endWhole).Inc()
 		o.plan.Generated(job)
 		return
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -68,6 +69,8 @@
 	moves          int
 	notBefore      clock.Boot
 	outcome        *statepb.Outcome
+	// reason says why the item was given up.
+	reason string
 }
 
 // Job is an item to run or to have judged.
@@ -208,13 +211,13 @@
 	if p.until == 0 || now < p.until {
 		return
 	}
-	p.GiveUp()
+	p.GiveUp("its time was over")
 }
 
 // GiveUp lists all items that wait as failed.
-func (p *Plan) GiveUp() {
+func (p *Plan) GiveUp(reason string) {
 	for len(p.order) > 0 {
-		p.fail(p.order[0])
+		p.fail(p.order[0], reason)
 	}
 }
 
@@ -294,7 +297,7 @@
 	one := p.items[job.index]
 	one.scorerFailures += failed.Failures
 	if one.scorerFailures >= failed.Most {
-		p.fail(one)
+		p.fail(one, "its scorer failed "+strconv.Itoa(one.scorerFailures)+" times")
 		return
 	}
 	p.NotScored(job, now)
@@ -329,13 +332,22 @@
 	one.failures++
 	if never && one.failures >= rejectionsPerItem || one.failures >= p.rules.Attempts {
 		one.phase = waiting
-		p.fail(one)
+		p.fail(one, "its runs failed "+strconv.Itoa(one.failures)+" times")
 		return
 	}
 	p.Fault(job, now)
 }
 
-func (p *Plan) fail(one *item) {
+// Reason says why an item was given up.
+func (p *Plan) Reason(id string) string {
+	if one := p.byID[id]; one != nil {
+		return one.reason
+	}
+	return ""
+}
+
+func (p *Plan) fail(one *item, reason string) {
+	one.reason = reason
 	p.order = slices.DeleteFunc(p.order, func(other *item) bool { return other == one })
 	p.list(one, statepb.Outcome_builder{Item: one.spec.GetId(), Failed: true}.Build())
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -77,7 +77,7 @@
 			}
 			continue
 		}
-		klog.V(1).InfoS("route: chosen", "id", r.request.ID, "server", server.Name(), "reason", reason, "left", r.request.left())
+		klog.InfoS("route: chosen", "id", r.request.ID, "route", r.request.Route.Name, "server", server.Name(), "running", r.forwarder.Roster.Running(server), "reason", reason, "tried", len(r.tried), "left", r.request.left())
 		r.tried[server.Name()] = true
 		answer, err := r.try(ctx, server)
 		if err == nil {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -243,7 +243,7 @@
 		return err
 	}
 	defer answer.Finish()
-	klog.V(1).InfoS("caller: answered", "id", caller.id, "status", answer.StatusCode, "took", clock.Now().Sub(caller.began))
+	klog.InfoS("caller: answered", "id", caller.id, "account", caller.account.Name, "status", answer.StatusCode, "took", clock.Now().Sub(caller.began))
 	return h.relay(w, answer)
 }
 
@@ -365,7 +365,7 @@
 
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, err error) {
 	refused := refusal.Of(err)
-	klog.InfoS("caller: refused", "id", h.Wire.ID(r), "path", r.URL.Path, "status", refused.Status, "code", refused.Code, "outcome", refused.OutcomeText(), "after", refused.Retry)
+	klog.InfoS("caller: refused", "id", h.Wire.ID(r), "path", r.URL.Path, "status", refused.Status, "code", refused.Code, "reason", refused.Message, "outcome", refused.OutcomeText(), "after", refused.Retry)
 	refusal.WriteExact(w, err)
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -268,6 +268,13 @@
 	r.wake()
 }
 
+// Running returns the requests that this process has at a server.
+func (r *Roster) Running(server *Server) int64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return server.Own()
+}
+
 // Failed notes that a server could not be reached, or was silent.
 func (r *Roster) Failed(server *Server, reason string) {
 	r.mutex.Lock()
