--- /dev/null
+++ b/test/gateway/metrics_test.go
@@ -0,0 +1,41 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+var metricName = regexp.MustCompile(`(?m)^# HELP (bramleyhatch_\w+) `)
+
+// An operator reads of a metric on the page and finds none, or finds one that no
+// page explains.
+func TestMetricsPage(t *testing.T) {
+	w := newWorld(t)
+	w.NewSampler(t, "a1", "app", "")
+	w.NewSampler(t, "s1", "lm", "m")
+	g := w.start(t, "g1")
+	g.submit(t, 2)
+	g.awaitResults(t, 2)
+	response, err := http.Get("http://" + g.metrics + "/metrics")
+	must.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	served, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	page, err := os.ReadFile("../../docs/reference/metrics.md")
+	must.NoError(t, err)
+	names := map[string]bool{}
+	for _, match := range metricName.FindAllStringSubmatch(string(served), -1) {
+		names[match[1]] = true
+		must.StrContains(t, string(page), "`"+match[1]+"`")
+	}
+	told := regexp.MustCompile("`(bramleyhatch_(?:gateway|store|batch|log)_\\w+)`").FindAllStringSubmatch(string(page), -1)
+	must.SliceNotEmpty(t, told)
+	for _, match := range told {
+		must.True(t, names[match[1]], must.Sprint(match[1]))
+	}
+}
