--- a/internal/backend/direct.go
+++ b/internal/backend/direct.go
@@ -50,6 +50,8 @@
 	IsNotRun(answer *http.Response) bool
 	// IsOther reports whether another server than the one meant has answered.
 	IsOther(answer *http.Response) bool
+	// WriteLineVersion returns the line of an event that announces a weight version.
+	WriteLineVersion(version uint64) string
 	// LineVersion returns the weight version that a line of an event announces.
 	LineVersion(line string) (uint64, bool)
 	// Proof returns the server's proof of its answer.
--- a/internal/backend/directstream.go
+++ b/internal/backend/directstream.go
@@ -19,6 +19,8 @@
 	Data   string
 	// Version is the weight version that made it; 0 if the server doesn't say.
 	Version uint64
+	// Raw holds the event as it was sent, with the empty line at its end.
+	Raw []byte
 }
 
 // Events reads the events of an answer.
@@ -52,9 +54,11 @@
 		if len(line) > maxEventBytes {
 			return Event{}, refusal.Unknown(502, "bad_event", "%s sent an event that is too long", e.answer.direct.Name)
 		}
+		event.Raw = append(event.Raw, line...)
 		line = strings.TrimRight(line, "\r\n")
 		switch {
 		case line == "" && !began:
+			event.Raw = event.Raw[:0]
 			continue
 		case line == "":
 			event.Version = e.version
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -27,6 +27,9 @@
 	// serverAgain is that time where no server of the pool is known: about the
 	// time in which one registers.
 	serverAgain = time.Second
+	// streamSilence is how long a stream that can go on elsewhere may be silent:
+	// callers leave after two seconds at the earliest.
+	streamSilence = 1500 * time.Millisecond
 	// waitForRoom is the pause before all servers are asked once more that had no room.
 	waitForRoom = 15 * time.Millisecond
 )
@@ -121,15 +124,33 @@
 	if left <= 0 {
 		return nil, refusal.NotRun(http.StatusServiceUnavailable, "no_time", "the request's time was over before it was sent").After(roomAgain)
 	}
-	answer, err := server.Direct().Do(ctx, r.request.send(server.Name(), left, r.policy.silence(left)))
+	answer, err := r.send(ctx, server)
+	if err != nil {
+		return nil, err
+	}
+	return r.read(ctx, server, answer)
+}
+
+// send sends the request to one server.
+func (r *run) send(ctx context.Context, server *roster.Server) (*backend.Answer, error) {
+	left := r.request.left()
+	answer, err := server.Direct().Do(ctx, r.request.send(server.Name(), left, r.silence(left)))
 	if err == nil || !refusal.IsNotRun(err) {
 		r.start()
 	}
-	if err != nil {
-		return nil, err
+	if err == nil {
+		r.forwarder.Roster.Answered(server)
+	}
+	return answer, err
+}
+
+// silence returns how long a server may send nothing: of a stream that can go on
+// elsewhere, no longer than callers wait between two events.
+func (r *run) silence(left time.Duration) time.Duration {
+	if r.request.Route.Kind == table.Stream && r.policy.repeats {
+		return min(left, streamSilence)
 	}
-	r.forwarder.Roster.Answered(server)
-	return r.read(server, answer)
+	return r.policy.silence(left)
 }
 
 func (r *run) start() {
@@ -143,12 +164,16 @@
 }
 
 // read takes an answer whole if it is short and not a stream.
-func (r *run) read(server *roster.Server, answer *backend.Answer) (*Answer, error) {
+func (r *run) read(ctx context.Context, server *roster.Server, answer *backend.Answer) (*Answer, error) {
 	got := &Answer{Answer: answer, Finish: func() {
 		_ = answer.Body.Close()
 		r.forwarder.Roster.Finish(server)
 	}}
 	if r.request.Route.Kind == table.Stream && answer.StatusCode < http.StatusMultipleChoices {
+		if r.policy.repeats {
+			events := newStream(ctx, r, server, answer)
+			got.Next, got.Finish = events.Next, events.close
+		}
 		return got, nil
 	}
 	body, whole, err := answer.Whole(heldBytes)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -68,6 +68,9 @@
 	// Body is what was read of it; Whole says that this is all.
 	Body  []byte
 	Whole bool
+	// Next returns the next part of an answer that comes in events, and io.EOF after
+	// the last one; nil where the rest is read from the answer's own body.
+	Next func() ([]byte, error)
 	// Finish is called once the answer was read or given up.
 	Finish func()
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -282,7 +282,7 @@
 		logWrite(err)
 		return nil
 	}
-	if answer.ContentLength >= 0 {
+	if answer.ContentLength >= 0 && answer.Next == nil {
 		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
 	w.WriteHeader(answer.StatusCode)
@@ -297,12 +297,15 @@
 // flow passes the rest of an answer on as it comes. One that is cut off is cut
 // off here too: ended in good order, it would look whole to the caller.
 func flow(w http.ResponseWriter, answer *forward.Answer) {
+	next := answer.Next
+	if next == nil {
+		next = parts(answer.Answer.Body)
+	}
 	flusher, _ := w.(http.Flusher)
-	buffer := make([]byte, 4096)
 	for {
-		n, err := answer.Answer.Body.Read(buffer)
-		if n > 0 {
-			if _, failed := w.Write(buffer[:n]); failed != nil {
+		part, err := next()
+		if len(part) > 0 {
+			if _, failed := w.Write(part); failed != nil {
 				logWrite(failed)
 				return
 			}
@@ -320,6 +323,15 @@
 	}
 }
 
+// parts returns the bytes of a body as they come.
+func parts(body io.Reader) func() ([]byte, error) {
+	buffer := make([]byte, 4096)
+	return func() ([]byte, error) {
+		n, err := body.Read(buffer)
+		return buffer[:n], err
+	}
+}
+
 // read answers with results of a batch.
 func (h *Handler) read(w http.ResponseWriter, r *http.Request, caller *caller, call Call) error {
 	page, err := h.page(r.Context(), caller, call)
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -306,6 +307,32 @@
 	must.Error(t, g.send(t, http.MethodPost, "/stream/x", "key-acme", "r2", nil).err)
 }
 
+// A caller reads a text as it is made, and its sampler dies in the middle. The
+// rest comes from another one, behind the last event that the caller has, within
+// the same answer.
+func TestStreamGoesOn(t *testing.T) {
+	w := newWorld(t)
+	once := func(_ string, runs int) wiretest.Fault {
+		if runs == 0 {
+			return wiretest.Cut
+		}
+		return wiretest.None
+	}
+	bad, good := w.NewSampler(t, "s1", "lm", "m"), w.NewSampler(t, "s2", "lm", "m")
+	bad.SetFault(once)
+	g := w.start(t, "g1")
+	for _, id := range []string{"r1", "r2", "r3", "r4"} {
+		got := g.send(t, http.MethodPost, "/stream/x", "key-acme", id, nil)
+		must.NoError(t, got.err)
+		var want strings.Builder
+		for event := 1; event <= 5; event++ {
+			want.WriteString("id: " + strconv.Itoa(event) + "\ndata: " + wiretest.Text(id, event) + "\n\n")
+		}
+		must.Eq(t, want.String(), got.body)
+	}
+	must.SliceNotEmpty(t, good.Resumed())
+}
+
 // Entries of the store that can't be read name no server, and change nothing.
 func TestBadEntries(t *testing.T) {
 	w := newWorld(t)
