--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -28,10 +28,6 @@
 	PrefixKeeper = "live/keeper/"
 	// detourExtra is what a call through a peer may take longer than a direct one.
 	detourExtra = 100 * time.Millisecond
-	// watchers is the number of gateways that watch the store; the others follow
-	// it, and watch the store themselves while it does not answer. A second one
-	// would only cost its calls.
-	watchers = 1
 	// followWait is the longest wait of one follow, followExtra what its answer may
 	// take longer: a watcher that went silent is noticed within their sum, well
 	// inside the time in which a change must be in force.
@@ -55,6 +51,8 @@
 	connections map[string]*grpc.ClientConn
 	// served is the peer that made the last call for this process.
 	served string
+	// watchers are all gateways, the one that should watch the store first.
+	watchers []string
 	// silent is when a watcher did not answer last.
 	silent map[string]clock.Boot
 }
@@ -79,6 +77,21 @@
 			takeHost(h.keepers, name, change)
 		}
 	}
+	h.rankWatchers()
+}
+
+// rankWatchers orders the gateways as candidates for watching the store.
+func (h *Hosts) rankWatchers() {
+	names := make([]string, 0, len(h.hosts))
+	for name := range h.hosts {
+		names = append(names, name)
+	}
+	ranks := map[string]int{}
+	for _, name := range names {
+		ranks[name] = duty.Rank("watch", name, names)
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(ranks[a], ranks[b]) })
+	h.watchers = names
 }
 
 func takeHost(hosts map[string]*statepb.Host, name string, change platform.Value) {
@@ -238,13 +251,16 @@
 	reply, err := client.Watch(asking, peerpb.WatchRequest_builder{
 		Prefix: prefix, After: after, Wait: followWait.Milliseconds(),
 	}.Build())
-	if err != nil || !reply.GetKnown() {
-		klog.V(1).InfoS("hosts: a watcher does not help", "host", name, "prefix", prefix, "err", err)
+	if err != nil {
+		klog.V(1).InfoS("hosts: a watcher does not answer", "host", name, "prefix", prefix, "err", err)
 		h.mutex.Lock()
 		h.silent[name] = clock.Now()
 		h.mutex.Unlock()
 		return platform.ListReply{}, false
 	}
+	if !reply.GetKnown() {
+		return platform.ListReply{}, false
+	}
 	list := platform.ListReply{Revision: reply.GetRevision()}
 	for _, change := range reply.GetChanges() {
 		list.Values = append(list.Values, platform.Value{
@@ -256,29 +272,25 @@
 
 // watcher returns the gateway that this one follows; "" if it is to watch the
 // store itself.
+//
+// All gateways rank each other alike, and the first that answers is the one that
+// watches. When it dies, the next one finds no answer as the others do, watches
+// itself, and is followed from then on. If all turned to the store until the
+// dead one's lease had lapsed, each such death cost some 400 calls with 19
+// gateways, an eighth of a day's.
 func (h *Hosts) watcher() string {
-	names := h.Names()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	now := clock.Now()
-	best := ""
-	for _, name := range names {
-		rank := duty.Rank("watch", name, names)
-		if rank >= watchers {
-			continue
-		}
+	for _, name := range h.watchers {
 		if name == h.Name {
 			return ""
 		}
-		if at := h.silent[name]; at != 0 && now.Sub(at) < watcherAgain {
-			continue
-		}
-		// Followers are spread over the watchers.
-		if best == "" || duty.Rank(h.Name, name, names) < duty.Rank(h.Name, best, names) {
-			best = name
+		if at := h.silent[name]; at == 0 || now.Sub(at) >= watcherAgain {
+			return name
 		}
 	}
-	return best
+	return ""
 }
 
 // ways returns the other gateways, the one that served last first.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -22,8 +22,10 @@
 // atOnce is the number of seeds that run at the same time: ten processes each.
 const atOnce = 4
 
-// regressions are seeds that once failed, with the cause.
-var regressions = []uint64{}
+// regressions are seeds that once failed.
+var regressions = []uint64{
+	21, // a gateway's port was taken by another connection while it was restarted; the soak's own ports
+}
 
 func TestMain(m *testing.M) {
 	if os.Getenv(childVariable) != "" {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -88,12 +89,26 @@
 	return server
 }
 
+// nextPort is the next port to try. Ports below 32768 are given to no outgoing
+// connection: one above it was taken by another process's connection while the
+// gateway that had listened on it was being restarted.
+var nextPort atomic.Int32
+
+const firstPort, ports = 20000, 12000
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for range ports {
+		port := firstPort + (int(nextPort.Add(1))+os.Getpid()*97)%ports
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		defer func() { _ = listener.Close() }()
+		return listener.Addr().String()
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func (w *world) newProcess(t *testing.T, folder, kind, name string) *process {
