--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -24,6 +24,27 @@
 func (noKeeper) Fetch(context.Context, string) []*statepb.Partial             { return nil }
 func (noKeeper) Accept(context.Context, string, *statepb.Batch) (bool, error) { return false, nil }
 
+// scorer judges texts once it is let.
+type scorer struct {
+	room    int
+	let     chan struct{}
+	running atomic.Int32
+	most    atomic.Int32
+}
+
+func (s *scorer) Room(*statepb.Scorer) int { return s.room }
+
+func (s *scorer) Score(ctx context.Context, _ *statepb.Scorer) (string, error) {
+	s.most.Store(max(s.most.Load(), s.running.Add(1)))
+	defer s.running.Add(-1)
+	select {
+	case <-ctx.Done():
+		return "", ctx.Err()
+	case <-s.let:
+		return "proof", nil
+	}
+}
+
 // routes is a route that tests set.
 type routes struct {
 	mutex sync.Mutex
@@ -63,7 +84,7 @@
 	p := &process{routes: &routes{route: known, known: true}}
 	p.lease.Store(lease)
 	p.Board = &Board{
-		Process: name, Store: store, Roster: &roster.Roster{}, Keeper: noKeeper{}, Peers: noKeeper{}, Routes: p.routes.get,
+		Process: name, Store: store, Roster: &roster.Roster{}, Keeper: noKeeper{}, Peers: noKeeper{}, Scorer: &scorer{room: 4}, Routes: p.routes.get,
 		Lease: p.lease.Load, Hosts: func() []string { return hosts },
 		Keep: time.Hour, Group: time.Millisecond, ValueBytes: 1 << 20,
 	}
@@ -141,7 +162,7 @@
 	list, err := store.List(t.Context(), Prefix)
 	must.NoError(t, err)
 	board := &Board{
-		Process: "g1", Store: store, Roster: &roster.Roster{}, Keeper: noKeeper{}, Peers: noKeeper{}, Routes: first.routes.get,
+		Process: "g1", Store: store, Roster: &roster.Roster{}, Keeper: noKeeper{}, Peers: noKeeper{}, Scorer: &scorer{}, Routes: first.routes.get,
 		Lease: first.lease.Load, Hosts: func() []string { return []string{"g1"} }, Keep: time.Hour, ValueBytes: 1 << 20,
 	}
 	board.Take(list.Values)
@@ -270,3 +291,29 @@
 		return err == nil && len(list.Values) == 0
 	})
 }
+
+// The texts of a step become whole at the same moment. Judged all at once, they
+// take every slot of the plain service, and members' look-ups wait behind them.
+func TestScoresLeaveRoom(t *testing.T) {
+	judge := &scorer{room: 2, let: make(chan struct{})}
+	p := begin(t, &platformtest.Store{}, "g1", "g1")
+	p.Scorer = judge
+	must.NoError(t, p.Accept(t.Context(), newBatch(10, 20, 30, 40, 50)))
+	owner := p.held["b1"].owner
+	owner.mutex.Lock()
+	for range 5 {
+		job, ok := owner.plan.Next(0)
+		must.True(t, ok)
+		owner.plan.Start(job)
+		must.True(t, owner.plan.Event(job, "a", 3))
+		owner.plan.Generated(job)
+	}
+	owner.mutex.Unlock()
+	owner.nudge()
+	await(t, func() bool { return judge.running.Load() == 2 })
+	for range 5 {
+		judge.let <- struct{}{}
+	}
+	await(t, func() bool { return len(p.outcomes(t)) == 5 })
+	must.Eq(t, 2, judge.most.Load())
+}
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -53,6 +53,8 @@
 	// Score returns the proof of the scorer's answer. A *ScoreError says that it
 	// answered with a failure.
 	Score(ctx context.Context, scorer *statepb.Scorer) (string, error)
+	// Room returns how many texts may be judged by the scorer's pool at the same time.
+	Room(scorer *statepb.Scorer) int
 }
 
 // ScoreError says that the scorer answered with failures.
@@ -90,8 +92,10 @@
 	mutex sync.Mutex
 	plan  *Plan
 	runs  map[int]*activeRun
-	wake  chan struct{}
-	done  sync.WaitGroup
+	// scoring is the number of texts that are being judged.
+	scoring int
+	wake    chan struct{}
+	done    sync.WaitGroup
 }
 
 // activeRun is a run under way.
@@ -191,14 +195,27 @@
 	if o.plan.IsEnded() || o.plan.IsWhole() {
 		return true
 	}
-	for {
+	o.startScores(ctx, now)
+	return false
+}
+
+// startScores has whole texts judged, as many at a time as the scorers' pool has
+// room for beside callers.
+//
+// The texts of a step become whole in bursts. All judged at once, they took every
+// slot of a plain service that members' look-ups go to as well, and opened 85
+// connections where 30 do; the step is done no sooner, since each text is judged
+// in a fifth of a second and the longest one is still being made.
+func (o *owner) startScores(ctx context.Context, now clock.Boot) {
+	room := o.scorer.Room(o.batch.GetItems()[0].GetScorer())
+	for o.scoring < room {
 		job, ok := o.plan.NextScore(now)
 		if !ok {
-			break
+			return
 		}
+		o.scoring++
 		o.done.Go(func() { o.score(ctx, job) })
 	}
-	return false
 }
 
 // isFirst reports whether no older batch of the same model waits for slots.
@@ -393,6 +410,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	defer o.nudge()
+	o.scoring--
 	if err == nil {
 		o.plan.Scored(job, proof)
 		return
--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -119,7 +119,7 @@
 	c.once.Do(func() { c.calls = newCalls(c.Metrics) })
 	if c.isAway() {
 		if call.Probe && c.isDue() {
-			go c.look(call)
+			go c.look(context.WithoutCancel(ctx), call)
 		}
 		if answer, ok := c.detour(ctx, call); ok {
 			return answer, nil
@@ -183,8 +183,8 @@
 // Nothing waits for it. A host that is cut off without an error waits out its
 // whole timeout on each direct call; batches that it owned were accepted 0.7 s
 // late, as every call after a second was sent directly first.
-func (c *Caller) look(call Call) {
-	answer, err := c.Direct.Do(context.Background(), call)
+func (c *Caller) look(ctx context.Context, call Call) {
+	answer, err := c.Direct.Do(ctx, call)
 	if err == nil && !isTurnedAway(answer.Status) {
 		c.reached()
 	}
--- a/internal/gateway/scorer.go
+++ b/internal/gateway/scorer.go
@@ -12,6 +12,13 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/table"
 )
 
+const (
+	// scoreShare of a pool's slots may be taken by one batch's texts.
+	scoreShare = 0.5
+	// leastScores are judged at the same time where few slots are known.
+	leastScores = 4
+)
+
 // Scorer has the texts of batches judged through the routes of callers.
 // Exported fields are set before the first call.
 type Scorer struct {
@@ -23,6 +30,26 @@
 
 var _ batch.Scorer = &Scorer{}
 
+// Room returns how many texts may be judged by the scorer's pool at the same
+// time: a half of its slots, so that callers of the same pool find the others.
+func (s *Scorer) Room(scorer *statepb.Scorer) int {
+	now := s.View.Current()
+	if now == nil {
+		return leastScores
+	}
+	route := now.Route(scorer.GetHost(), scorer.GetPath())
+	if route == nil {
+		return leastScores
+	}
+	slots := 0
+	for _, share := range route.Shares {
+		for _, entry := range s.Forwarder.Roster.Entries(share.Pool) {
+			slots += entry.Slots
+		}
+	}
+	return max(leastScores, int(scoreShare*float64(slots)))
+}
+
 // Score sends a scorer's request and returns the proof of its answer. Such
 // requests need no key and may be repeated.
 func (s *Scorer) Score(ctx context.Context, scorer *statepb.Scorer) (string, error) {
