--- /dev/null
+++ b/internal/batch/accept.go
@@ -0,0 +1,168 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/duty"
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+)
+
+// Accept takes a batch, here or at the process that owns its model's batches.
+// It returns once the store holds it, also from an earlier try; any other end is
+// a *refusal.Error that says what is known.
+//
+// The batches of one model have one owner: it alone knows how many slots of the
+// model's samplers are taken, and goes on using its connections from step to
+// step. Taken by whichever process a trainer reaches, each step opened most of
+// its connections anew, and two steps under way filled each other's slots.
+func (b *Board) Accept(ctx context.Context, batch *statepb.Batch) error {
+	if b.isKnown(batch.GetId()) {
+		return nil
+	}
+	if host := b.home(batch.GetModel()); host != "" && host != b.Process {
+		asking, cancel := context.WithTimeout(ctx, placeTime)
+		accepted, err := b.Peers.Accept(asking, host, batch)
+		cancel()
+		if err == nil && accepted {
+			klog.InfoS("batch: given to its owner", "batch", batch.GetId(), "model", batch.GetModel(), "owner", host)
+			return nil
+		}
+		klog.InfoS("batch: its owner did not take it", "batch", batch.GetId(), "owner", host, "err", err)
+	}
+	return b.AcceptOwn(ctx, batch)
+}
+
+// home returns the process that should own a model's batches.
+func (b *Board) home(model string) string {
+	hosts := b.Hosts()
+	for _, host := range hosts {
+		if duty.Rank("model/"+model, host, hosts) == 0 {
+			return host
+		}
+	}
+	return ""
+}
+
+// AcceptOwn takes a batch here.
+func (b *Board) AcceptOwn(ctx context.Context, batch *statepb.Batch) error {
+	ctx, cancel := context.WithTimeout(ctx, acceptTime)
+	defer cancel()
+	maybe := false
+	for {
+		err := b.accept(ctx, batch)
+		if err == nil {
+			return nil
+		}
+		var refused *refusal.Error
+		if errors.As(err, &refused) {
+			return err
+		}
+		maybe = maybe || !isNothingDone(err)
+		if !maybe {
+			return refusal.NotRun(http.StatusServiceUnavailable, "store_away", "the store does not take the batch").After(storeAgain)
+		}
+		klog.InfoS("batch: not known whether the store holds it", "batch", batch.GetId(), "err", err.Error())
+		if !pause.For(ctx, writePause) {
+			return refusal.Unknown(http.StatusGatewayTimeout, "store_silent", "it is not known whether the store holds the batch").After(storeAgain)
+		}
+	}
+}
+
+// isNothingDone reports whether an error of the store proves that it changed nothing.
+func isNothingDone(err error) bool {
+	var away *platform.UnavailableError
+	if !errors.As(err, &away) {
+		return false
+	}
+	return away.Status == http.StatusServiceUnavailable || away.Status == http.StatusTooManyRequests
+}
+
+func (b *Board) isKnown(id string) bool {
+	b.lock()
+	defer b.mutex.Unlock()
+	return b.open[id] || b.held[id] != nil
+}
+
+func (b *Board) accept(ctx context.Context, batch *statepb.Batch) error {
+	lease := b.Lease()
+	if lease == 0 || b.drains() {
+		return refusal.NotRun(http.StatusServiceUnavailable, "store_away", "this process is not known to the store").After(storeAgain)
+	}
+	id := batch.GetId()
+	data, err := proto.Marshal(batch)
+	if err != nil {
+		return refusal.NotRun(http.StatusBadRequest, "bad_batch", "%v", err)
+	}
+	if len(data) > int(0.74*float64(b.ValueBytes)) {
+		return refusal.NotRun(http.StatusRequestEntityTooLarge, "large_batch", "the batch is larger than the store's values")
+	}
+	owner, err := proto.Marshal(statepb.Owner_builder{Process: b.Process}.Build())
+	if err != nil {
+		return err
+	}
+	b.expectOwn(id, true)
+	defer b.expectOwn(id, false)
+	revision, err := b.Store.Commit(ctx, platform.Commit{
+		Expect: []platform.Expect{{Key: bulkKey(id)}},
+		Writes: []platform.Write{
+			{Key: bulkKey(id), Data: data},
+			{Key: openKey(id), Data: []byte(batch.GetAccount())},
+			{Key: ownerKey(id), Data: owner, Lease: lease},
+		},
+	})
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		klog.InfoS("batch: accepted before", "batch", id)
+		return nil
+	}
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		return refusal.NotRun(http.StatusServiceUnavailable, "store_away", "the lease of this process has ended").After(storeAgain)
+	}
+	if err != nil {
+		return err
+	}
+	klog.InfoS("batch: accepted", "batch", id, "account", batch.GetAccount(), "step", batch.GetStep(), "model", batch.GetModel(), "items", len(batch.GetItems()), "owner", revision)
+	b.lock()
+	defer b.mutex.Unlock()
+	if b.held[id] == nil {
+		b.metrics.accepted.Inc()
+		b.open[id] = true
+		b.owners[id] = b.Process
+		b.ownerRevisions[id] = revision
+		b.start(batch, revision, nil, nil, clock.Now())
+	}
+	return nil
+}
+
+func (b *Board) drains() bool {
+	b.lock()
+	defer b.mutex.Unlock()
+	return b.isDraining
+}
+
+// expectOwn keeps the watch from adopting a batch that is being accepted here.
+func (b *Board) expectOwn(id string, isExpected bool) {
+	b.lock()
+	defer b.mutex.Unlock()
+	if isExpected {
+		b.claiming[id] = true
+		return
+	}
+	delete(b.claiming, id)
+	// A write that got no answer may have been seen by the watch meanwhile.
+	if b.owners[id] == b.Process && b.held[id] == nil && b.open[id] {
+		b.claiming[id] = true
+		revision := b.ownerRevisions[id]
+		b.running.Go(func() { b.adopt(b.ctx, id, revision) })
+	}
+}
--- /dev/null
+++ b/internal/batch/claim.go
@@ -0,0 +1,172 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/duty"
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+// claimable returns the batches without an owner that this process should claim now.
+func (b *Board) claimable(now clock.Boot) []string {
+	b.lock()
+	defer b.mutex.Unlock()
+	if b.isDraining {
+		return nil
+	}
+	var ids []string
+	for id, since := range b.unowned {
+		if b.claiming[id] || !b.open[id] {
+			continue
+		}
+		rank := 0
+		if b.held[id] == nil {
+			rank = 1 + duty.Rank(id, b.Process, b.Hosts())
+		}
+		if now.Sub(since) >= time.Duration(rank)*claimStep {
+			b.claiming[id] = true
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// claim makes this process the owner of a batch that has none.
+func (b *Board) claim(ctx context.Context, id string) {
+	revision, err := b.writeOwner(ctx, id)
+	if err != nil {
+		klog.InfoS("batch: not claimed", "batch", id, "err", err.Error())
+		pause.For(ctx, claimStep)
+		b.lock()
+		delete(b.claiming, id)
+		b.mutex.Unlock()
+		return
+	}
+	b.lock()
+	known := b.held[id]
+	b.mutex.Unlock()
+	if known != nil {
+		klog.InfoS("batch: claimed again", "batch", id, "owner", revision)
+		known.ledger.reclaimed(revision)
+		b.lock()
+		delete(b.claiming, id)
+		delete(b.unowned, id)
+		b.mutex.Unlock()
+		return
+	}
+	b.adopt(ctx, id, revision)
+}
+
+func (b *Board) writeOwner(ctx context.Context, id string) (uint64, error) {
+	lease := b.Lease()
+	if lease == 0 {
+		return 0, errors.New("batch: this process has no lease")
+	}
+	data, err := proto.Marshal(statepb.Owner_builder{Process: b.Process}.Build())
+	if err != nil {
+		return 0, err
+	}
+	return b.Store.Commit(ctx, platform.Commit{
+		Expect: []platform.Expect{{Key: ownerKey(id)}},
+		Writes: []platform.Write{{Key: ownerKey(id), Data: data, Lease: lease}},
+	})
+}
+
+// adopt reads a batch that this process owns from the store, and runs it.
+func (b *Board) adopt(ctx context.Context, id string, revision uint64) {
+	batch, listed, partials, err := b.load(ctx, id)
+	for err != nil && ctx.Err() == nil && b.ownsAt(id, revision) {
+		klog.InfoS("batch: not read", "batch", id, "err", err.Error())
+		pause.For(ctx, claimStep)
+		batch, listed, partials, err = b.load(ctx, id)
+	}
+	if err == nil {
+		b.awaitRoute(ctx, batch)
+	}
+	b.lock()
+	defer b.mutex.Unlock()
+	delete(b.claiming, id)
+	if err != nil || ctx.Err() != nil || b.held[id] != nil || !b.open[id] {
+		return
+	}
+	klog.InfoS("batch: taken over", "batch", id, "owner", revision, "listed", len(listed), "partly", len(partials))
+	delete(b.unowned, id)
+	b.metrics.taken.Inc()
+	b.start(batch, revision, listed, partials, clock.Now())
+}
+
+// awaitRoute waits until a configuration is known. A process that has just
+// started may know of its batches before it knows of their route.
+func (b *Board) awaitRoute(ctx context.Context, batch *statepb.Batch) {
+	for {
+		if _, known := b.Routes(batch); known || !pause.For(ctx, claimLook) {
+			return
+		}
+	}
+}
+
+// ownsAt reports whether this process is still the owner that it became at a revision.
+func (b *Board) ownsAt(id string, revision uint64) bool {
+	b.lock()
+	defer b.mutex.Unlock()
+	return b.ownerRevisions[id] <= revision && b.open[id]
+}
+
+func (b *Board) load(ctx context.Context, id string) (*statepb.Batch, []*statepb.Outcome, []*statepb.Partial, error) {
+	batch, err := b.loadBatch(ctx, id)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	listed, err := b.loadListed(ctx, id)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	return batch, listed, b.Keeper.Fetch(ctx, id), nil
+}
+
+func (b *Board) loadBatch(ctx context.Context, id string) (*statepb.Batch, error) {
+	value, err := b.Store.Get(ctx, bulkKey(id))
+	if err != nil {
+		return nil, err
+	}
+	batch := &statepb.Batch{}
+	return batch, unmarshal(value, batch)
+}
+
+func (b *Board) loadListed(ctx context.Context, id string) ([]*statepb.Outcome, error) {
+	reply, err := b.Store.List(ctx, chunkPrefix(id))
+	if err != nil {
+		return nil, err
+	}
+	// The keys order chunks by their first place; pages of a list need not come in order.
+	slices.SortFunc(reply.Values, func(a, b platform.Value) int { return strings.Compare(a.Key, b.Key) })
+	var listed []*statepb.Outcome
+	for _, value := range reply.Values {
+		chunk := &statepb.Chunk{}
+		if err := unmarshal(value, chunk); err != nil {
+			return nil, err
+		}
+		if chunk.GetFirst() != uint64(len(listed)) {
+			return nil, &platform.UnavailableError{Operation: "list " + chunkPrefix(id)}
+		}
+		listed = append(listed, chunk.GetOutcomes()...)
+	}
+	return listed, nil
+}
+
+func unmarshal(value platform.Value, message proto.Message) error {
+	if err := proto.Unmarshal(value.Data, message); err != nil {
+		return &platform.UnavailableError{Operation: "read " + value.Key, Cause: err}
+	}
+	return nil
+}
--- a/internal/batch/leftovers.go
+++ b/internal/batch/leftovers.go
@@ -1,6 +1,9 @@
 package batch
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // leftoverBytes bounds the texts kept for later batches: those of a few steps.
 const leftoverBytes = 8 << 20
@@ -54,3 +57,61 @@
 		delete(l.kept, item)
 	}
 }
+
+// Leftover is the text of an item whose group was not whole when its batch ended.
+type Leftover struct {
+	item     string
+	events   []string
+	versions []uint64
+	isWhole  bool
+}
+
+// Item returns the identity of the item.
+func (l Leftover) Item() string { return l.item }
+
+// size returns the bytes of the text.
+func (l Leftover) size() int {
+	bytes := 0
+	for _, event := range l.events {
+		bytes += len(event)
+	}
+	return bytes
+}
+
+// Leftovers returns the texts of groups that aren't whole: their items may come
+// again in a later batch.
+func (p *Plan) Leftovers() []Leftover {
+	var leftovers []Leftover
+	for _, one := range p.items {
+		if p.groups[one.spec.GetGroup()] == 0 || len(one.events) == 0 || one.outcome.GetFailed() {
+			continue
+		}
+		isWhole := one.phase == unscored || one.phase == scoring || one.phase == settled
+		leftovers = append(leftovers, Leftover{item: one.spec.GetId(), events: one.events, versions: one.versions, isWhole: isWhole})
+	}
+	return leftovers
+}
+
+// Reuse takes texts that an earlier batch has left, as far as their versions fit
+// this one. It returns the number of items that it spares.
+//
+// A trainer ends its step with the groups that were whole, and sends the others
+// again in a later step, where it waits for them first. All but one item of such
+// a group are mostly done; made anew, they take the slots of a whole step's tenth.
+func (p *Plan) Reuse(leftovers []Leftover) int {
+	reused := 0
+	for _, leftover := range leftovers {
+		one := p.byID[leftover.item]
+		if one == nil || one.phase != waiting || !p.fits(leftover.versions) || len(leftover.events) <= len(one.events) {
+			continue
+		}
+		reused++
+		one.events, one.versions = slices.Clone(leftover.events), slices.Clone(leftover.versions)
+		if leftover.isWhole {
+			one.phase = unscored
+		}
+	}
+	p.order = slices.DeleteFunc(p.order, func(one *item) bool { return one.phase != waiting })
+	p.sort()
+	return reused
+}
