--- a/internal/batch/leftovers.go
+++ b/internal/batch/leftovers.go
@@ -66,9 +66,6 @@
 	isWhole  bool
 }
 
-// Item returns the identity of the item.
-func (l Leftover) Item() string { return l.item }
-
 // size returns the bytes of the text.
 func (l Leftover) size() int {
 	bytes := 0
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -420,11 +420,3 @@
 		one.kept = 0
 	}
 }
-
-// Item returns an item by its identity, or nil.
-func (p *Plan) Item(id string) *statepb.Item {
-	if one := p.byID[id]; one != nil {
-		return one.spec
-	}
-	return nil
-}
