Never say "not run" of a batch that an earlier try may have taken

Found by reading the change: a batch given to its owner without an answer, or sent to the store without one, could then be refused with 503 by a later try (lease ended, 503 on the other way), though the first may still be done. Tries without an answer now make every later refusal an unknown outcome; a detour says whether it may have been made. TestUnsurePeer and TestUnsureIsNoRefusal fail without it.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -28,6 +28,7 @@
 	if b.isKnown(batch.GetId()) {
 		return nil
 	}
+	isUnsure := false
 	if host := b.home(batch.GetModel()); host != "" && host != b.Process {
 		asking, cancel := context.WithTimeout(ctx, placeTime)
 		accepted, err := b.Peers.Accept(asking, host, batch)
@@ -37,8 +38,9 @@
 			return nil
 		}
 		klog.InfoS("batch: its owner did not take it", "batch", batch.GetId(), "owner", host, "err", err)
+		isUnsure = err != nil
 	}
-	return b.AcceptOwn(ctx, batch)
+	return b.acceptOwn(ctx, batch, isUnsure)
 }
 
 // home returns the process that should own a model's batches.
@@ -54,20 +56,26 @@
 
 // AcceptOwn takes a batch here.
 func (b *Board) AcceptOwn(ctx context.Context, batch *statepb.Batch) error {
+	return b.acceptOwn(ctx, batch, false)
+}
+
+// acceptOwn takes a batch here. Unsure says that an earlier try may have taken it.
+//
+// A refusal promises that nothing of the batch runs. Once any try may have
+// reached the store, no later one can promise that, whatever it is told itself.
+func (b *Board) acceptOwn(ctx context.Context, batch *statepb.Batch, isUnsure bool) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTime)
 	defer cancel()
-	maybe := false
 	for {
 		err := b.accept(ctx, batch)
 		if err == nil {
 			return nil
 		}
-		var refused *refusal.Error
-		if errors.As(err, &refused) {
+		isUnsure = isUnsure || !refusal.IsNotRun(err) && !isNothingDone(err)
+		if !isUnsure && refusal.IsNotRun(err) {
 			return err
 		}
-		maybe = maybe || !isNothingDone(err)
-		if !maybe {
+		if !isUnsure {
 			return refusal.NotRun(http.StatusServiceUnavailable, "store_away", "the store does not take the batch").After(storeAgain)
 		}
 		klog.InfoS("batch: not known whether the store holds it", "batch", batch.GetId(), "err", err.Error())
--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -185,6 +185,31 @@
 	await(t, func() bool { return p.holds() })
 }
 
+// unsurePeer never says what became of a batch.
+type unsurePeer struct{ noKeeper }
+
+func (unsurePeer) Accept(context.Context, string, *statepb.Batch) (bool, error) {
+	return false, context.DeadlineExceeded
+}
+
+// A batch was given to its owner, and no answer came. The gateway itself can't
+// reach the store either; it must not say "not run" of a batch that may run.
+func TestUnsurePeer(t *testing.T) {
+	p := begin(t, &platformtest.Store{}, "g1", "g1", "g2")
+	p.Peers = unsurePeer{}
+	p.lease.Store(0)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	for _, model := range []string{"m0", "m1", "m2", "m3"} {
+		batch := newBatch(10)
+		batch.SetId(model)
+		batch.SetModel(model)
+		err := p.Accept(ctx, batch)
+		must.Error(t, err)
+		must.Eq(t, p.home(model) == "g1", refusal.IsNotRun(err))
+	}
+}
+
 // A gateway is killed and starts again. It hears of its batches before it has
 // read the configuration; taken for a route that is gone, that listed every item
 // of a step as failed, 270 ms after the step was accepted.
--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -49,9 +50,33 @@
 
 // Peers makes calls through other processes.
 type Peers interface {
-	// Detour makes the call through another process. It reports false if none
-	// can make it.
-	Detour(ctx context.Context, call Call) (Answer, bool)
+	// Detour makes the call through another process. It reports a call that was
+	// answered, one that may have been made without an answer, or none.
+	Detour(ctx context.Context, call Call) (Answer, Made)
+}
+
+// Made says what became of a call that was given to another process.
+type Made int
+
+// What became of it.
+const (
+	// NotMade calls reached no process.
+	NotMade Made = iota
+	// Unsure calls may have been made, or may be made later.
+	Unsure
+	// Answered calls have their answer.
+	Answered
+)
+
+// UnsureError says that a call was turned away on one way and may have been made
+// on another.
+type UnsureError struct {
+	Status int
+}
+
+// Error names the status.
+func (e *UnsureError) Error() string {
+	return "turned away with " + strconv.Itoa(e.Status) + " after a try without an answer"
 }
 
 // Direct makes calls from this host. Exported fields are set before the first call.
@@ -117,47 +142,69 @@
 // so one that was done without an answer and is sent again does no harm.
 func (c *Caller) Do(ctx context.Context, call Call) (Answer, error) {
 	c.once.Do(func() { c.calls = newCalls(c.Metrics) })
+	isUnsure := false
 	if c.isAway() {
 		if call.Probe && c.isDue() {
 			go c.look(context.WithoutCancel(ctx), call)
 		}
-		if answer, ok := c.detour(ctx, call); ok {
+		answer, made := c.detour(ctx, call)
+		if made == Answered {
 			return answer, nil
 		}
+		isUnsure = made == Unsure
 	}
-	answer, err := c.Direct.Do(ctx, call)
+	answer, err := c.direct(ctx, call)
 	if err == nil && !isTurnedAway(answer.Status) {
-		c.calls.WithLabelValues(wayDirect, resultDone).Inc()
 		c.reached()
 		return answer, nil
 	}
-	if err == nil {
-		c.calls.WithLabelValues(wayDirect, resultAway).Inc()
-	} else {
-		c.calls.WithLabelValues(wayDirect, resultNone).Inc()
-	}
+	isUnsure = isUnsure || err != nil
 	if ctx.Err() != nil {
-		return answer, err
+		return sure(answer, err, isUnsure)
 	}
 	c.turnedAway(call, answer.Status, err)
-	if detoured, ok := c.detour(ctx, call); ok {
-		return detoured, nil
+	detoured, made := c.detour(ctx, call)
+	if made == Answered {
+		return sure(detoured, nil, isUnsure)
+	}
+	return sure(answer, err, isUnsure || made == Unsure)
+}
+
+// sure keeps a refusal from standing for a call of which another try may have
+// been made: the caller would take it that nothing was done, while the store
+// does it a second later.
+func sure(answer Answer, err error, isUnsure bool) (Answer, error) {
+	if err == nil && isUnsure && isTurnedAway(answer.Status) {
+		return Answer{}, &UnsureError{Status: answer.Status}
 	}
 	return answer, err
 }
 
-// detour makes a call through another process; false if there is none, or none can.
-func (c *Caller) detour(ctx context.Context, call Call) (Answer, bool) {
+func (c *Caller) direct(ctx context.Context, call Call) (Answer, error) {
+	answer, err := c.Direct.Do(ctx, call)
+	switch {
+	case err != nil:
+		c.calls.WithLabelValues(wayDirect, resultNone).Inc()
+	case isTurnedAway(answer.Status):
+		c.calls.WithLabelValues(wayDirect, resultAway).Inc()
+	default:
+		c.calls.WithLabelValues(wayDirect, resultDone).Inc()
+	}
+	return answer, err
+}
+
+// detour makes a call through another process.
+func (c *Caller) detour(ctx context.Context, call Call) (Answer, Made) {
 	if c.Peers == nil {
-		return Answer{}, false
+		return Answer{}, NotMade
 	}
-	answer, ok := c.Peers.Detour(ctx, call)
-	if !ok {
+	answer, made := c.Peers.Detour(ctx, call)
+	if made == Answered {
+		c.calls.WithLabelValues(wayDetour, resultDone).Inc()
+	} else {
 		c.calls.WithLabelValues(wayDetour, resultNone).Inc()
-		return Answer{}, false
 	}
-	c.calls.WithLabelValues(wayDetour, resultDone).Inc()
-	return answer, true
+	return answer, made
 }
 
 func (c *Caller) isAway() bool {
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,12 +18,14 @@
 // way is a peer that makes calls, or can't.
 type way struct {
 	calls atomic.Int64
-	works bool
+	made  Made
+	// status is that of its answers; 0 is 200.
+	status int
 }
 
-func (w *way) Detour(context.Context, Call) (Answer, bool) {
+func (w *way) Detour(context.Context, Call) (Answer, Made) {
 	w.calls.Add(1)
-	return Answer{Status: http.StatusOK, Body: []byte("by a peer")}, w.works
+	return Answer{Status: max(http.StatusOK, w.status), Body: []byte("by a peer")}, w.made
 }
 
 // newStore returns a store that answers with a status, and a count of its calls.
@@ -48,7 +51,7 @@
 	status := &atomic.Int64{}
 	status.Store(http.StatusServiceUnavailable)
 	direct, calls := newStore(t, status)
-	peer := &way{works: true}
+	peer := &way{made: Answered}
 	caller := &Caller{Direct: direct, Peers: peer}
 	for range 10 {
 		answer, err := do(t, caller)
@@ -73,7 +76,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	caller := &Caller{Direct: &Direct{Address: listener.Addr().String()}, Peers: &way{works: true}}
+	caller := &Caller{Direct: &Direct{Address: listener.Addr().String()}, Peers: &way{made: Answered}}
 	_, err = do(t, caller)
 	must.NoError(t, err)
 	caller.away = caller.away.Add(-directAgain)
@@ -91,7 +94,7 @@
 	status := &atomic.Int64{}
 	status.Store(http.StatusPreconditionFailed)
 	direct, _ := newStore(t, status)
-	peer := &way{works: true}
+	peer := &way{made: Answered}
 	answer, err := do(t, &Caller{Direct: direct, Peers: peer})
 	must.NoError(t, err)
 	must.Eq(t, http.StatusPreconditionFailed, answer.Status)
@@ -103,3 +106,30 @@
 	_, err := do(t, caller)
 	must.Error(t, err)
 }
+
+// A batch is sent to the store, and no answer comes: the store may hold it. The
+// other way then says 503. Told "nothing runs", the trainer would be told an
+// untruth as soon as the first try is done.
+func TestUnsureIsNoRefusal(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	status := &atomic.Int64{}
+	status.Store(http.StatusServiceUnavailable)
+	refusing, _ := newStore(t, status)
+	var unsure *UnsureError
+	t.Run("direct without an answer, refused through a peer", func(t *testing.T) {
+		caller := &Caller{Direct: &Direct{Address: listener.Addr().String()}, Peers: &way{made: Answered, status: http.StatusServiceUnavailable}}
+		_, err := do(t, caller)
+		must.True(t, errors.As(err, &unsure))
+	})
+	t.Run("refused directly, without an answer through a peer", func(t *testing.T) {
+		_, err := do(t, &Caller{Direct: refusing, Peers: &way{made: Unsure}})
+		must.True(t, errors.As(err, &unsure))
+	})
+	t.Run("refused on both ways", func(t *testing.T) {
+		answer, err := do(t, &Caller{Direct: refusing, Peers: &way{made: NotMade}})
+		must.NoError(t, err)
+		must.Eq(t, http.StatusServiceUnavailable, answer.Status)
+	})
+}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -207,10 +208,11 @@
 
 // Detour makes a call of the store through another gateway, first through the
 // one that could make the last.
-func (h *Hosts) Detour(ctx context.Context, call detour.Call) (detour.Answer, bool) {
+func (h *Hosts) Detour(ctx context.Context, call detour.Call) (detour.Answer, detour.Made) {
 	request := peerpb.DetourRequest_builder{
 		Method: call.Method, Target: call.Target, Body: call.Body, Timeout: call.Timeout.Milliseconds(),
 	}.Build()
+	made := detour.NotMade
 	for tries, name := range h.ways() {
 		if tries == detourTries {
 			break
@@ -224,6 +226,10 @@
 		cancel()
 		if err != nil {
 			klog.InfoS("hosts: no detour", "host", name, "err", err.Error())
+			made = detour.Unsure
+			continue
+		}
+		if made == detour.Unsure && isTurnedAway(reply.GetStatus()) {
 			continue
 		}
 		h.mutex.Lock()
@@ -232,9 +238,9 @@
 		}
 		h.served = name
 		h.mutex.Unlock()
-		return detour.Answer{Status: int(reply.GetStatus()), Body: reply.GetBody()}, true
+		return detour.Answer{Status: int(reply.GetStatus()), Body: reply.GetBody()}, detour.Answered
 	}
-	return detour.Answer{}, false
+	return detour.Answer{}, made
 }
 
 // Follow waits for changes that a watcher of the store has seen. It reports
@@ -293,6 +299,11 @@
 	return ""
 }
 
+// isTurnedAway reports whether a status says that the store did nothing.
+func isTurnedAway(status uint32) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // ways returns the other gateways, the one that served last first.
 func (h *Hosts) ways() []string {
 	names := h.Names()
