Tell that the store answers again before what has changed is taken

Whoever is told of changes must know first that the store was away: registrations that lapsed in it have their time to come back. 60 repeated runs with -race pass.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -46,7 +46,7 @@
 	// to each other cost one call.
 	Pause time.Duration
 	// Lost is called when the store stops answering, and Regained once it does
-	// again; nil is allowed.
+	// again, before what has changed meanwhile is taken; nil is allowed.
 	Lost     func()
 	Regained func()
 
@@ -73,9 +73,7 @@
 		}
 		var compacted *platform.CompactedError
 		switch {
-		case err == nil:
-			m.regained()
-		case ctx.Err() != nil:
+		case err == nil, ctx.Err() != nil:
 		case errors.As(err, &compacted):
 			klog.InfoS("mirror: the store has dropped its history, listing anew", "prefix", m.Prefix, "after", m.revision)
 			isListed = false
@@ -92,6 +90,7 @@
 	if err != nil {
 		return err
 	}
+	m.regained()
 	present := map[string]bool{}
 	for _, value := range reply.Values {
 		present[value.Key] = true
@@ -130,6 +129,7 @@
 }
 
 func (m *Mirror) takeReply(reply platform.ListReply, direct bool) {
+	m.regained()
 	m.take(reply.Values)
 	m.revision = max(m.revision, reply.Revision)
 	m.history.add(reply.Values, m.revision, direct)
