--- a/internal/cmd/entrycmd.go
+++ b/internal/cmd/entrycmd.go
@@ -2,7 +2,9 @@
 
 import (
 	"github.com/bramleyhatch/bramleyhatch/internal/bramleyhatch"
+	"github.com/bramleyhatch/bramleyhatch/internal/logging"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
+	"github.com/bramleyhatch/bramleyhatch/internal/settings"
 )
 
 // entryCmd runs an entry.
@@ -18,6 +20,17 @@
 // Run serves until SIGTERM or SIGINT, then drains.
 func (e *entryCmd) Run(c *config) error {
 	var loaded settingspb.Entry
-	process := &bramleyhatch.Entry{Settings: &loaded}
-	return runProcess(c, e.Settings, &loaded, process.Run)
+	if err := settings.Load(e.Settings, &loaded); err != nil {
+		return err
+	}
+	stopLog, err := logging.Start(c.stdout)
+	if err != nil {
+		return err
+	}
+	defer stopLog()
+	ctx, end := stopContext()
+	defer end()
+	go watchSettings(ctx, e.Settings, &loaded)
+	entry := &bramleyhatch.Entry{Settings: &loaded}
+	return entry.Run(ctx)
 }
