--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -88,10 +88,7 @@
 // isNothingDone reports whether an error of the store proves that it changed nothing.
 func isNothingDone(err error) bool {
 	var away *platform.UnavailableError
-	if !errors.As(err, &away) {
-		return false
-	}
-	return away.Status == http.StatusServiceUnavailable || away.Status == http.StatusTooManyRequests
+	return errors.As(err, &away) && platform.IsTurnedAway(away.Status)
 }
 
 func (b *Board) isKnown(id string) bool {
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -2,9 +2,7 @@
 
 import (
 	"github.com/bramleyhatch/bramleyhatch/internal/bramleyhatch"
-	"github.com/bramleyhatch/bramleyhatch/internal/logging"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
-	"github.com/bramleyhatch/bramleyhatch/internal/settings"
 )
 
 // gatewayCmd runs a gateway.
@@ -20,17 +18,6 @@
 // Run serves until SIGTERM or SIGINT, then drains.
 func (g *gatewayCmd) Run(c *config) error {
 	var loaded settingspb.Gateway
-	if err := settings.Load(g.Settings, &loaded); err != nil {
-		return err
-	}
-	stopLog, err := logging.Start(c.stdout)
-	if err != nil {
-		return err
-	}
-	defer stopLog()
-	ctx, end := stopContext()
-	defer end()
-	go watchSettings(ctx, g.Settings, &loaded)
 	process := &bramleyhatch.Gateway{Settings: &loaded}
-	return process.Run(ctx)
+	return runProcess(c, g.Settings, &loaded, process.Run)
 }
--- a/internal/cmd/sidecarcmd.go
+++ b/internal/cmd/sidecarcmd.go
@@ -2,9 +2,7 @@
 
 import (
 	"github.com/bramleyhatch/bramleyhatch/internal/bramleyhatch"
-	"github.com/bramleyhatch/bramleyhatch/internal/logging"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
-	"github.com/bramleyhatch/bramleyhatch/internal/settings"
 )
 
 // sidecarCmd runs a sidecar.
@@ -20,17 +18,6 @@
 // Run serves until SIGTERM or SIGINT, then drains.
 func (s *sidecarCmd) Run(c *config) error {
 	var loaded settingspb.Sidecar
-	if err := settings.Load(s.Settings, &loaded); err != nil {
-		return err
-	}
-	stopLog, err := logging.Start(c.stdout)
-	if err != nil {
-		return err
-	}
-	defer stopLog()
-	ctx, end := stopContext()
-	defer end()
-	go watchSettings(ctx, s.Settings, &loaded)
-	sidecar := &bramleyhatch.Sidecar{Settings: &loaded}
-	return sidecar.Run(ctx)
+	process := &bramleyhatch.Sidecar{Settings: &loaded}
+	return runProcess(c, s.Settings, &loaded, process.Run)
 }
--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -17,6 +17,7 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
 
 const (
@@ -154,7 +155,7 @@
 		isUnsure = made == Unsure
 	}
 	answer, err := c.direct(ctx, call)
-	if err == nil && !isTurnedAway(answer.Status) {
+	if err == nil && !platform.IsTurnedAway(answer.Status) {
 		c.reached()
 		return answer, nil
 	}
@@ -174,7 +175,7 @@
 // been made: the caller would take it that nothing was done, while the store
 // does it a second later.
 func sure(answer Answer, err error, isUnsure bool) (Answer, error) {
-	if err == nil && isUnsure && isTurnedAway(answer.Status) {
+	if err == nil && isUnsure && platform.IsTurnedAway(answer.Status) {
 		return Answer{}, &UnsureError{Status: answer.Status}
 	}
 	return answer, err
@@ -185,7 +186,7 @@
 	switch {
 	case err != nil:
 		c.calls.WithLabelValues(wayDirect, resultNone).Inc()
-	case isTurnedAway(answer.Status):
+	case platform.IsTurnedAway(answer.Status):
 		c.calls.WithLabelValues(wayDirect, resultAway).Inc()
 	default:
 		c.calls.WithLabelValues(wayDirect, resultDone).Inc()
@@ -232,7 +233,7 @@
 // late, as every call after a second was sent directly first.
 func (c *Caller) look(ctx context.Context, call Call) {
 	answer, err := c.Direct.Do(ctx, call)
-	if err == nil && !isTurnedAway(answer.Status) {
+	if err == nil && !platform.IsTurnedAway(answer.Status) {
 		c.reached()
 	}
 }
@@ -254,8 +255,3 @@
 	}
 	c.away = clock.Now()
 }
-
-// isTurnedAway reports whether a status says that the store did nothing for this host.
-func isTurnedAway(status int) bool {
-	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
-}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
@@ -106,12 +107,8 @@
 	if !refusal.IsNotRun(last) || r.request.left() < 2*waitForRoom {
 		return false, r.refuse(ctx, last)
 	}
-	timer := time.NewTimer(waitForRoom)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !pause.For(ctx, waitForRoom) {
 		return false, r.refuse(ctx, last)
-	case <-timer.C:
 	}
 	clear(r.tried)
 	return true, nil
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -229,7 +228,7 @@
 			made = detour.Unsure
 			continue
 		}
-		if made == detour.Unsure && isTurnedAway(reply.GetStatus()) {
+		if made == detour.Unsure && platform.IsTurnedAway(int(reply.GetStatus())) {
 			continue
 		}
 		h.mutex.Lock()
@@ -299,11 +298,6 @@
 	return ""
 }
 
-// isTurnedAway reports whether a status says that the store did nothing.
-func isTurnedAway(status uint32) bool {
-	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
-}
-
 // ways returns the other gateways, the one that served last first.
 func (h *Hosts) ways() []string {
 	names := h.Names()
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -72,6 +72,11 @@
 	return "platform: " + e.Operation + ": status " + strconv.Itoa(e.Status)
 }
 
+// IsTurnedAway reports whether a status of the store says that it did nothing.
+func IsTurnedAway(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
