Name the refusal codes of backend servers once

They stood as literals in backend, forward and batch; a code changed in one place would have made a full server look like a failed one. No behaviour changed; tests of the three packages pass.

--- a/internal/backend/direct.go
+++ b/internal/backend/direct.go
@@ -9,8 +9,17 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
-// codeOther is the code of refusals by a server that isn't the one meant.
-const codeOther = "other_server"
+// Codes of refusals that say what became of a request at one server.
+const (
+	// CodeFailed says that the server answered that its run failed.
+	CodeFailed = "server_failed"
+	// CodeForeign says that the answer belongs to another request.
+	CodeForeign = "foreign_answer"
+	// CodeFull says that the server had no room and ran nothing.
+	CodeFull = "server_full"
+	// CodeOther says that another server than the one meant is at the address.
+	CodeOther = "other_server"
+)
 
 // Send is one request as it is sent to one backend server.
 type Send struct {
@@ -103,9 +112,9 @@
 	}
 	if d.Wire.IsNotRun(answer.Response) {
 		defer d.discard(answer.Response)
-		code := "server_full"
+		code := CodeFull
 		if d.Wire.IsOther(answer.Response) {
-			code = codeOther
+			code = CodeOther
 		}
 		return nil, refusal.NotRun(http.StatusServiceUnavailable, code, "%s answered %d and ran nothing", d.Name, answer.StatusCode).After(retryElsewhere)
 	}
@@ -113,7 +122,7 @@
 		// An answer that stands where this one is due belongs to another request:
 		// given on, a caller would get another caller's bytes.
 		_ = answer.Body.Close()
-		return nil, refusal.Unknown(http.StatusBadGateway, "foreign_answer", "%s answered another request", d.Name)
+		return nil, refusal.Unknown(http.StatusBadGateway, CodeForeign, "%s answered another request", d.Name)
 	}
 	return &Answer{Response: answer.Response, direct: d}, nil
 }
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -48,7 +48,7 @@
 	case ctx.Err() != nil:
 		o.plan.Cut(job, 0, now)
 		return endStopped
-	case refused.Code == codeFailed:
+	case refused.Code == backend.CodeFailed:
 		o.plan.Failed(job, refused.Status == http.StatusUnprocessableEntity, now)
 		return endFailed
 	case refusal.IsNotRun(err), errors.Is(err, errUnfit):
@@ -62,9 +62,6 @@
 	}
 }
 
-// codeFailed is the code of answers that say that a run failed.
-const codeFailed = "server_failed"
-
 // errUnfit ends a run whose text may not be used.
 var errUnfit = refusal.Unknown(http.StatusConflict, "unfit", "the sampler's weight version doesn't fit the batch")
 
@@ -89,7 +86,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode != http.StatusOK {
-		return refusal.Unknown(answer.StatusCode, codeFailed, "%s answered %d", server.Name(), answer.StatusCode)
+		return refusal.Unknown(answer.StatusCode, backend.CodeFailed, "%s answered %d", server.Name(), answer.StatusCode)
 	}
 	o.roster.Answered(server)
 	return o.take(job, server, answer)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -183,7 +183,7 @@
 	}
 	if answer.StatusCode >= http.StatusInternalServerError && r.policy.repeats && r.policy.sent+1 < r.policy.attempts {
 		_ = answer.Body.Close()
-		return nil, refusal.Unknown(http.StatusBadGateway, "server_failed", "%s answered %d", server.Name(), answer.StatusCode)
+		return nil, refusal.Unknown(http.StatusBadGateway, backend.CodeFailed, "%s answered %d", server.Name(), answer.StatusCode)
 	}
 	got.Body, got.Whole = body, whole
 	return got, nil
@@ -199,11 +199,11 @@
 func NoteFailure(ctx context.Context, servers *roster.Roster, server *roster.Server, err error) {
 	refused := refusal.Of(err)
 	switch {
-	case refused.Code == "other_server":
+	case refused.Code == backend.CodeOther:
 		servers.Replaced(server)
-	case refused.Code == "server_full":
+	case refused.Code == backend.CodeFull:
 		servers.Full(server)
-	case refused.Code == "server_failed", refused.Code == "foreign_answer":
+	case refused.Code == backend.CodeFailed, refused.Code == backend.CodeForeign:
 	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
 	default:
 		servers.Failed(server, refused.Code)
--- a/internal/forward/policy_test.go
+++ b/internal/forward/policy_test.go
@@ -6,11 +6,12 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/backend"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
 var (
-	errNotRun  = refusal.NotRun(503, "server_full", "full")
+	errNotRun  = refusal.NotRun(503, backend.CodeFull, "full")
 	errUnknown = refusal.Unknown(502, "backend_cut", "cut")
 )
 
