Order how many servers a pool has, where the operators leave it to the system

The holder of the gateways' duty asks all gateways what they need of such pools (mean of running requests, waiting items, refusals for want of room), decides with the product's Sizer and Spread, and orders a number for each zone under its fence. Unanswered orders are repeated, and one carried out late is corrected once the registrations show it. Pools without scaling cost no call.

Ruled out: counting running requests at one moment (requests of 25 ms at 6 a second are seen by one look in seven).

--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -306,6 +306,19 @@
 	return b.owners[id]
 }
 
+// Waiting returns the items that wait here for a slot of a pool.
+func (b *Board) Waiting(pool string) uint32 {
+	b.lock()
+	defer b.mutex.Unlock()
+	var waiting uint32
+	for _, held := range b.held {
+		if route, _ := held.route(); route.Pool == pool {
+			waiting += uint32(held.waiting.Load())
+		}
+	}
+	return waiting
+}
+
 // Drain hands all batches over: it stops their runs, leaves what came of them
 // with a keeper and gives them up, so that the next owners go on at once and lose nothing.
 func (b *Board) Drain(ctx context.Context) {
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -146,7 +146,9 @@
 		ValueBytes: int(g.Settings.GetStore().GetValueBytes()),
 	}
 	g.AddDuty("batches", g.board.Run)
-	g.peerServer = &gateway.Server{Board: g.board, Direct: g.caller.Direct, Mirrors: map[string]*mirror.Mirror{}}
+	g.peerServer = &gateway.Server{
+		Board: g.board, Direct: g.caller.Direct, Roster: g.roster, Incarnation: g.Incarnation, Mirrors: map[string]*mirror.Mirror{},
+	}
 	g.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterGatewayServer(registrar, g.peerServer) })
 }
 
--- a/internal/bramleyhatch/gatewayduties.go
+++ b/internal/bramleyhatch/gatewayduties.go
@@ -84,7 +84,11 @@
 		func(ctx context.Context) error { return g.retire(ctx, term) },
 	}
 	if g.Settings.GetStore().GetOrders() != "" {
-		works = append(works, func(ctx context.Context) error { return g.newReporter().Run(ctx, term) })
+		duties := g.newDuties()
+		works = append(works,
+			func(ctx context.Context) error { return g.newReporter(duties).Run(ctx, term) },
+			func(ctx context.Context) error { return g.countServers(ctx, term, duties) },
+		)
 	}
 	ended := make(chan error, len(works))
 	for _, work := range works {
@@ -100,15 +104,20 @@
 	return first
 }
 
-func (g *Gateway) newReporter() *usage.Reporter {
+// newDuties returns the way to what only the holder of the duty may tell the platform.
+func (g *Gateway) newDuties() *platform.Duties {
+	return &platform.Duties{
+		Address: g.Settings.GetStore().GetOrders(),
+		Holder:  g.Process.Settings.GetName(),
+		Timeout: g.Settings.GetDuty().GetOrder().AsDuration(),
+	}
+}
+
+func (g *Gateway) newReporter(way *platform.Duties) *usage.Reporter {
 	settings, duties := g.Settings.GetUsage(), g.Settings.GetDuty()
 	return &usage.Reporter{
-		Process: g.Process.Settings.GetName(),
-		Platform: holderStore{Store: g.store, Duties: &platform.Duties{
-			Address: g.Settings.GetStore().GetOrders(),
-			Holder:  g.Process.Settings.GetName(),
-			Timeout: duties.GetOrder().AsDuration(),
-		}},
+		Process:   g.Process.Settings.GetName(),
+		Platform:  holderStore{Store: g.store, Duties: way},
 		Collector: &usage.Collector{Directory: g.hosts, Peers: &usage.GRPCPeers{}},
 		Offer:     func(*peerpb.Fact) bool { return true },
 		Decisions: g.Decisions,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -102,6 +102,7 @@
 func (r *run) noServer(ctx context.Context, last error) (bool, error) {
 	if last == nil {
 		klog.InfoS("route: no server", "id", r.request.ID, "pool", r.pool)
+		r.forwarder.Roster.Refused(r.pool)
 		return false, refusal.NotRun(http.StatusServiceUnavailable, "no_server", "no backend server of the pool gets work").After(serverAgain)
 	}
 	if !refusal.IsNotRun(last) || r.request.left() < 2*waitForRoom {
@@ -225,6 +226,9 @@
 	if ctx.Err() != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) && r.policy.ran {
 		refused.Status = http.StatusGatewayTimeout
 	}
+	if refused.Code == backend.CodeFull {
+		r.forwarder.Roster.Refused(r.pool)
+	}
 	klog.InfoS("route: refused", "id", r.request.ID, "status", refused.Status, "code", refused.Code, "tried", len(r.tried), "left", r.request.left(), "at", clock.Now())
 	return &refused
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -12,6 +12,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+	"github.com/bramleyhatch/bramleyhatch/internal/roster"
 )
 
 const (
@@ -80,6 +81,9 @@
 
 	Board  *batch.Board
 	Direct *detour.Direct
+	Roster *roster.Roster
+	// Incarnation of this process.
+	Incarnation uint64
 	// Mirrors by their prefix.
 	Mirrors map[string]*mirror.Mirror
 }
@@ -95,6 +99,18 @@
 	return peerpb.AcceptReply_builder{Accepted: err == nil}.Build(), nil
 }
 
+// Demand tells what this gateway asks of pools.
+func (s *Server) Demand(_ context.Context, request *peerpb.DemandRequest) (*peerpb.DemandReply, error) {
+	reply := peerpb.DemandReply_builder{Incarnation: s.Incarnation}
+	for _, pool := range request.GetPools() {
+		demand := s.Roster.Demand(pool)
+		reply.Pools = append(reply.Pools, peerpb.PoolDemand_builder{
+			Pool: pool, Busy: demand.Busy.Microseconds(), Ended: demand.Ended, Refused: demand.Refused, Waiting: s.Board.Waiting(pool),
+		}.Build())
+	}
+	return reply.Build(), nil
+}
+
 // Detour makes a call of the store from this host.
 func (s *Server) Detour(ctx context.Context, request *peerpb.DetourRequest) (*peerpb.DetourReply, error) {
 	answer, err := s.Direct.Do(ctx, detour.Call{
--- a/internal/listen/listentest/address.go
+++ b/internal/listen/listentest/address.go
@@ -3,6 +3,7 @@
 package listentest
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -57,8 +58,12 @@
 	}
 }
 
+func listen(address string) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+}
+
 func isFree(address string) bool {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listen(address)
 	if err != nil {
 		return false
 	}
@@ -73,7 +78,7 @@
 	for h.block+blockPorts <= lastPort {
 		first := h.block
 		h.block += blockPorts
-		lock, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		lock, err := listen(fmt.Sprintf("127.0.0.1:%d", first))
 		if err != nil {
 			continue
 		}
--- a/internal/roster/engine.go
+++ b/internal/roster/engine.go
@@ -66,8 +66,7 @@
 	if chosen == nil {
 		return nil
 	}
-	chosen.Begin()
-	server := r.servers[chosen.Name()]
+	server := r.begin(chosen)
 	server.isAsked = server.refusals > 0
 	return server
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -84,6 +84,11 @@
 	mutex   sync.Mutex
 	servers map[string]*Server
 	pools   map[string][]*route.Server
+	// zones are those in which a pool has or had a server.
+	zones  map[string]map[string]bool
+	meters map[string]*meter
+	// slots are the last known mean slots of a pool's servers.
+	slots   map[string]float64
 	chooser *route.Chooser
 	lost    bool
 	// regained is when the store answered again.
@@ -130,6 +135,10 @@
 	}
 	r.servers[entry.ID] = server
 	r.pools[entry.Pool] = append(r.pools[entry.Pool], server.Server)
+	if r.zones[entry.Pool] == nil {
+		r.zones[entry.Pool] = map[string]bool{}
+	}
+	r.zones[entry.Pool][entry.Zone] = true
 }
 
 func (r *Roster) drop(id string) {
@@ -256,8 +265,15 @@
 	if choice.Server == nil {
 		return nil, choice.Reason
 	}
-	choice.Server.Begin()
-	return r.servers[choice.Server.Name()], choice.Reason
+	return r.begin(choice.Server), choice.Reason
+}
+
+// begin counts a request at a server until Finish. The mutex is held.
+func (r *Roster) begin(chosen *route.Server) *Server {
+	chosen.Begin()
+	server := r.servers[chosen.Name()]
+	r.meter(server.entry.Pool).run(1, clock.Now())
+	return server
 }
 
 // Finish notes the end of a request that Choose or Place gave to a server.
@@ -265,6 +281,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	server.Finish()
+	r.meter(server.entry.Pool).run(-1, clock.Now())
 	r.wake()
 }
 
@@ -337,6 +354,9 @@
 	}
 	r.servers = map[string]*Server{}
 	r.pools = map[string][]*route.Server{}
+	r.zones = map[string]map[string]bool{}
+	r.meters = map[string]*meter{}
+	r.slots = map[string]float64{}
 	r.chooser = &route.Chooser{Region: r.Region, Zone: r.Zone}
 	r.changed = make(chan struct{})
 }
--- a/test/gateway/fixture_test.go
+++ b/test/gateway/fixture_test.go
@@ -86,7 +86,7 @@
 		Batches:   settingspb.Batches_builder{Keep: durationpb.New(time.Minute), Group: durationpb.New(50 * time.Millisecond)}.Build(),
 		Duty: settingspb.Duty_builder{
 			Lease: durationpb.New(wiretest.LeaseLength), Margin: durationpb.New(300 * time.Millisecond),
-			Interval: durationpb.New(100 * time.Millisecond), Order: durationpb.New(time.Second), Fenced: true,
+			Interval: durationpb.New(100 * time.Millisecond), Order: durationpb.New(time.Second), Fenced: true, Target: 0.75, Slack: 0.1,
 		}.Build(),
 		Usage: settingspb.Usage_builder{
 			Window: durationpb.New(time.Second), Settle: durationpb.New(300 * time.Millisecond), Push: durationpb.New(200 * time.Millisecond),
