--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -5,7 +5,9 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -25,6 +27,10 @@
 	// again. A look every second costs a call a second during an outage and finds
 	// its end that soon.
 	directAgain = time.Second
+	// refusedFor is how long a refusal of the store, or a connection that could not
+	// be had, stands for the calls after it: as long as the parts of a process wait
+	// until they ask again, so that they ask once and not each by itself.
+	refusedFor = 100 * time.Millisecond
 	// maxAnswerBytes is above the largest page of the store, base64 included.
 	maxAnswerBytes = 16 << 20
 )
@@ -87,10 +93,52 @@
 
 	once   sync.Once
 	client httpc.Service
+	mutex  sync.Mutex
+	// refused is when the store turned a call away last; zero if it did not.
+	refused clock.Boot
 }
 
-// Do makes one call.
+// Do makes one call. Just after the store has turned one away, it is not made,
+// and turned away as well.
+//
+// While the store was away for six seconds, the parts of 19 gateways made 3,300
+// calls to learn of it, and to help each other; a whole quiet minute takes 1,340.
 func (d *Direct) Do(ctx context.Context, call Call) (Answer, error) {
+	if d.isRefused() {
+		return Answer{Status: http.StatusServiceUnavailable}, nil
+	}
+	return d.ask(ctx, call)
+}
+
+// ask makes one call, whatever became of those before.
+func (d *Direct) ask(ctx context.Context, call Call) (Answer, error) {
+	answer, err := d.send(ctx, call)
+	isRefused := isNoConnection(err) || err == nil && platform.IsTurnedAway(answer.Status)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	switch {
+	case isRefused:
+		d.refused = clock.Now()
+	case err == nil:
+		d.refused = 0
+	}
+	return answer, err
+}
+
+func (d *Direct) isRefused() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.refused != 0 && clock.Now().Sub(d.refused) < refusedFor
+}
+
+// isNoConnection reports whether a call was not sent since there was no
+// connection to send it on.
+func isNoConnection(err error) bool {
+	var fault *net.OpError
+	return errors.As(err, &fault) && fault.Op == "dial" && !fault.Timeout()
+}
+
+func (d *Direct) send(ctx context.Context, call Call) (Answer, error) {
 	d.once.Do(func() { d.client = listen.Client("store " + d.Address) })
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
@@ -232,7 +280,7 @@
 // whole timeout on each direct call; batches that it owned were accepted 0.7 s
 // late, as every call after a second was sent directly first.
 func (c *Caller) look(ctx context.Context, call Call) {
-	answer, err := c.Direct.Do(ctx, call)
+	answer, err := c.Direct.ask(ctx, call)
 	if err == nil && !platform.IsTurnedAway(answer.Status) {
 		c.reached()
 	}
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -133,3 +133,33 @@
 		must.Eq(t, http.StatusServiceUnavailable, answer.Status)
 	})
 }
+
+// The store is away for seconds. All parts of all gateways ask it again and
+// again, and their calls take up its limit just as it comes back.
+func TestRefusalIsRemembered(t *testing.T) {
+	status := &atomic.Int64{}
+	status.Store(http.StatusServiceUnavailable)
+	direct, calls := newStore(t, status)
+	call := Call{Method: http.MethodGet, Target: "/x", Timeout: 300 * time.Millisecond}
+	for range 20 {
+		answer, err := direct.Do(t.Context(), call)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusServiceUnavailable, answer.Status)
+	}
+	must.Eq(t, 1, calls.Load())
+	status.Store(http.StatusOK)
+	time.Sleep(refusedFor)
+	answer, err := direct.Do(t.Context(), call)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, answer.Status)
+	t.Run("a call that gets no answer says nothing of the next one", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		silent := &Direct{Address: listener.Addr().String()}
+		for range 2 {
+			_, err := silent.Do(t.Context(), Call{Method: http.MethodGet, Target: "/x", Timeout: 20 * time.Millisecond})
+			must.Error(t, err)
+		}
+	})
+}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -37,6 +37,9 @@
 	watcherAgain = 3 * time.Second
 	// detourTries is the most peers that one call is made through.
 	detourTries = 2
+	// turnedAgain is how long a gateway that the store turned away comes last
+	// among those that calls are made through.
+	turnedAgain = time.Second
 )
 
 // Hosts knows the other gateways and speaks to them. Exported fields are set
@@ -55,6 +58,8 @@
 	watchers []string
 	// silent is when a watcher did not answer last.
 	silent map[string]clock.Boot
+	// turned is when the store turned a gateway away last that made a call for this process.
+	turned map[string]clock.Boot
 }
 
 var _ detour.Peers = &Hosts{}
@@ -67,6 +72,7 @@
 		h.hosts = map[string]*statepb.Host{}
 		h.keepers = map[string]*statepb.Host{}
 		h.silent = map[string]clock.Boot{}
+		h.turned = map[string]clock.Boot{}
 		h.connections = map[string]*grpc.ClientConn{}
 	}
 	for _, change := range changes {
@@ -207,11 +213,15 @@
 
 // Detour makes a call of the store through another gateway, first through the
 // one that could make the last.
+//
+// The store may turn several gateways away. The word of one of them is not the
+// store's last: taken for it, gateways that asked each other lost their leases,
+// though others were served all the while.
 func (h *Hosts) Detour(ctx context.Context, call detour.Call) (detour.Answer, detour.Made) {
 	request := peerpb.DetourRequest_builder{
 		Method: call.Method, Target: call.Target, Body: call.Body, Timeout: call.Timeout.Milliseconds(),
 	}.Build()
-	made := detour.NotMade
+	answer, made := detour.Answer{}, detour.NotMade
 	for tries, name := range h.ways() {
 		if tries == detourTries {
 			break
@@ -223,23 +233,43 @@
 		asking, cancel := context.WithTimeout(ctx, call.Timeout+detourExtra)
 		reply, err := client.Detour(asking, request)
 		cancel()
-		if err != nil {
+		status := int(reply.GetStatus())
+		switch {
+		case err != nil:
 			klog.InfoS("hosts: no detour", "host", name, "err", err.Error())
 			made = detour.Unsure
-			continue
-		}
-		if made == detour.Unsure && platform.IsTurnedAway(int(reply.GetStatus())) {
-			continue
-		}
-		h.mutex.Lock()
-		if h.served != name {
-			klog.InfoS("hosts: calls of the store go through another host", "host", name)
+		case platform.IsTurnedAway(status):
+			h.turnedAway(name)
+			if made == detour.NotMade {
+				answer, made = detour.Answer{Status: status}, detour.Answered
+			}
+		default:
+			h.serves(name)
+			return detour.Answer{Status: status, Body: reply.GetBody()}, detour.Answered
 		}
-		h.served = name
-		h.mutex.Unlock()
-		return detour.Answer{Status: int(reply.GetStatus()), Body: reply.GetBody()}, detour.Answered
 	}
-	return detour.Answer{}, made
+	return answer, made
+}
+
+// serves notes that a gateway could make a call for this process.
+func (h *Hosts) serves(name string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.served != name {
+		klog.InfoS("hosts: calls of the store go through another host", "host", name)
+	}
+	h.served = name
+	delete(h.turned, name)
+}
+
+// turnedAway notes that the store has turned a gateway away.
+func (h *Hosts) turnedAway(name string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.turned[name] = clock.Now()
+	if h.served == name {
+		h.served = ""
+	}
 }
 
 // Follow waits for changes that a watcher of the store has seen. It reports
@@ -298,13 +328,23 @@
 	return ""
 }
 
-// ways returns the other gateways, the one that served last first.
+// ways returns the other gateways: the one that served last first, those that
+// the store has turned away of late last.
 func (h *Hosts) ways() []string {
 	names := h.Names()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	now := clock.Now()
+	isTurned := func(name string) int {
+		at := h.turned[name]
+		return boolToInt(at != 0 && now.Sub(at) < turnedAgain)
+	}
 	slices.SortStableFunc(names, func(a, b string) int {
-		return cmp.Compare(boolToInt(b == h.served), boolToInt(a == h.served))
+		return cmp.Or(
+			cmp.Compare(boolToInt(b == h.served), boolToInt(a == h.served)),
+			cmp.Compare(isTurned(a), isTurned(b)),
+			cmp.Compare(h.turned[a], h.turned[b]),
+		)
 	})
 	return slices.DeleteFunc(names, func(name string) bool { return name == h.Name })
 }
--- a/test/gateway/fixture_test.go
+++ b/test/gateway/fixture_test.go
@@ -144,15 +144,18 @@
 // awaitMetric waits until a gateway serves a line of metrics.
 func (g *gateway) awaitMetric(t *testing.T, line string) {
 	t.Helper()
-	await(t, g.name+" serves "+line, func() bool {
-		response, err := http.Get("http://" + g.metrics + "/metrics")
-		if err != nil {
-			return false
-		}
-		defer func() { _ = response.Body.Close() }()
-		text, err := io.ReadAll(response.Body)
-		return err == nil && strings.Contains(string(text), "\n"+line+"\n")
-	})
+	await(t, g.name+" serves "+line, func() bool { return g.servesMetric(line) })
+}
+
+// servesMetric reports whether a gateway serves a line of metrics now.
+func (g *gateway) servesMetric(line string) bool {
+	response, err := http.Get("http://" + g.metrics + "/metrics")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return err == nil && strings.Contains(string(text), "\n"+line+"\n")
 }
 
 // answer is an answer that a caller got.
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -227,6 +227,36 @@
 	mustBeWhole(t, away.awaitResults(t, 2), 2, 5)
 }
 
+// The store turns several gateways away. One that asks another for help meets one
+// that is turned away as well; taken for the store's last word, its batches are
+// refused and withdrawn keys go on there, though a third gateway could ask.
+func TestTurnedAwayWithOthers(t *testing.T) {
+	w := newWorld(t)
+	w.NewSampler(t, "a1", "app", "")
+	w.NewSampler(t, "s1", "lm", "m")
+	var gateways []*gateway
+	for i := range 5 {
+		gateways = append(gateways, w.start(t, "g"+strconv.Itoa(i)))
+	}
+	for _, g := range gateways {
+		g.awaitMetric(t, "bramleyhatch_gateway_hosts 5")
+	}
+	for _, g := range gateways[:4] {
+		g.door.Close(true)
+	}
+	w.PutTable(t, 3, []string{"acme"}, wiretest.Routes()...)
+	for _, g := range gateways {
+		await(t, "the key has ended", func() bool {
+			return g.send(t, http.MethodPost, "/look/x", "key-other", "r2", nil).status == http.StatusUnauthorized
+		})
+	}
+	for end := time.Now().Add(2 * wiretest.LeaseLength); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		must.True(t, gateways[4].servesMetric("bramleyhatch_gateway_hosts 5"), must.Sprint("a lease has lapsed"))
+	}
+	gateways[3].submit(t, 2)
+	mustBeWhole(t, gateways[2].awaitResults(t, 2), 2, 5)
+}
+
 // The store drops its history while a watch of it is silent. What has ended
 // meanwhile is in no change any more; the gateway must find it missing.
 func TestHistoryDropped(t *testing.T) {
