Let one item at a time ask a sampler that failed, and count a fault once

Six runs that end together also made a sampler suspected for 8 s in place of one. TestFailedSamplerIsAskedByOne and TestOneFaultIsSuspectedOnce failed first.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -19,9 +19,9 @@
 	// The first is about the time of one registration.
 	suspicion         = time.Second
 	greatestSuspicion = 8 * time.Second
-	// fullPause is how long a server that refused for want of room is passed
-	// over, about the time in which one of its requests ends; it doubles with each
-	// refusal in a row up to greatestFullPause, a part of the time of a weight load.
+	// fullPause is how long a server that refused for want of room, or failed, is
+	// passed over, about the time in which one of its requests ends; it doubles each
+	// time in a row up to greatestFullPause, a part of the time of a weight load.
 	fullPause         = 50 * time.Millisecond
 	greatestFullPause = 200 * time.Millisecond
 )
@@ -53,8 +53,8 @@
 	failures int
 	suspect  clock.Boot
 	full     clock.Boot
-	// refusals counts refusals for want of room in a row; while there are any,
-	// only one generation at a time is given to the server, to ask it.
+	// refusals counts refusals for want of room and failures in a row; while there
+	// are any, only one generation at a time is given to the server, to ask it.
 	refusals int
 	isAsked  bool
 	// missing is when the registration went while the store was away; zero if it is there.
@@ -293,13 +293,20 @@
 }
 
 // Failed notes that a server could not be reached, or was silent.
+//
+// A fault ends all requests at a server together. It counts once: what fails
+// before the server is asked again says nothing new.
 func (r *Roster) Failed(server *Server, reason string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	server.isAsked = false
+	now := clock.Now()
+	if server.failures > 0 && now < server.full {
+		return
+	}
+	server.passOver(now)
 	length := min(suspicion<<min(server.failures, 4), greatestSuspicion)
 	server.failures++
-	server.suspect = clock.Now().Add(length)
+	server.suspect = now.Add(length)
 	klog.InfoS("roster: server is suspected", "server", server.Name(), "reason", reason, "failures", server.failures, "for", length)
 }
 
@@ -307,9 +314,15 @@
 func (r *Roster) Full(server *Server) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	server.full = clock.Now().Add(min(fullPause<<min(server.refusals, 4), greatestFullPause))
-	server.refusals++
-	server.isAsked = false
+	server.passOver(clock.Now())
+}
+
+// passOver keeps generations from a server for a moment, and then lets one at a
+// time ask it until it answers.
+func (s *Server) passOver(now clock.Boot) {
+	s.full = now.Add(min(fullPause<<min(s.refusals, 4), greatestFullPause))
+	s.refusals++
+	s.isAsked = false
 }
 
 // Replaced notes that another server answers at a server's address: this one is gone.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -85,6 +85,27 @@
 	must.NotNil(t, roster.Place(need))
 }
 
+// A sampler crashes. All others are full, and the items that wait go to it: each
+// is refused a connection within a millisecond, and sent there again. A thousand
+// tries a second and their log lines took the gateway's processor.
+func TestFailedSamplerIsAskedByOne(t *testing.T) {
+	roster := newRoster(sampler("s1", 8))
+	need := Need{Pool: pool, Model: "m", Oldest: 2}
+	server := roster.Place(need)
+	roster.Failed(server, "unreachable")
+	roster.Finish(server)
+	must.Nil(t, roster.Place(need))
+	server.full = clock.Now()
+	must.NotNil(t, roster.Place(need))
+	must.Nil(t, roster.Place(need))
+	t.Run("and gets its share again once it answers", func(t *testing.T) {
+		roster.Answered(server)
+		for range 7 {
+			must.NotNil(t, roster.Place(need))
+		}
+	})
+}
+
 // A fault slows one of two samplers by three. A run on it is worth moving only
 // if the other has a free slot and is not slow itself.
 func TestIsBetter(t *testing.T) {
@@ -150,6 +171,22 @@
 	must.Eq(t, route.ReasonSuspect, reason)
 }
 
+// One fault resets all six connections to a sampler, which is well again at once.
+// Counted six times, it was passed over for 8 s in place of one.
+func TestOneFaultIsSuspectedOnce(t *testing.T) {
+	roster := newRoster(sampler("s1", 6), sampler("s2", 6))
+	for range 6 {
+		roster.Failed(roster.servers["s1"], "cut")
+	}
+	must.Eq(t, 1, roster.servers["s1"].failures)
+	must.LessEq(t, clock.Now().Add(suspicion), roster.servers["s1"].suspect)
+	t.Run("the next one counts", func(t *testing.T) {
+		roster.servers["s1"].full = clock.Now()
+		roster.Failed(roster.servers["s1"], "cut")
+		must.Eq(t, 2, roster.servers["s1"].failures)
+	})
+}
+
 // A gateway is short of processor time and reads the events of a sampler in
 // bursts: none for 200 ms, then all at once. The sampler is not slow, and its
 // runs must not be moved.
