--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -274,7 +274,6 @@
 			ledger:  newLedger(b.Store, batch.GetId(), b.Group, b.ValueBytes, revision, listed, b.metrics),
 			keeper:  b.Keeper,
 			metrics: b.metrics,
-			older:   b.olderOwners(batch.GetModel()),
 			leave:   b.leftovers.add,
 			plan:    plan,
 			runs:    map[int]*activeRun{},
@@ -285,6 +284,7 @@
 		total:    uint64(len(batch.GetItems())),
 		stopped:  make(chan struct{}),
 	}
+	b.order(held.owner)
 	b.held[batch.GetId()] = held
 	b.running.Go(func() { held.ledger.run(ctx) })
 	b.running.Go(func() {
@@ -302,15 +302,27 @@
 	return ids
 }
 
-// olderOwners returns the owners of a model's batches that are open. The mutex is held.
-func (b *Board) olderOwners(model string) []*owner {
-	var owners []*owner
+// order sets which open batches of a model come before others. The mutex is held.
+func (b *Board) order(next *owner) {
 	for _, held := range b.held {
-		if held.batch.GetModel() == model && !held.ended {
-			owners = append(owners, held.owner)
+		if held.ended || held.batch.GetModel() != next.batch.GetModel() {
+			continue
 		}
+		if isBefore(next.batch, held.batch) {
+			held.follow(next)
+			continue
+		}
+		next.follow(held.owner)
 	}
-	return owners
+}
+
+// isBefore reports whether a batch that comes now is older than one that is
+// here: the steps of one trainer tell, all others go in the order in which they came.
+//
+// Where all processes start anew, a trainer's batches are read in any order. The
+// younger one took every slot for 2.5 s, while the trainer waited for the older.
+func isBefore(next, held *statepb.Batch) bool {
+	return next.GetAccount() == held.GetAccount() && next.GetStep() < held.GetStep()
 }
 
 // Owner returns the process that owns a batch; "" if none is known.
--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -241,6 +242,30 @@
 	})
 }
 
+// A trainer has two steps under way when all gateways start anew, and the younger
+// one is read first. Taken for the older, it got every slot; the one that the
+// trainer waits for stood still for two and a half seconds.
+func TestOlderStepIsFirst(t *testing.T) {
+	p := begin(t, &platformtest.Store{}, "g1", "g1")
+	for _, step := range []uint64{1, 0, 2} {
+		batch := newBatch(10, 10)
+		batch.SetId("b" + strconv.FormatUint(step, 10))
+		batch.SetStep(step)
+		must.NoError(t, p.Accept(t.Context(), batch))
+	}
+	isFirst := func(id string) bool {
+		p.mutex.Lock()
+		owner := p.held[id].owner
+		p.mutex.Unlock()
+		owner.mutex.Lock()
+		defer owner.mutex.Unlock()
+		return owner.waiting.Load() > 0 && owner.isFirst()
+	}
+	await(t, func() bool { return isFirst("b0") })
+	must.False(t, isFirst("b1"))
+	must.False(t, isFirst("b2"))
+}
+
 // unsurePeer never says what became of a batch.
 type unsurePeer struct{ noKeeper }
 
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -78,14 +78,14 @@
 	// keeper keeps the texts that aren't whole; nil keeps them nowhere.
 	keeper  Keeper
 	metrics *metrics
-	// older are the owners of batches of the same model that were here before.
-	older []*owner
 	// leave keeps the texts of groups that aren't whole for later batches.
 	leave func([]Leftover)
 	// waiting is the number of items that wait for a slot now.
 	waiting atomic.Int32
 
 	mutex sync.Mutex
+	// older are the owners of batches of the same model that come before this one.
+	older []*owner
 	plan  *Plan
 	runs  map[int]*activeRun
 	// scoring is the number of texts that are being judged.
@@ -228,6 +228,13 @@
 	return true
 }
 
+// follow lets an older batch of the same model come first.
+func (o *owner) follow(older *owner) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.older = append(o.older, older)
+}
+
 // logFailures tells why items were given up.
 func (o *owner) logFailures(outcomes []*statepb.Outcome) {
 	for _, outcome := range outcomes {
