Pass over gateways that are being stopped when batches are taken over

A gateway that is asked to stop tells so in its key of the store, and is no candidate for batches nor for the duty from then on. TestLeavingHostsAreNoCandidates covers it (the method is new).

--- a/internal/batch/ledger.go
+++ b/internal/batch/ledger.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
@@ -121,6 +122,7 @@
 // again under the same key: whichever comes first is kept, and the other finds
 // it there. Under another key, or with more outcomes in it, both could be kept.
 func (l *ledger) write(ctx context.Context) {
+	began := clock.Now()
 	l.mutex.Lock()
 	chunk := statepb.Chunk_builder{First: uint64(len(l.listed)), Outcomes: l.head()}.Build()
 	l.mutex.Unlock()
@@ -133,6 +135,7 @@
 		if l.commit(ctx, chunk.GetFirst(), data) {
 			l.metrics.writes.WithLabelValues("held").Inc()
 			l.list(chunk.GetOutcomes())
+			klog.InfoS("batch: listed", "batch", l.batch, "first", chunk.GetFirst(), "outcomes", len(chunk.GetOutcomes()), "took", clock.Now().Sub(began))
 			return
 		}
 		l.metrics.writes.WithLabelValues("open").Inc()
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -138,7 +139,7 @@
 		Routes:     gateway.Routes(g.view),
 		Metrics:    g.Metrics,
 		Lease:      g.session.Lease,
-		Hosts:      g.hosts.Names,
+		Hosts:      g.hosts.Candidates,
 		Peers:      &gateway.Peers{Hosts: g.hosts},
 		Keeper:     &gateway.Keepers{Hosts: g.hosts, Zone: g.Process.Settings.GetZone(), Retired: g.retirements.has},
 		Keep:       settings.GetKeep().AsDuration(),
@@ -314,6 +315,9 @@
 func (g *Gateway) drain(ctx context.Context) {
 	g.isDraining.Store(true)
 	began := time.Now()
+	var told sync.WaitGroup
+	told.Go(func() { g.session.Leave(ctx) })
 	g.board.Drain(ctx)
+	told.Wait()
 	pause.For(ctx, g.Settings.GetFront().GetLinger().AsDuration()-time.Since(began))
 }
--- a/internal/bramleyhatch/gatewayduties.go
+++ b/internal/bramleyhatch/gatewayduties.go
@@ -64,7 +64,7 @@
 		Look:      dutyLook,
 		Lease:     settings.GetLease().AsDuration(),
 		Margin:    settings.GetMargin().AsDuration(),
-		Rank:      func() int { return duty.Rank(dutyName, g.Process.Settings.GetName(), g.hosts.Names()) },
+		Rank:      func() int { return duty.Rank(dutyName, g.Process.Settings.GetName(), g.hosts.Candidates()) },
 		Decisions: g.Decisions,
 	}
 	g.AddDuty("control", func(ctx context.Context) error { return keeper.Run(ctx, g.hold) })
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -127,6 +127,21 @@
 	return names
 }
 
+// Candidates returns the names of the gateways that may take work over.
+//
+// In a rolling stop several stop at the same time, each for seconds. Ranked with
+// the others, they made those that could take a batch over wait for them, 150 ms
+// each: over a second until its texts went on.
+func (h *Hosts) Candidates() []string {
+	return slices.DeleteFunc(h.Names(), h.isLeaving)
+}
+
+func (h *Hosts) isLeaving(name string) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.hosts[name].GetLeaving()
+}
+
 // Processes returns the gateways that live, this one included; of other roles there are none.
 func (h *Hosts) Processes(role peerpb.Role) []*peerpb.Process {
 	if role != peerpb.Role_ROLE_ENTRY {
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
@@ -39,8 +40,9 @@
 	Prefix string
 	Length time.Duration
 
-	lease atomic.Uint64
-	until atomic.Int64
+	lease   atomic.Uint64
+	until   atomic.Int64
+	leaving atomic.Bool
 }
 
 // Lease returns the present lease; 0 while it may have ended.
@@ -81,22 +83,43 @@
 	}
 }
 
-func (s *Session) begin(ctx context.Context) error {
-	sent := clock.Now()
-	lease, err := s.Store.Grant(ctx, s.Length)
-	if err != nil {
-		return err
+// Leave tells the others that this process was asked to stop.
+func (s *Session) Leave(ctx context.Context) {
+	s.leaving.Store(true)
+	lease := s.Lease()
+	if lease == 0 {
+		return
 	}
-	data, err := proto.Marshal(s.Host)
+	err := s.write(ctx, lease)
+	klog.InfoS("session: leaving", "host", s.Host.GetName(), "err", err)
+}
+
+// write writes the key that tells where the process is reached.
+func (s *Session) write(ctx context.Context, lease uint64) error {
+	host, ok := proto.Clone(s.Host).(*statepb.Host)
+	if !ok {
+		return eris.New("session: the host can't be copied")
+	}
+	host.SetLeaving(s.leaving.Load())
+	data, err := proto.Marshal(host)
 	if err != nil {
 		return err
 	}
 	_, err = s.Store.Commit(ctx, platform.Commit{
 		Writes: []platform.Write{{Key: s.Prefix + s.Host.GetName(), Data: data, Lease: lease}},
 	})
+	return err
+}
+
+func (s *Session) begin(ctx context.Context) error {
+	sent := clock.Now()
+	lease, err := s.Store.Grant(ctx, s.Length)
 	if err != nil {
 		return err
 	}
+	if err := s.write(ctx, lease); err != nil {
+		return err
+	}
 	klog.InfoS("session: lease", "lease", lease, "length", s.Length)
 	s.until.Store(int64(sent.Add(s.Length)))
 	s.lease.Store(lease)
