--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -256,6 +256,10 @@
 }
 
 // start runs a batch that this process owns. The mutex is held.
+//
+// A process that is asked to stop while it accepts or claims a batch hands this
+// one over as well. Kept, it would be given up only when the process ends, with
+// all that came of it since its texts were kept last.
 func (b *Board) start(batch *statepb.Batch, revision uint64, listed []*statepb.Outcome, partials []*statepb.Partial, accepted clock.Boot) {
 	route, _ := b.Routes(batch)
 	plan := NewPlan(batch, route.Rules, accepted)
@@ -292,6 +296,9 @@
 		close(held.stopped)
 	})
 	b.running.Go(func() { held.keep(ctx) })
+	if b.isDraining {
+		b.running.Go(func() { b.handOver(b.ctx, batch.GetId(), held) })
+	}
 }
 
 func itemIDs(batch *statepb.Batch) []string {
--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"strings"
@@ -266,6 +267,28 @@
 	must.False(t, isFirst("b2"))
 }
 
+// A gateway claims a batch and is asked to stop before it has read it. It served
+// on with the batch for two seconds, and what it had made was lost at its end.
+func TestStoppedWhileClaiming(t *testing.T) {
+	store := &platformtest.Store{}
+	first := begin(t, store, "g1", "g1")
+	must.NoError(t, first.Accept(t.Context(), newBatch(10)))
+	await(t, first.holds)
+	list, err := store.List(t.Context(), Prefix)
+	must.NoError(t, err)
+	first.stop()
+	p := begin(t, store, "g1", "g2")
+	p.routes.set(Route{}, false)
+	p.Take(list.Values)
+	p.Drain(t.Context())
+	p.routes.set(known, true)
+	await(t, func() bool {
+		_, err := store.Get(t.Context(), ownerKey("b1"))
+		var missing *platform.NotFoundError
+		return errors.As(err, &missing)
+	})
+}
+
 // unsurePeer never says what became of a batch.
 type unsurePeer struct{ noKeeper }
 
--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -86,6 +86,22 @@
 	return "turned away with " + strconv.Itoa(e.Status) + " after a try without an answer"
 }
 
+// LongAnswerError says that the store answered, and its answer did not come
+// whole in time. The store is well; over another process the same bytes would
+// come through the same link.
+type LongAnswerError struct {
+	// Target is the path and query of the call.
+	Target string
+	// Bytes are those that came.
+	Bytes   int
+	Timeout time.Duration
+}
+
+// Error names the call and what came of its answer.
+func (e *LongAnswerError) Error() string {
+	return "the answer to " + e.Target + " did not come whole within " + e.Timeout.String() + ": " + strconv.Itoa(e.Bytes) + " bytes"
+}
+
 // Direct makes calls from this host. Exported fields are set before the first call.
 type Direct struct {
 	// Address is the IP address and port of the store.
@@ -161,6 +177,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if errors.Is(err, context.DeadlineExceeded) {
+		return Answer{}, &LongAnswerError{Target: call.Target, Bytes: len(answer), Timeout: call.Timeout}
+	}
 	if err != nil {
 		return Answer{}, err
 	}
@@ -208,7 +227,8 @@
 		return answer, nil
 	}
 	isUnsure = isUnsure || err != nil
-	if ctx.Err() != nil {
+	var long *LongAnswerError
+	if ctx.Err() != nil || errors.As(err, &long) {
 		return sure(answer, err, isUnsure)
 	}
 	c.turnedAway(call, answer.Status, err)
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -163,3 +163,23 @@
 		}
 	})
 }
+
+// A gateway on a narrow link reads a megabyte of outcomes, which take longer than
+// a call may. The store is well; taken for lost, all calls of the process went
+// through others for a second, and the megabyte a second time over the same link.
+func TestLongAnswerIsNoLoss(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "1000")
+		_, _ = w.Write(make([]byte, 10))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	peer := &way{made: Answered}
+	caller := &Caller{Direct: &Direct{Address: strings.TrimPrefix(server.URL, "http://")}, Peers: peer}
+	_, err := do(t, caller)
+	var long *LongAnswerError
+	must.True(t, errors.As(err, &long))
+	must.False(t, caller.isAway())
+	must.Eq(t, 0, peer.calls.Load())
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -16,10 +16,13 @@
 )
 
 const (
-	// askTime is what an owner may take to answer, in addition to a wait: many
-	// times its usual answer. An owner that is silent longer is gone or cut off,
-	// and the store answers in its place.
+	// askTime is what an owner may take for a short answer: many times what it
+	// usually takes. One that is silent longer is gone or cut off.
 	askTime = 250 * time.Millisecond
+	// readTime is what an owner may take for results, in addition to a wait: up to
+	// a megabyte, several times over a link of 60 Mbit/s. After that the store is
+	// asked, whose answer has a third more bytes; callers wait for 1.5 s in all.
+	readTime = 700 * time.Millisecond
 )
 
 // page returns results of a batch: from here if it is owned here, else from its
@@ -31,7 +34,7 @@
 		return page, err
 	}
 	if client := h.Hosts.Client(h.Board.Owner(call.Batch)); client != nil {
-		asking, cancel := context.WithTimeout(ctx, wait+askTime)
+		asking, cancel := context.WithTimeout(ctx, wait+readTime)
 		defer cancel()
 		reply, err := client.Read(asking, peerpb.ReadRequest_builder{
 			Batch: call.Batch, After: call.After, Wait: wait.Milliseconds(), Account: caller.account.Name,
