Take batches over without a head start for an owner that has left

Now the head start is given only to an owner that is still a candidate, and the three are read at once. duty.Order replaces three sorts by Rank, one of them in a comparator on each write to a keeper. TestTurn covers the decision (new).

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -45,13 +45,11 @@
 
 // home returns the process that should own a model's batches.
 func (b *Board) home(model string) string {
-	hosts := b.Hosts()
-	for _, host := range hosts {
-		if duty.Rank("model/"+model, host, hosts) == 0 {
-			return host
-		}
+	hosts := duty.Order("model/"+model, b.Hosts())
+	if len(hosts) == 0 {
+		return ""
 	}
-	return ""
+	return hosts[0]
 }
 
 // AcceptOwn takes a batch here.
--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -89,8 +89,8 @@
 	// open holds the batches that aren't ended, owners who owns them.
 	open   map[string]bool
 	owners map[string]string
-	// unowned is since when a batch has no owner.
-	unowned map[string]clock.Boot
+	// unowned are the batches without an owner.
+	unowned map[string]unowned
 	// ownerRevisions are those of the owners' keys.
 	ownerRevisions map[string]uint64
 	claiming       map[string]bool
@@ -105,6 +105,13 @@
 	metrics   *metrics
 }
 
+// unowned is a batch without an owner.
+type unowned struct {
+	since clock.Boot
+	// last is the owner before; "" if none is known.
+	last string
+}
+
 // held is a batch that this process owns, or has owned.
 type held struct {
 	*owner
@@ -157,7 +164,7 @@
 	b.open = map[string]bool{}
 	b.owners = map[string]string{}
 	b.ownerRevisions = map[string]uint64{}
-	b.unowned = map[string]clock.Boot{}
+	b.unowned = map[string]unowned{}
 	b.claiming = map[string]bool{}
 	b.wake = make(chan struct{}, 1)
 	b.ctx, b.end = context.WithCancel(context.Background())
@@ -194,8 +201,8 @@
 func (b *Board) takeOpen(id string, change platform.Value) {
 	if !change.Deleted {
 		b.open[id] = true
-		if b.owners[id] == "" && b.unowned[id] == 0 {
-			b.unowned[id] = clock.Now()
+		if _, isKnown := b.unowned[id]; b.owners[id] == "" && !isKnown {
+			b.unowned[id] = unowned{since: clock.Now()}
 		}
 		b.resume(id)
 		return
@@ -213,10 +220,10 @@
 func (b *Board) takeOwner(id string, change platform.Value) {
 	b.ownerRevisions[id] = change.Revision
 	if change.Deleted {
-		delete(b.owners, id)
 		if b.open[id] {
-			b.unowned[id] = clock.Now()
+			b.unowned[id] = unowned{since: clock.Now(), last: b.owners[id]}
 		}
+		delete(b.owners, id)
 		return
 	}
 	owner := &statepb.Owner{}
--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform/platformtest"
@@ -289,6 +290,19 @@
 	})
 }
 
+// A gateway that stops hands its batch over. The next one waited for it as for
+// one that has lost its lease for a moment, though it had said that it leaves.
+func TestTurn(t *testing.T) {
+	hosts := []string{"g1", "g2", "g3"}
+	first := duty.Order("b1", hosts)[0]
+	board := &Board{Process: first}
+	must.Eq(t, 1, board.turn("b1", "g1", hosts))
+	must.Eq(t, 0, board.turn("b1", "g9", hosts))
+	must.Eq(t, 0, board.turn("b1", "", hosts))
+	board.held = map[string]*held{"b1": {}}
+	must.Eq(t, 0, board.turn("b1", first, hosts))
+}
+
 // unsurePeer never says what became of a batch.
 type unsurePeer struct{ noKeeper }
 
--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -25,15 +26,12 @@
 		return nil
 	}
 	var ids []string
-	for id, since := range b.unowned {
+	hosts := b.Hosts()
+	for id, free := range b.unowned {
 		if b.claiming[id] || !b.open[id] {
 			continue
 		}
-		rank := 0
-		if b.held[id] == nil {
-			rank = 1 + duty.Rank(id, b.Process, b.Hosts())
-		}
-		if now.Sub(since) >= time.Duration(rank)*claimStep {
+		if now.Sub(free.since) >= time.Duration(b.turn(id, free.last, hosts))*claimStep {
 			b.claiming[id] = true
 			ids = append(ids, id)
 		}
@@ -41,6 +39,22 @@
 	return ids
 }
 
+// turn returns after how many steps this process may claim a batch. The mutex is held.
+//
+// The last owner comes first: it may live and have lost its lease for a moment,
+// and it has all that came of the batch. Where it has left, or its host is gone
+// too, nobody waits for it.
+func (b *Board) turn(id, last string, hosts []string) int {
+	if b.held[id] != nil {
+		return 0
+	}
+	rank := duty.Rank(id, b.Process, hosts)
+	if slices.Contains(hosts, last) {
+		return 1 + rank
+	}
+	return rank
+}
+
 // claim makes this process the owner of a batch that has none.
 func (b *Board) claim(ctx context.Context, id string) {
 	revision, err := b.writeOwner(ctx, id)
@@ -122,16 +136,19 @@
 	return b.ownerRevisions[id] <= revision && b.open[id]
 }
 
+// load reads a batch, what of it is listed and what keepers have, all at the same
+// time: each may be a megabyte.
 func (b *Board) load(ctx context.Context, id string) (*statepb.Batch, []*statepb.Outcome, []*statepb.Partial, error) {
-	batch, err := b.loadBatch(ctx, id)
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	listed, err := b.loadListed(ctx, id)
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	return batch, listed, b.Keeper.Fetch(ctx, id), nil
+	var batch *statepb.Batch
+	var listed []*statepb.Outcome
+	var partials []*statepb.Partial
+	var batchErr, listedErr error
+	var reading sync.WaitGroup
+	reading.Go(func() { batch, batchErr = b.loadBatch(ctx, id) })
+	reading.Go(func() { listed, listedErr = b.loadListed(ctx, id) })
+	reading.Go(func() { partials = b.Keeper.Fetch(ctx, id) })
+	reading.Wait()
+	return batch, listed, partials, errors.Join(batchErr, listedErr)
 }
 
 func (b *Board) loadBatch(ctx context.Context, id string) (*statepb.Batch, error) {
--- a/internal/duty/keeper_test.go
+++ b/internal/duty/keeper_test.go
@@ -233,3 +233,11 @@
 	must.Greater(t, 2, len(held))
 	must.Eq(t, 4, duty.Rank("usage", "e9", candidates))
 }
+
+func TestOrderIsByRank(t *testing.T) {
+	candidates := []string{"e1", "e2", "e3", "e4"}
+	for place, candidate := range duty.Order("usage", candidates) {
+		must.Eq(t, place, duty.Rank("usage", candidate, candidates))
+	}
+	must.SliceEmpty(t, duty.Order("usage", nil))
+}
--- a/internal/duty/rank.go
+++ b/internal/duty/rank.go
@@ -1,8 +1,10 @@
 package duty
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 )
 
 // Rank returns the place of a process among the candidates for a duty, from 0.
@@ -25,6 +27,17 @@
 	return rank
 }
 
+// Order returns the candidates for a duty by their rank.
+func Order(name string, candidates []string) []string {
+	weights := make(map[string]uint64, len(candidates))
+	for _, candidate := range candidates {
+		weights[candidate] = weight(name, candidate)
+	}
+	order := slices.Clone(candidates)
+	slices.SortFunc(order, func(a, b string) int { return cmp.Compare(weights[b], weights[a]) })
+	return order
+}
+
 func weight(name, process string) uint64 {
 	sum := sha256.Sum256([]byte(name + "\x00" + process))
 	return binary.BigEndian.Uint64(sum[:8])
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -92,12 +92,7 @@
 	for name := range h.hosts {
 		names = append(names, name)
 	}
-	ranks := map[string]int{}
-	for _, name := range names {
-		ranks[name] = duty.Rank("watch", name, names)
-	}
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(ranks[a], ranks[b]) })
-	h.watchers = names
+	h.watchers = duty.Order("watch", names)
 }
 
 func takeHost(hosts map[string]*statepb.Host, name string, change platform.Value) {
@@ -211,11 +206,9 @@
 	for name := range h.keepers {
 		names = append(names, name)
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(
-			cmp.Compare(boolToInt(h.keepers[b].GetZone() == zone), boolToInt(h.keepers[a].GetZone() == zone)),
-			cmp.Compare(duty.Rank(h.Name, a, names), duty.Rank(h.Name, b, names)),
-		)
+	names = duty.Order(h.Name, names)
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Compare(boolToInt(h.keepers[b].GetZone() == zone), boolToInt(h.keepers[a].GetZone() == zone))
 	})
 	var clients []namedKeeper
 	for _, name := range names {
