Take batches out of the store whose owner has ended

Found while reading what a start reads: a batch that was ended belongs to the process that owned it, and only that one takes it out of the store after its time. A small key now lives as long as anything of a batch is stored; the first candidate takes out what has no owner. No further calls: the key is written and removed with the others. TestBatchesWithoutOwnerAreRemoved covers it.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -119,6 +119,7 @@
 		Writes: []platform.Write{
 			{Key: bulkKey(id), Data: data},
 			{Key: openKey(id), Data: []byte(batch.GetAccount())},
+			{Key: storedKey(id), Data: []byte(batch.GetAccount())},
 			{Key: ownerKey(id), Data: owner, Lease: lease},
 		},
 	})
--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -94,7 +94,11 @@
 	// ownerRevisions are those of the owners' keys.
 	ownerRevisions map[string]uint64
 	claiming       map[string]bool
-	isDraining     bool
+	// stored is since when this process knows that the store holds a batch, open or
+	// ended; removing are those that it is taking out.
+	stored     map[string]clock.Boot
+	removing   map[string]bool
+	isDraining bool
 	// ctx is that of all work on batches, which may begin before Run does.
 	ctx     context.Context
 	end     context.CancelFunc
@@ -120,8 +124,6 @@
 	ended    bool
 	total    uint64
 	accepted clock.Boot
-	// removing is true once it is being removed from the store.
-	removing bool
 	// stopped is closed once the owner has stopped.
 	stopped chan struct{}
 }
@@ -166,6 +168,8 @@
 	b.ownerRevisions = map[string]uint64{}
 	b.unowned = map[string]unowned{}
 	b.claiming = map[string]bool{}
+	b.stored = map[string]clock.Boot{}
+	b.removing = map[string]bool{}
 	b.wake = make(chan struct{}, 1)
 	b.ctx, b.end = context.WithCancel(context.Background())
 	b.metrics = newMetrics(b.Metrics, b.countOpen)
@@ -194,6 +198,9 @@
 		if id, ok := strings.CutPrefix(change.Key, prefixOwner); ok {
 			b.takeOwner(id, change)
 		}
+		if id, ok := strings.CutPrefix(change.Key, prefixStored); ok {
+			b.takeStored(id, change)
+		}
 	}
 	b.nudge()
 }
@@ -217,6 +224,16 @@
 	}
 }
 
+func (b *Board) takeStored(id string, change platform.Value) {
+	if change.Deleted {
+		delete(b.stored, id)
+		return
+	}
+	if b.stored[id] == 0 {
+		b.stored[id] = clock.Now()
+	}
+}
+
 func (b *Board) takeOwner(id string, change platform.Value) {
 	b.ownerRevisions[id] = change.Revision
 	if change.Deleted {
--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -357,6 +357,32 @@
 
 // The lease of an owner ends. Another process takes the batch over; the old one,
 // which does not know yet, can list nothing any more.
+// All gateways are replaced within a day, each soon after batches that it owned
+// were ended. Nobody owned these any more, so nobody took them out of the store,
+// which grew by some megabytes with each restart.
+func TestBatchesWithoutOwnerAreRemoved(t *testing.T) {
+	store := &platformtest.Store{}
+	first, second := begin(t, store, "g1", "g1", "g2"), begin(t, store, "g2", "g2")
+	must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10)))
+	first.held["b1"].ledger.add([]*statepb.Outcome{statepb.Outcome_builder{Item: "i0"}.Build()}, true)
+	await(t, func() bool { return len(first.outcomes(t)) == 1 })
+	must.NoError(t, first.End(t.Context(), "b1", ""))
+	await(t, func() bool { return second.Owner("b1") == "g1" })
+	first.stop()
+	must.NoError(t, store.End(t.Context(), first.Lease()))
+	await(t, func() bool { return second.Owner("b1") == "" })
+	keys := func() int {
+		list, err := store.List(t.Context(), "")
+		must.NoError(t, err)
+		return len(list.Values)
+	}
+	must.Positive(t, keys())
+	second.mutex.Lock()
+	second.stored["b1"] = second.stored["b1"].Add(-2 * second.Keep)
+	second.mutex.Unlock()
+	await(t, func() bool { return keys() == 0 })
+}
+
 func TestTakeover(t *testing.T) {
 	store := &platformtest.Store{}
 	first, second := begin(t, store, "g1", "g1", "g2"), begin(t, store, "g2", "g1", "g2")
--- a/internal/batch/ledger.go
+++ b/internal/batch/ledger.go
@@ -208,13 +208,16 @@
 	Prefix      = "live/"
 	prefixOpen  = Prefix + "open/"
 	prefixOwner = Prefix + "owner/"
-	prefixBulk  = "bulk/"
-	prefixOut   = "out/"
+	// prefixStored of keys that stay as long as anything of a batch is stored.
+	prefixStored = Prefix + "stored/"
+	prefixBulk   = "bulk/"
+	prefixOut    = "out/"
 )
 
-func openKey(batch string) string  { return prefixOpen + batch }
-func ownerKey(batch string) string { return prefixOwner + batch }
-func bulkKey(batch string) string  { return prefixBulk + batch }
+func openKey(batch string) string   { return prefixOpen + batch }
+func ownerKey(batch string) string  { return prefixOwner + batch }
+func storedKey(batch string) string { return prefixStored + batch }
+func bulkKey(batch string) string   { return prefixBulk + batch }
 
 func chunkPrefix(batch string) string { return prefixOut + batch + "/" }
 
--- a/internal/batch/remove.go
+++ b/internal/batch/remove.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
 
@@ -13,42 +15,54 @@
 // that the store takes at once.
 const commitKeys = 30
 
-// outdated returns the batches of this process that nobody reads any more. One
-// that its trainer never ended counts too: its items were given up long before.
+// outdated returns the batches that nobody reads any more and that this process
+// is to take out of the store: its own, and those without an owner of which it is
+// the first candidate. One that its trainer never ended counts too: its items
+// were given up long before.
+//
+// An owner takes out what it owned, unless it has ended before. Left alone, the
+// store would grow by what each process owned in the last minutes before its end.
 func (b *Board) outdated(now clock.Boot) []string {
 	b.lock()
 	defer b.mutex.Unlock()
 	var ids []string
 	for id, held := range b.held {
-		if now.Sub(held.accepted) > b.Keep && !held.removing && b.owners[id] == b.Process {
-			held.removing = true
+		if now.Sub(held.accepted) > b.Keep && b.owners[id] == b.Process {
 			ids = append(ids, id)
 		}
 	}
+	hosts := b.Hosts()
+	for id, since := range b.stored {
+		if now.Sub(since) > b.Keep && b.owners[id] == "" && !b.open[id] && duty.Rank(id, b.Process, hosts) == 0 {
+			ids = append(ids, id)
+		}
+	}
+	ids = slices.DeleteFunc(ids, func(id string) bool { return b.removing[id] })
+	for _, id := range ids {
+		b.removing[id] = true
+	}
 	return ids
 }
 
 // remove takes a batch out of the store, its texts first: as long as its own
 // key is there, a reader finds it and a second try finishes the removal.
 func (b *Board) remove(ctx context.Context, id string) {
-	if err := b.removeKeys(ctx, id); err != nil {
+	err := b.removeKeys(ctx, id)
+	b.lock()
+	defer b.mutex.Unlock()
+	delete(b.removing, id)
+	if err != nil {
 		klog.InfoS("batch: not removed, tried again", "batch", id, "err", err.Error())
-		b.lock()
-		if held := b.held[id]; held != nil {
-			held.removing = false
-		}
-		b.mutex.Unlock()
 		return
 	}
 	klog.InfoS("batch: removed", "batch", id)
-	b.lock()
-	defer b.mutex.Unlock()
 	if held := b.held[id]; held != nil {
 		held.cancel()
 	}
 	delete(b.held, id)
 	delete(b.owners, id)
 	delete(b.ownerRevisions, id)
+	delete(b.stored, id)
 }
 
 func (b *Board) removeKeys(ctx context.Context, id string) error {
@@ -71,6 +85,6 @@
 			return err
 		}
 	}
-	_, err = b.Store.Commit(ctx, platform.Commit{Remove: []string{bulkKey(id), openKey(id), ownerKey(id)}})
+	_, err = b.Store.Commit(ctx, platform.Commit{Remove: []string{bulkKey(id), openKey(id), ownerKey(id), storedKey(id)}})
 	return err
 }
