--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -31,6 +31,10 @@
 	// be had, stands for the calls after it: as long as the parts of a process wait
 	// until they ask again, so that they ask once and not each by itself.
 	refusedFor = 100 * time.Millisecond
+	// resetsInRow is how many calls in a row must end without an answer and before
+	// their time until that stands for the next ones as well: single connections,
+	// such as that of a waiting watch, are cut while the store is well.
+	resetsInRow = 2
 	// maxAnswerBytes is above the largest page of the store, base64 included.
 	maxAnswerBytes = 16 << 20
 )
@@ -112,6 +116,8 @@
 	mutex  sync.Mutex
 	// refused is when the store turned a call away last; zero if it did not.
 	refused clock.Boot
+	// resets counts calls in a row that ended without an answer and before their time.
+	resets int
 }
 
 // Do makes one call. Just after the store has turned one away, it is not made,
@@ -129,14 +135,18 @@
 // ask makes one call, whatever became of those before.
 func (d *Direct) ask(ctx context.Context, call Call) (Answer, error) {
 	answer, err := d.send(ctx, call)
-	isRefused := isNoConnection(err) || err == nil && platform.IsTurnedAway(answer.Status)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	switch {
-	case isRefused:
+	case err == nil && !platform.IsTurnedAway(answer.Status):
+		d.refused, d.resets = 0, 0
+	case err == nil, isNoConnection(err):
 		d.refused = clock.Now()
-	case err == nil:
-		d.refused = 0
+	case ctx.Err() == nil && !isTimeout(err):
+		d.resets++
+		if d.resets >= resetsInRow {
+			d.refused = clock.Now()
+		}
 	}
 	return answer, err
 }
@@ -147,6 +157,12 @@
 	return d.refused != 0 && clock.Now().Sub(d.refused) < refusedFor
 }
 
+// isTimeout reports whether a call ended with its own time.
+func isTimeout(err error) bool {
+	var long *LongAnswerError
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &long)
+}
+
 // isNoConnection reports whether a call was not sent since there was no
 // connection to send it on.
 func isNoConnection(err error) bool {
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -183,3 +183,38 @@
 	must.False(t, caller.isAway())
 	must.Eq(t, 0, peer.calls.Load())
 }
+
+// The store's machine is up and resets every connection. All calls of all
+// gateways were made again each tenth of a second, four and a half thousand in
+// five seconds.
+func TestResetsAreRemembered(t *testing.T) {
+	calls, isWell := &atomic.Int64{}, &atomic.Bool{}
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		calls.Add(1)
+		if !isWell.Load() {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	t.Cleanup(server.Close)
+	direct := &Direct{Address: strings.TrimPrefix(server.URL, "http://")}
+	call := Call{Method: http.MethodPost, Target: "/x", Timeout: 300 * time.Millisecond}
+	for range 20 {
+		answer, err := direct.Do(t.Context(), call)
+		must.True(t, err != nil || answer.Status == http.StatusServiceUnavailable)
+	}
+	must.Eq(t, resetsInRow, calls.Load())
+	isWell.Store(true)
+	time.Sleep(refusedFor)
+	answer, err := direct.Do(t.Context(), call)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, answer.Status)
+	t.Run("one that is cut says nothing of the others", func(t *testing.T) {
+		isWell.Store(false)
+		_, err := direct.Do(t.Context(), call)
+		must.Error(t, err)
+		isWell.Store(true)
+		answer, err := direct.Do(t.Context(), call)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, answer.Status)
+	})
+}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -58,7 +58,12 @@
 }
 
 // Run keeps the lease until the context ends, then gives it up.
+//
+// After a renewal that failed the next one follows soon. The store's outages last
+// about as long as a lease: a lease that has some tenths of a second left at the
+// end of one lapsed while its process waited for the next quarter of its length.
 func (s *Session) Run(ctx context.Context) error {
+	isLate := false
 	for ctx.Err() == nil {
 		if s.lease.Load() == 0 {
 			if err := s.begin(ctx); err != nil {
@@ -67,7 +72,13 @@
 				continue
 			}
 		}
-		s.renew(ctx)
+		wait := s.Length / renewals
+		if isLate {
+			wait = sessionPause
+		}
+		if pause.For(ctx, wait) {
+			isLate = !s.renew(ctx)
+		}
 	}
 	return nil
 }
@@ -126,10 +137,8 @@
 	return nil
 }
 
-func (s *Session) renew(ctx context.Context) {
-	if !pause.For(ctx, s.Length/renewals) {
-		return
-	}
+// renew reports whether the store has answered.
+func (s *Session) renew(ctx context.Context) bool {
 	lease := s.lease.Load()
 	sent := clock.Now()
 	err := s.Store.Renew(ctx, lease, s.Length)
@@ -142,5 +151,7 @@
 		s.lease.Store(0)
 	default:
 		klog.V(1).InfoS("session: lease not renewed", "lease", lease, "err", err.Error())
+		return false
 	}
+	return true
 }
