Leave a batch to its last owner for 0.4 s, and wait for keepers to be known

Batches were taken from owners that live (no head start since the change before, where the owner's host is gone), partly before any keeper was known (taken over with partly=0). Nobody waits only for an owner that has said that it leaves.

--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -20,6 +20,11 @@
 	// claimStep is the time between the claims of two candidates: a few answers
 	// of the store, so that the second usually finds the first one's.
 	claimStep = 150 * time.Millisecond
+	// ownerHead is how long the others leave a batch to its last owner. When the
+	// store is back after longer than a lease, all have lost theirs and get new ones
+	// within some 0.3 s of each other; a batch that another one takes then loses what
+	// came of it while the store was away.
+	ownerHead = 400 * time.Millisecond
 	// claimLook is the time between two looks at batches without an owner.
 	claimLook = 100 * time.Millisecond
 	// acceptTime bounds how long it is tried to learn what became of a batch
@@ -70,9 +75,11 @@
 	// Lease returns the lease under which this process is known to others; 0
 	// while it has none.
 	Lease func() uint64
-	// Hosts returns the names of the processes that live.
+	// Hosts returns the names of the processes that live and don't leave.
 	Hosts func() []string
-	Peers Peers
+	// Leaves reports whether a process was asked to stop.
+	Leaves func(host string) bool
+	Peers  Peers
 	// Keeper keeps texts that aren't whole.
 	Keeper Keeper
 	// Keep is how long after its acceptance a batch can be read.
@@ -132,8 +139,7 @@
 func (b *Board) Run(ctx context.Context) error {
 	b.lock()
 	b.mutex.Unlock()
-	defer b.running.Wait()
-	defer b.end()
+	defer b.finish()
 	for ctx.Err() == nil {
 		now := clock.Now()
 		for _, id := range b.claimable(now) {
@@ -151,6 +157,23 @@
 	return nil
 }
 
+// finish ends all work and waits for it.
+func (b *Board) finish() {
+	b.lock()
+	b.end()
+	b.mutex.Unlock()
+	b.running.Wait()
+}
+
+// work begins work on a batch, unless the board has ended: a watch may bring
+// changes as long as the process lives, and what began now would not be waited
+// for. The mutex is held.
+func (b *Board) work(do func()) {
+	if b.ctx.Err() == nil {
+		b.running.Go(do)
+	}
+}
+
 // lock locks the mutex. Callers, watches and the duty of a process begin in any
 // order, so whichever comes first prepares the board.
 func (b *Board) lock() {
@@ -220,7 +243,7 @@
 		klog.InfoS("batch: ended", "batch", id)
 		held.ended = true
 		held.end()
-		b.running.Go(func() { b.Keeper.Drop(b.ctx, id) })
+		b.work(func() { b.Keeper.Drop(b.ctx, id) })
 	}
 }
 
@@ -276,7 +299,7 @@
 	}
 	b.claiming[id] = true
 	revision := b.ownerRevisions[id]
-	b.running.Go(func() { b.adopt(b.ctx, id, revision) })
+	b.work(func() { b.adopt(b.ctx, id, revision) })
 }
 
 // start runs a batch that this process owns. The mutex is held.
@@ -314,14 +337,14 @@
 	}
 	b.order(held.owner)
 	b.held[batch.GetId()] = held
-	b.running.Go(func() { held.ledger.run(ctx) })
-	b.running.Go(func() {
+	b.work(func() { held.ledger.run(ctx) })
+	b.work(func() {
 		held.run(ctx)
 		close(held.stopped)
 	})
-	b.running.Go(func() { held.keep(ctx) })
+	b.work(func() { held.keep(ctx) })
 	if b.isDraining {
-		b.running.Go(func() { b.handOver(b.ctx, batch.GetId(), held) })
+		b.work(func() { b.handOver(b.ctx, batch.GetId(), held) })
 	}
 }
 
--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -31,7 +31,7 @@
 		if b.claiming[id] || !b.open[id] {
 			continue
 		}
-		if now.Sub(free.since) >= time.Duration(b.turn(id, free.last, hosts))*claimStep {
+		if now.Sub(free.since) >= b.turn(id, free.last, hosts) {
 			b.claiming[id] = true
 			ids = append(ids, id)
 		}
@@ -39,20 +39,21 @@
 	return ids
 }
 
-// turn returns after how many steps this process may claim a batch. The mutex is held.
+// turn returns how long after a batch has lost its owner this process may claim
+// it. The mutex is held.
 //
-// The last owner comes first: it may live and have lost its lease for a moment,
-// and it has all that came of the batch. Where it has left, or its host is gone
-// too, nobody waits for it.
-func (b *Board) turn(id, last string, hosts []string) int {
+// The last owner comes first: it may live and have lost its lease while the store
+// was away, and it has all that came of the batch. Only where it has said that it
+// leaves, nobody waits for it.
+func (b *Board) turn(id, last string, hosts []string) time.Duration {
 	if b.held[id] != nil {
 		return 0
 	}
-	rank := duty.Rank(id, b.Process, hosts)
-	if slices.Contains(hosts, last) {
-		return 1 + rank
+	wait := time.Duration(duty.Rank(id, b.Process, hosts)) * claimStep
+	if b.Leaves(last) {
+		return wait
 	}
-	return rank
+	return ownerHead + wait
 }
 
 // claim makes this process the owner of a batch that has none.
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -140,6 +140,7 @@
 		Metrics:    g.Metrics,
 		Lease:      g.session.Lease,
 		Hosts:      g.hosts.Candidates,
+		Leaves:     g.hosts.IsLeaving,
 		Peers:      &gateway.Peers{Hosts: g.hosts},
 		Keeper:     &gateway.Keepers{Hosts: g.hosts, Zone: g.Process.Settings.GetZone(), Retired: g.retirements.has},
 		Keep:       settings.GetKeep().AsDuration(),
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -128,10 +128,11 @@
 // the others, they made those that could take a batch over wait for them, 150 ms
 // each: over a second until its texts went on.
 func (h *Hosts) Candidates() []string {
-	return slices.DeleteFunc(h.Names(), h.isLeaving)
+	return slices.DeleteFunc(h.Names(), h.IsLeaving)
 }
 
-func (h *Hosts) isLeaving(name string) bool {
+// IsLeaving reports whether a gateway that lives was asked to stop.
+func (h *Hosts) IsLeaving(name string) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	return h.hosts[name].GetLeaving()
--- a/internal/gateway/keepers.go
+++ b/internal/gateway/keepers.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/batch"
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 )
@@ -23,6 +24,8 @@
 	// the texts of several batches have come, megabytes at 60 Mbit/s. Made anew, the
 	// longest text takes 6 s.
 	fetchTime = 800 * time.Millisecond
+	// keeperLook is the wait between two looks whether a keeper is known.
+	keeperLook = 50 * time.Millisecond
 	// restTime is the wait for other keepers once one has given texts: it has all
 	// that was kept of a batch since its owner last changed its keeper.
 	restTime = 100 * time.Millisecond
@@ -83,14 +86,20 @@
 // Fetch asks all keepers what they have of a batch.
 //
 // Where all processes were ended at once, gateways are back before keepers have
-// read their disks. So keepers that refuse connections are waited for as well.
+// read their disks; where the store was away, they may have their leases back
+// first. So keepers that refuse connections, or of which none is known, are
+// waited for as well.
 func (k *Keepers) Fetch(ctx context.Context, batch string) []*statepb.Partial {
 	ctx, cancel := context.WithTimeout(ctx, fetchTime)
 	defer cancel()
 	var mutex sync.Mutex
 	var found []*statepb.Partial
 	var asking sync.WaitGroup
-	for _, client := range k.Hosts.keeperClients(k.Zone) {
+	clients := k.Hosts.keeperClients(k.Zone)
+	for len(clients) == 0 && pause.For(ctx, keeperLook) {
+		clients = k.Hosts.keeperClients(k.Zone)
+	}
+	for _, client := range clients {
 		asking.Go(func() {
 			reply, err := client.Texts(ctx, peerpb.TextsRequest_builder{Batch: batch}.Build(), grpc.WaitForReady(true))
 			if err != nil {
