Split the long files of boards, plans, hosts and calls of the store

Moves only: changes.go and drain.go from board.go, outcome.go from plan.go, direct.go from detour.go, detour.go from hosts.go.

--- /dev/null
+++ b/internal/batch/changes.go
@@ -0,0 +1,104 @@
+package batch
+
+import (
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+// Take takes changes of the store's small keys.
+func (b *Board) Take(changes []platform.Value) {
+	b.lock()
+	defer b.mutex.Unlock()
+	for _, change := range changes {
+		if id, ok := strings.CutPrefix(change.Key, prefixOpen); ok {
+			b.takeOpen(id, change)
+		}
+		if id, ok := strings.CutPrefix(change.Key, prefixOwner); ok {
+			b.takeOwner(id, change)
+		}
+		if id, ok := strings.CutPrefix(change.Key, prefixStored); ok {
+			b.takeStored(id, change)
+		}
+	}
+	b.nudge()
+}
+
+func (b *Board) takeOpen(id string, change platform.Value) {
+	if !change.Deleted {
+		b.open[id] = true
+		if _, isKnown := b.unowned[id]; b.owners[id] == "" && !isKnown {
+			b.unowned[id] = unowned{since: clock.Now()}
+		}
+		b.resume(id)
+		return
+	}
+	delete(b.open, id)
+	delete(b.unowned, id)
+	if held := b.held[id]; held != nil && !held.ended {
+		klog.InfoS("batch: ended", "batch", id)
+		held.ended = true
+		held.end()
+		b.work(func() { b.Keeper.Drop(b.ctx, id) })
+	}
+}
+
+func (b *Board) takeStored(id string, change platform.Value) {
+	if change.Deleted {
+		delete(b.stored, id)
+		return
+	}
+	if b.stored[id] == 0 {
+		b.stored[id] = clock.Now()
+	}
+}
+
+func (b *Board) takeOwner(id string, change platform.Value) {
+	b.ownerRevisions[id] = change.Revision
+	if change.Deleted {
+		if b.open[id] {
+			b.unowned[id] = unowned{since: clock.Now(), last: b.owners[id]}
+		}
+		delete(b.owners, id)
+		return
+	}
+	owner := &statepb.Owner{}
+	if err := proto.Unmarshal(change.Data, owner); err != nil {
+		klog.ErrorS(err, "batch: an owner can't be read", "key", change.Key)
+		return
+	}
+	b.owners[id] = owner.GetProcess()
+	delete(b.unowned, id)
+	held := b.held[id]
+	switch {
+	case owner.GetProcess() != b.Process && held != nil:
+		klog.InfoS("batch: owned by another process now", "batch", id, "owner", owner.GetProcess())
+		held.cancel()
+		delete(b.held, id)
+	case owner.GetProcess() == b.Process && held != nil:
+		held.ledger.reclaimed(change.Revision)
+	default:
+		b.resume(id)
+	}
+}
+
+// resume runs an open batch that this process owns and does not run: a write of
+// its own that got no answer was done all the same, or an earlier process of the
+// same name owned it. The mutex is held.
+//
+// A process that starts anew finds what it owned before, mostly batches that
+// their trainers have ended. Reading these too, 11 at a time, took longer than
+// the texts of those still open were waited for.
+func (b *Board) resume(id string) {
+	if b.owners[id] != b.Process || b.held[id] != nil || !b.open[id] || b.claiming[id] {
+		return
+	}
+	b.claiming[id] = true
+	revision := b.ownerRevisions[id]
+	b.work(func() { b.adopt(b.ctx, id, revision) })
+}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -26,8 +26,6 @@
 	PrefixHost = "live/host/"
 	// PrefixKeeper of the store's keys of live keepers.
 	PrefixKeeper = "live/keeper/"
-	// detourExtra is what a call through a peer may take longer than a direct one.
-	detourExtra = 100 * time.Millisecond
 	// followWait is the longest wait of one follow, followExtra what its answer may
 	// take longer: a watcher that went silent is noticed within their sum, well
 	// inside the time in which a change must be in force.
@@ -35,11 +33,6 @@
 	followExtra = 250 * time.Millisecond
 	// watcherAgain is how long a watcher that did not answer is passed over.
 	watcherAgain = 3 * time.Second
-	// detourTries is the most peers that one call is made through.
-	detourTries = 2
-	// turnedAgain is how long a gateway that the store turned away comes last
-	// among those that calls are made through.
-	turnedAgain = time.Second
 )
 
 // Hosts knows the other gateways and speaks to them. Exported fields are set
@@ -220,67 +213,6 @@
 	return clients
 }
 
-// Detour makes a call of the store through another gateway, first through the
-// one that could make the last.
-//
-// The store may turn several gateways away. The word of one of them is not the
-// store's last: taken for it, gateways that asked each other lost their leases,
-// though others were served all the while.
-func (h *Hosts) Detour(ctx context.Context, call detour.Call) (detour.Answer, detour.Made) {
-	request := peerpb.DetourRequest_builder{
-		Method: call.Method, Target: call.Target, Body: call.Body, Timeout: call.Timeout.Milliseconds(),
-	}.Build()
-	answer, made := detour.Answer{}, detour.NotMade
-	for tries, name := range h.ways() {
-		if tries == detourTries {
-			break
-		}
-		client := h.Client(name)
-		if client == nil {
-			continue
-		}
-		asking, cancel := context.WithTimeout(ctx, call.Timeout+detourExtra)
-		reply, err := client.Detour(asking, request)
-		cancel()
-		status := int(reply.GetStatus())
-		switch {
-		case err != nil:
-			klog.InfoS("hosts: no detour", "host", name, "err", err.Error())
-			made = detour.Unsure
-		case platform.IsTurnedAway(status):
-			h.turnedAway(name)
-			if made == detour.NotMade {
-				answer, made = detour.Answer{Status: status}, detour.Answered
-			}
-		default:
-			h.serves(name)
-			return detour.Answer{Status: status, Body: reply.GetBody()}, detour.Answered
-		}
-	}
-	return answer, made
-}
-
-// serves notes that a gateway could make a call for this process.
-func (h *Hosts) serves(name string) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if h.served != name {
-		klog.InfoS("hosts: calls of the store go through another host", "host", name)
-	}
-	h.served = name
-	delete(h.turned, name)
-}
-
-// turnedAway notes that the store has turned a gateway away.
-func (h *Hosts) turnedAway(name string) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.turned[name] = clock.Now()
-	if h.served == name {
-		h.served = ""
-	}
-}
-
 // Follow waits for changes that a watcher of the store has seen. It reports
 // false where this gateway is to watch the store itself: if it is a watcher, or
 // none answers.
@@ -337,27 +269,6 @@
 	return ""
 }
 
-// ways returns the other gateways: the one that served last first, those that
-// the store has turned away of late last.
-func (h *Hosts) ways() []string {
-	names := h.Names()
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	now := clock.Now()
-	isTurned := func(name string) int {
-		at := h.turned[name]
-		return boolToInt(at != 0 && now.Sub(at) < turnedAgain)
-	}
-	slices.SortStableFunc(names, func(a, b string) int {
-		return cmp.Or(
-			cmp.Compare(boolToInt(b == h.served), boolToInt(a == h.served)),
-			cmp.Compare(isTurned(a), isTurned(b)),
-			cmp.Compare(h.turned[a], h.turned[b]),
-		)
-	})
-	return slices.DeleteFunc(names, func(name string) bool { return name == h.Name })
-}
-
 func boolToInt(value bool) int {
 	if value {
 		return 1
