--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -363,7 +363,7 @@
 // which grew by some megabytes with each restart.
 func TestBatchesWithoutOwnerAreRemoved(t *testing.T) {
 	store := &platformtest.Store{}
-	first, second := begin(t, store, "g1", "g1", "g2"), begin(t, store, "g2", "g2")
+	first, second, third := begin(t, store, "g1", "g1", "g2"), begin(t, store, "g2", "g2"), begin(t, store, "g3", "g2")
 	must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10)))
 	first.held["b1"].ledger.add([]*statepb.Outcome{statepb.Outcome_builder{Item: "i0"}.Build()}, true)
 	await(t, func() bool { return len(first.outcomes(t)) == 1 })
@@ -382,6 +382,15 @@
 	second.stored["b1"] = second.stored["b1"].Add(-2 * second.Keep)
 	second.mutex.Unlock()
 	await(t, func() bool { return keys() == 0 })
+	t.Run("and nothing of them stays in memory", func(t *testing.T) {
+		for _, p := range []*process{second, third} {
+			await(t, func() bool {
+				p.mutex.Lock()
+				defer p.mutex.Unlock()
+				return len(p.stored)+len(p.owners)+len(p.ownerRevisions)+len(p.unowned)+len(p.removing) == 0
+			})
+		}
+	})
 }
 
 func TestTakeover(t *testing.T) {
--- a/internal/batch/changes.go
+++ b/internal/batch/changes.go
@@ -48,9 +48,12 @@
 	}
 }
 
+// takeStored notes whether anything of a batch is stored. Once nothing is, nothing
+// of it is remembered here either: every gateway hears of every batch.
 func (b *Board) takeStored(id string, change platform.Value) {
 	if change.Deleted {
 		delete(b.stored, id)
+		delete(b.ownerRevisions, id)
 		return
 	}
 	if b.stored[id] == 0 {
@@ -65,6 +68,9 @@
 			b.unowned[id] = unowned{since: clock.Now(), last: b.owners[id]}
 		}
 		delete(b.owners, id)
+		if b.stored[id] == 0 {
+			delete(b.ownerRevisions, id)
+		}
 		return
 	}
 	owner := &statepb.Owner{}
--- a/internal/detour/direct.go
+++ b/internal/detour/direct.go
@@ -61,8 +61,8 @@
 	resets int
 }
 
-// Do makes one call. Just after the store has turned one away, it is not made,
-// and turned away as well.
+// Do makes one call. For a moment after the store has turned a call away, the
+// next ones are not made and count as turned away too.
 //
 // While the store was away for six seconds, the parts of 19 gateways made 3,300
 // calls to learn of it, and to help each other; a whole quiet minute takes 1,340.
