Let the next item ask a sampler once the one that asked has ended

By its log every sampler had failed once and was then asked by one item whose end said nothing of the sampler (an answer to another request); the mark that it is being asked stayed, and it got no item any more. TestAskerThatLearnsNothing failed first.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -281,6 +281,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	server.Finish()
+	// Whatever came of the one that asked, the next one may ask: an end that says
+	// nothing of the server would otherwise keep all work from it for good.
+	server.isAsked = false
 	r.meter(server.entry.Pool).run(-1, clock.Now())
 	r.wake()
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -106,6 +106,23 @@
 	})
 }
 
+// The one item that asks a sampler which failed is answered with a failure of its
+// run, or ended with its batch. Nothing was said of the sampler, and it got no
+// generation any more for as long as the gateway lived.
+func TestAskerThatLearnsNothing(t *testing.T) {
+	roster := newRoster(sampler("s1", 8))
+	need := Need{Pool: pool, Model: "m", Oldest: 2}
+	server := roster.Place(need)
+	roster.Failed(server, "cut")
+	roster.Finish(server)
+	for range 3 {
+		server.full = clock.Now()
+		must.NotNil(t, roster.Place(need))
+		must.Nil(t, roster.Place(need))
+		roster.Finish(server)
+	}
+}
+
 // A fault slows one of two samplers by three. A run on it is worth moving only
 // if the other has a free slot and is not slow itself.
 func TestIsBetter(t *testing.T) {
