--- a/test/soak/run_test.go
+++ b/test/soak/run_test.go
@@ -9,7 +9,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -97,8 +96,7 @@
 	case 12:
 		w.spoil(random.Uint64())
 	case 13:
-		w.keeper.stop(syscall.SIGKILL, 0)
-		must.NoError(t, os.RemoveAll(w.keeper.folder))
+		w.keeper.wipe()
 	}
 }
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -131,6 +131,16 @@
 	p.start()
 }
 
+// wipe kills the process, takes its folder away and starts it again. Taken away
+// under a process that runs, the folder may be written to meanwhile.
+func (p *process) wipe() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	<-p.finished
+	must.NoError(p.t, os.RemoveAll(p.folder))
+	p.start()
+}
+
 func (p *process) end() {
 	p.signal(syscall.SIGCONT)
 	p.signal(syscall.SIGKILL)
