--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -25,6 +25,9 @@
 	if b.isDraining {
 		return nil
 	}
+	if len(b.unowned) == 0 {
+		return nil
+	}
 	var ids []string
 	hosts := b.Hosts()
 	for id, free := range b.unowned {
@@ -99,11 +102,11 @@
 
 // adopt reads a batch that this process owns from the store, and runs it.
 func (b *Board) adopt(ctx context.Context, id string, revision uint64) {
-	batch, listed, partials, err := b.load(ctx, id)
+	batch, listed, partials, err := b.load(ctx, id, nil)
 	for err != nil && ctx.Err() == nil && b.ownsAt(id, revision) {
 		klog.InfoS("batch: not read", "batch", id, "err", err.Error())
 		pause.For(ctx, claimStep)
-		batch, listed, partials, err = b.load(ctx, id)
+		batch, listed, partials, err = b.load(ctx, id, partials)
 	}
 	if err == nil {
 		b.awaitRoute(ctx, batch)
@@ -138,16 +141,18 @@
 }
 
 // load reads a batch, what of it is listed and what keepers have, all at the same
-// time: each may be a megabyte.
-func (b *Board) load(ctx context.Context, id string) (*statepb.Batch, []*statepb.Outcome, []*statepb.Partial, error) {
+// time: each may be a megabyte. Texts that an earlier try has brought are not
+// fetched again; nobody adds to them while the batch has no other owner.
+func (b *Board) load(ctx context.Context, id string, partials []*statepb.Partial) (*statepb.Batch, []*statepb.Outcome, []*statepb.Partial, error) {
 	var batch *statepb.Batch
 	var listed []*statepb.Outcome
-	var partials []*statepb.Partial
 	var batchErr, listedErr error
 	var reading sync.WaitGroup
 	reading.Go(func() { batch, batchErr = b.loadBatch(ctx, id) })
 	reading.Go(func() { listed, listedErr = b.loadListed(ctx, id) })
-	reading.Go(func() { partials = b.Keeper.Fetch(ctx, id) })
+	if len(partials) == 0 {
+		reading.Go(func() { partials = b.Keeper.Fetch(ctx, id) })
+	}
 	reading.Wait()
 	return batch, listed, partials, errors.Join(batchErr, listedErr)
 }
--- a/internal/batch/remove.go
+++ b/internal/batch/remove.go
@@ -31,9 +31,8 @@
 			ids = append(ids, id)
 		}
 	}
-	hosts := b.Hosts()
 	for id, since := range b.stored {
-		if now.Sub(since) > b.Keep && b.owners[id] == "" && !b.open[id] && duty.Rank(id, b.Process, hosts) == 0 {
+		if now.Sub(since) > b.Keep && b.owners[id] == "" && !b.open[id] && duty.Rank(id, b.Process, b.Hosts()) == 0 {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/bramleyhatch/entryduties.go
+++ b/internal/bramleyhatch/entryduties.go
@@ -54,13 +54,19 @@
 }
 
 func (e *Entry) newReporter() *usage.Reporter {
-	settings, duties := e.Settings.GetUsage(), e.Settings.GetDuty()
+	reporter := e.Process.newReporter(e.Settings.GetUsage(), e.Settings.GetDuty())
+	reporter.Platform = e.platform
+	reporter.Collector = &usage.Collector{Directory: e.members, Peers: &usage.GRPCPeers{Credentials: e.credentials()}}
+	reporter.Offer = e.members.Offer
+	return reporter
+}
+
+// newReporter returns a reporter with what the settings say of it. Its ways to
+// the platform and to other processes are still to be set.
+func (p *Process) newReporter(settings *settingspb.Usage, duties *settingspb.Duty) *usage.Reporter {
 	return &usage.Reporter{
-		Process:   e.Process.Settings.GetName(),
-		Platform:  e.platform,
-		Collector: &usage.Collector{Directory: e.members, Peers: &usage.GRPCPeers{Credentials: e.credentials()}},
-		Offer:     e.members.Offer,
-		Decisions: e.Decisions,
+		Process:   p.Settings.GetName(),
+		Decisions: p.Decisions,
 		Window:    settings.GetWindow().AsDuration(),
 		Settle:    settings.GetSettle().AsDuration(),
 		Retain:    settings.GetRetain().AsDuration(),
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -24,7 +24,6 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
-	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	store "github.com/bramleyhatch/bramleyhatch/internal/platform"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
 	"github.com/bramleyhatch/bramleyhatch/internal/table"
@@ -85,11 +84,8 @@
 	g.addReady()
 	g.addGauges()
 	g.AddDrain(g.drain)
-	err := g.run(ctx, settingspb.Caller_builder{Listen: g.Settings.GetFront().GetListen()}.Build())
-	closing, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	g.session.Close(closing)
-	return err
+	defer closeSession(g.session)
+	return g.run(ctx, settingspb.Caller_builder{Listen: g.Settings.GetFront().GetListen()}.Build())
 }
 
 // addStore adds the ways to the store and this process's lease.
@@ -99,19 +95,7 @@
 	direct := &detour.Direct{Address: settings.GetAddress()}
 	g.caller = &detour.Caller{Direct: direct, Peers: g.hosts, Metrics: g.Metrics}
 	g.store = &platform.Store{Caller: g.caller, Timeout: settings.GetTimeout().AsDuration()}
-	g.session = &gateway.Session{
-		Store:  g.store,
-		Prefix: gateway.PrefixHost,
-		Length: settings.GetLease().AsDuration(),
-		Host: statepb.Host_builder{
-			Name:        g.Process.Settings.GetName(),
-			Zone:        g.Process.Settings.GetZone(),
-			Region:      g.Process.Settings.GetRegion(),
-			Address:     g.Process.Settings.GetPeer(),
-			Incarnation: g.Incarnation,
-		}.Build(),
-	}
-	g.AddDuty("session", g.session.Run)
+	g.session = g.addSession(g.store, gateway.PrefixHost, settings.GetLease().AsDuration())
 }
 
 // addServers adds the knowledge of backend servers and the way to them.
--- a/internal/bramleyhatch/gatewayduties.go
+++ b/internal/bramleyhatch/gatewayduties.go
@@ -114,23 +114,13 @@
 }
 
 func (g *Gateway) newReporter(way *platform.Duties) *usage.Reporter {
-	settings, duties := g.Settings.GetUsage(), g.Settings.GetDuty()
-	return &usage.Reporter{
-		Process:   g.Process.Settings.GetName(),
-		Platform:  holderStore{Store: g.store, Duties: way},
-		Collector: &usage.Collector{Directory: g.hosts, Peers: &usage.GRPCPeers{}},
-		Offer:     func(*peerpb.Fact) bool { return true },
-		Decisions: g.Decisions,
-		Window:    settings.GetWindow().AsDuration(),
-		Settle:    settings.GetSettle().AsDuration(),
-		Retain:    settings.GetRetain().AsDuration(),
-		Keep:      settings.GetKeep().AsDuration(),
-		Interval:  duties.GetInterval().AsDuration(),
-		Lease:     duties.GetLease().AsDuration(),
-		Bound:     duties.GetOrder().AsDuration(),
-		Fenced:    duties.GetFenced(),
-		Now:       g.wall.Now,
-	}
+	reporter := g.Process.newReporter(g.Settings.GetUsage(), g.Settings.GetDuty())
+	reporter.Platform = holderStore{Store: g.store, Duties: way}
+	reporter.Collector = &usage.Collector{Directory: g.hosts, Peers: &usage.GRPCPeers{}}
+	reporter.Offer = func(*peerpb.Fact) bool { return true }
+	reporter.Fenced = g.Settings.GetDuty().GetFenced()
+	reporter.Now = g.wall.Now
+	return reporter
 }
 
 func (g *Gateway) newSteering() *weight.Steering {
--- a/internal/bramleyhatch/keeper.go
+++ b/internal/bramleyhatch/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"google.golang.org/grpc"
 
@@ -11,7 +10,6 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/keeper"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
-	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/platform"
 )
 
@@ -32,25 +30,11 @@
 	k.AddService(func(registrar grpc.ServiceRegistrar) { peerpb.RegisterKeeperServer(registrar, server) })
 	k.AddDuty("texts", server.Run)
 	settings := k.Settings.GetStore()
-	session := &gateway.Session{
-		Store: &platform.Store{
-			Caller:  &detour.Caller{Direct: &detour.Direct{Address: settings.GetAddress()}},
-			Timeout: settings.GetTimeout().AsDuration(),
-		},
-		Prefix: gateway.PrefixKeeper,
-		Length: settings.GetLease().AsDuration(),
-		Host: statepb.Host_builder{
-			Name:        k.Process.Settings.GetName(),
-			Zone:        k.Process.Settings.GetZone(),
-			Region:      k.Process.Settings.GetRegion(),
-			Address:     k.Process.Settings.GetPeer(),
-			Incarnation: k.Incarnation,
-		}.Build(),
+	store := &platform.Store{
+		Caller:  &detour.Caller{Direct: &detour.Direct{Address: settings.GetAddress()}},
+		Timeout: settings.GetTimeout().AsDuration(),
 	}
-	k.AddDuty("session", session.Run)
-	err := k.run(ctx, nil)
-	closing, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	session.Close(closing)
-	return err
+	session := k.addSession(store, gateway.PrefixKeeper, settings.GetLease().AsDuration())
+	defer closeSession(session)
+	return k.run(ctx, nil)
 }
--- a/internal/detour/direct.go
+++ b/internal/detour/direct.go
@@ -1,10 +1,8 @@
 package detour
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -115,30 +113,16 @@
 	d.once.Do(func() { d.client = listen.Client("store " + d.Address) })
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
-	var body io.Reader = http.NoBody
-	if call.Body != nil {
-		body = bytes.NewReader(call.Body)
-	}
-	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+d.Address+call.Target, body)
-	if err != nil {
-		return Answer{}, err
-	}
-	// Without GetBody net/http never sends a change twice by itself.
-	request.GetBody = nil
-	if call.Body != nil {
-		request.Header.Set("Content-Type", "application/json")
-	}
-	response, err := d.client.DoRequest(request)
+	request, err := listen.JSON(ctx, call.Method, "http://"+d.Address+call.Target, call.Body)
 	if err != nil {
 		return Answer{}, err
 	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	if errors.Is(err, context.DeadlineExceeded) {
+	status, answer, err := listen.Exchange(d.client, request, maxAnswerBytes)
+	if status != 0 && errors.Is(err, context.DeadlineExceeded) {
 		return Answer{}, &LongAnswerError{Target: call.Target, Bytes: len(answer), Timeout: call.Timeout}
 	}
 	if err != nil {
 		return Answer{}, err
 	}
-	return Answer{Status: response.StatusCode, Body: answer}, nil
+	return Answer{Status: status, Body: answer}, nil
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -250,16 +250,21 @@
 // allowed returns how long a request may take: the caller's time or the
 // route's, whichever is shorter.
 func (h *Handler) allowed(r *http.Request, route *table.Route) time.Duration {
-	allowed := defaultTime
-	if route.Timeout > 0 {
-		allowed = route.Timeout
-	}
+	allowed := routeTime(route)
 	if left := h.Wire.Left(r); left > 0 {
 		allowed = min(allowed, left)
 	}
 	return allowed
 }
 
+// routeTime returns how long a route's requests may take.
+func routeTime(route *table.Route) time.Duration {
+	if route.Timeout > 0 {
+		return route.Timeout
+	}
+	return defaultTime
+}
+
 // priority returns the request's rank at the backend server, 1 to 9.
 func priority(caller *caller) int {
 	rank := caller.route.Priority
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -105,11 +105,18 @@
 
 // Names returns the names of the gateways that live.
 func (h *Hosts) Names() []string {
+	return h.names(func(*statepb.Host) bool { return true })
+}
+
+// names returns the names of the gateways that are wanted, in order.
+func (h *Hosts) names(isWanted func(*statepb.Host) bool) []string {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	names := make([]string, 0, len(h.hosts))
-	for name := range h.hosts {
-		names = append(names, name)
+	for name, host := range h.hosts {
+		if isWanted(host) {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	return names
@@ -121,7 +128,7 @@
 // the others, they made those that could take a batch over wait for them, 150 ms
 // each: over a second until its texts went on.
 func (h *Hosts) Candidates() []string {
-	return slices.DeleteFunc(h.Names(), h.IsLeaving)
+	return h.names(func(host *statepb.Host) bool { return !host.GetLeaving() })
 }
 
 // IsLeaving reports whether a gateway that lives was asked to stop.
--- a/internal/gateway/scorer.go
+++ b/internal/gateway/scorer.go
@@ -63,10 +63,6 @@
 	}
 	repeatable := *route
 	repeatable.Kind = table.Idempotent
-	allowed := defaultTime
-	if route.Timeout > 0 {
-		allowed = route.Timeout
-	}
 	// Only answers that the run failed count: one that its time was over says that
 	// the server is slow, and nothing of the text.
 	failures := 0
@@ -79,7 +75,7 @@
 		Target: scorer.GetPath(),
 		Header: http.Header{},
 		Body:   scorer.GetBody(),
-		Until:  clock.Now().Add(allowed),
+		Until:  clock.Now().Add(routeTime(route)),
 	})
 	if err != nil && failures > 0 {
 		return "", &batch.ScoreError{Failures: failures, Most: route.Attempts}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -205,16 +205,11 @@
 	if err != nil {
 		return &UnavailableError{Operation: operation, Cause: err}
 	}
-	response, err := c.service.DoRequest(request)
+	status, answer, err := listen.Exchange(c.service, request, maxAnswerBytes)
 	if err != nil {
 		return &UnavailableError{Operation: operation, Cause: err}
 	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	if err != nil {
-		return &UnavailableError{Operation: operation, Cause: err}
-	}
-	return c.read(response.StatusCode, operation, key, answer, reply)
+	return c.read(status, operation, key, answer, reply)
 }
 
 func (c *Client) request(ctx context.Context, method, path string, query url.Values, body any) (*http.Request, error) {
--- a/test/gateway/scaling_test.go
+++ b/test/gateway/scaling_test.go
@@ -16,7 +16,7 @@
 func newScaled(t *testing.T) (*world, *wiretest.Scaling) {
 	t.Helper()
 	w := newWorld(t)
-	pool := w.Scale(t, "app", "", 1, 3, 200*time.Millisecond)
+	pool := w.Scale(t, "app", 1, 3, 200*time.Millisecond)
 	w.PutTable(t, 3, []string{"acme", "other"}, wiretest.Routes()...)
 	await(t, "the first server is there", func() bool { return len(pool.Servers()) == 1 })
 	return w, pool
@@ -75,12 +75,12 @@
 	pool.SetWork(50 * time.Millisecond)
 	stop := second.press(t, 5)
 	await(t, "a second server is ordered", func() bool { return pool.Wanted() == 2 })
-	_, holders := pool.Orders()
+	holders := pool.Holders()
 	other := map[string]*gateway{"g1": second, "g2": first}[holders[0]]
 	stop()
 	map[string]*gateway{"g1": first, "g2": second}[holders[0]].end()
 	other.press(t, 8)
 	await(t, "the third server is ordered", func() bool { return pool.Wanted() == 3 })
-	_, holders = pool.Orders()
+	holders = pool.Holders()
 	must.SliceLen(t, 2, holders)
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -124,27 +124,28 @@
 
 // stop ends the process with a signal and starts it again after a while.
 func (p *process) stop(signal syscall.Signal, pause time.Duration) {
+	p.finish(signal)
+	time.Sleep(pause)
+	p.start()
+}
+
+// finish ends the process with a signal and waits for its end.
+func (p *process) finish(signal syscall.Signal) {
 	p.signal(syscall.SIGCONT)
 	p.signal(signal)
 	<-p.finished
-	time.Sleep(pause)
-	p.start()
 }
 
 // wipe kills the process, takes its folder away and starts it again. Taken away
 // under a process that runs, the folder may be written to meanwhile.
 func (p *process) wipe() {
-	p.signal(syscall.SIGCONT)
-	p.signal(syscall.SIGKILL)
-	<-p.finished
+	p.finish(syscall.SIGKILL)
 	must.NoError(p.t, os.RemoveAll(p.folder))
 	p.start()
 }
 
 func (p *process) end() {
-	p.signal(syscall.SIGCONT)
-	p.signal(syscall.SIGKILL)
-	<-p.finished
+	p.finish(syscall.SIGKILL)
 	if p.t.Failed() {
 		text, err := os.ReadFile(p.log.Name())
 		if err == nil {
