--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,9 +10,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
-	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
-	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform/platformtest"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
@@ -82,6 +76,15 @@
 
 var known = Route{Pool: "lm", Rules: Rules{Attempts: 3}}
 
+// newBoard returns a board of a process, which gives it its lease and routes.
+func newBoard(store Store, name string, p *process, hosts ...string) *Board {
+	return &Board{
+		Process: name, Store: store, Roster: &roster.Roster{}, Keeper: noKeeper{}, Peers: noKeeper{}, Scorer: &scorer{room: 4}, Routes: p.routes.get,
+		Lease: p.lease.Load, Hosts: func() []string { return hosts }, Leaves: func(string) bool { return false },
+		Keep: time.Hour, Group: time.Millisecond, ValueBytes: 1 << 20,
+	}
+}
+
 // begin starts a process on a store that others may use too.
 func begin(t *testing.T, store *platformtest.Store, name string, hosts ...string) *process {
 	t.Helper()
@@ -89,11 +92,7 @@
 	must.NoError(t, err)
 	p := &process{routes: &routes{route: known, known: true}}
 	p.lease.Store(lease)
-	p.Board = &Board{
-		Process: name, Store: store, Roster: &roster.Roster{}, Keeper: noKeeper{}, Peers: noKeeper{}, Scorer: &scorer{room: 4}, Routes: p.routes.get,
-		Lease: p.lease.Load, Hosts: func() []string { return hosts }, Leaves: func(string) bool { return false },
-		Keep: time.Hour, Group: time.Millisecond, ValueBytes: 1 << 20,
-	}
+	p.Board = newBoard(store, name, p, hosts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	var ended sync.WaitGroup
 	ended.Go(func() { _ = p.Run(ctx) })
@@ -167,10 +166,7 @@
 	must.NoError(t, first.Accept(t.Context(), newBatch(10)))
 	list, err := store.List(t.Context(), Prefix)
 	must.NoError(t, err)
-	board := &Board{
-		Process: "g1", Store: store, Roster: &roster.Roster{}, Keeper: noKeeper{}, Peers: noKeeper{}, Scorer: &scorer{}, Routes: first.routes.get,
-		Lease: first.lease.Load, Hosts: func() []string { return []string{"g1"} }, Leaves: func(string) bool { return false }, Keep: time.Hour, ValueBytes: 1 << 20,
-	}
+	board := newBoard(store, "g1", first, "g1")
 	board.Take(list.Values)
 	await(t, func() bool {
 		_, isOwn, err := board.ReadOwn(t.Context(), "b1", "", 0, 0)
@@ -191,119 +187,6 @@
 	await(t, func() bool { return p.holds() })
 }
 
-// countingStore counts what is read of batches.
-type countingStore struct {
-	*platformtest.Store
-
-	reads atomic.Int32
-}
-
-func (c *countingStore) Get(ctx context.Context, key string) (platform.Value, error) {
-	c.reads.Add(1)
-	return c.Store.Get(ctx, key)
-}
-
-// All gateways start anew. Each finds the keys of batches that it owned, most of
-// which their trainers have long ended. While it read these from the store and
-// from keepers, the texts of those still open came too late, and were made anew.
-func TestEndedBatchesAreNotRead(t *testing.T) {
-	store := &countingStore{Store: &platformtest.Store{}}
-	first := begin(t, store.Store, "g1", "g1")
-	must.NoError(t, first.Accept(t.Context(), newBatch(10)))
-	await(t, first.holds)
-	list, err := store.List(t.Context(), Prefix)
-	must.NoError(t, err)
-	restarted := func() *Board {
-		board := &Board{
-			Process: "g1", Store: store, Roster: &roster.Roster{}, Keeper: noKeeper{}, Peers: noKeeper{}, Scorer: &scorer{}, Routes: first.routes.get,
-			Lease: first.lease.Load, Hosts: func() []string { return []string{"g1"} }, Leaves: func(string) bool { return false }, Keep: time.Hour, ValueBytes: 1 << 20,
-		}
-		t.Cleanup(func() {
-			ctx, cancel := context.WithCancel(context.Background())
-			cancel()
-			_ = board.Run(ctx)
-		})
-		return board
-	}
-	isOpen := func(value platform.Value) bool { return strings.HasPrefix(value.Key, prefixOpen) }
-	t.Run("ended", func(t *testing.T) {
-		board := restarted()
-		board.Take(slices.DeleteFunc(slices.Clone(list.Values), isOpen))
-		time.Sleep(20 * time.Millisecond)
-		must.Eq(t, 0, store.reads.Load())
-	})
-	t.Run("open, whichever key comes first", func(t *testing.T) {
-		board := restarted()
-		for _, value := range slices.Backward(list.Values) {
-			board.Take([]platform.Value{value})
-		}
-		await(t, func() bool {
-			_, isOwn, err := board.ReadOwn(t.Context(), "b1", "", 0, 0)
-			return err == nil && isOwn
-		})
-	})
-}
-
-// A trainer has two steps under way when all gateways start anew, and the younger
-// one is read first. Taken for the older, it got every slot; the one that the
-// trainer waits for stood still for two and a half seconds.
-func TestOlderStepIsFirst(t *testing.T) {
-	p := begin(t, &platformtest.Store{}, "g1", "g1")
-	for _, step := range []uint64{1, 0, 2} {
-		batch := newBatch(10, 10)
-		batch.SetId("b" + strconv.FormatUint(step, 10))
-		batch.SetStep(step)
-		must.NoError(t, p.Accept(t.Context(), batch))
-	}
-	isFirst := func(id string) bool {
-		p.mutex.Lock()
-		owner := p.held[id].owner
-		p.mutex.Unlock()
-		owner.mutex.Lock()
-		defer owner.mutex.Unlock()
-		return owner.waiting.Load() > 0 && owner.isFirst()
-	}
-	await(t, func() bool { return isFirst("b0") })
-	must.False(t, isFirst("b1"))
-	must.False(t, isFirst("b2"))
-}
-
-// A gateway claims a batch and is asked to stop before it has read it. It served
-// on with the batch for two seconds, and what it had made was lost at its end.
-func TestStoppedWhileClaiming(t *testing.T) {
-	store := &platformtest.Store{}
-	first := begin(t, store, "g1", "g1")
-	must.NoError(t, first.Accept(t.Context(), newBatch(10)))
-	await(t, first.holds)
-	list, err := store.List(t.Context(), Prefix)
-	must.NoError(t, err)
-	first.stop()
-	p := begin(t, store, "g1", "g2")
-	p.routes.set(Route{}, false)
-	p.Take(list.Values)
-	p.Drain(t.Context())
-	p.routes.set(known, true)
-	await(t, func() bool {
-		_, err := store.Get(t.Context(), ownerKey("b1"))
-		var missing *platform.NotFoundError
-		return errors.As(err, &missing)
-	})
-}
-
-// A gateway that stops hands its batch over, and the next one need not wait for
-// it. One whose lease has lapsed with the store may live: taken from it at once,
-// the batch loses what came of it meanwhile.
-func TestTurn(t *testing.T) {
-	hosts := []string{"g1", "g2", "g3"}
-	order := duty.Order("b1", hosts)
-	board := &Board{Process: order[1], Leaves: func(host string) bool { return host == "leaving" }}
-	must.Eq(t, ownerHead+claimStep, board.turn("b1", "g1", hosts))
-	must.Eq(t, ownerHead+claimStep, board.turn("b1", "lapsed", hosts))
-	must.Eq(t, claimStep, board.turn("b1", "leaving", hosts))
-	board.held = map[string]*held{"b1": {}}
-	must.Eq(t, 0, board.turn("b1", "g1", hosts))
-}
-
 // unsurePeer never says what became of a batch.
 type unsurePeer struct{ noKeeper }
 
@@ -393,37 +276,6 @@
 	})
 }
 
-func TestTakeover(t *testing.T) {
-	store := &platformtest.Store{}
-	first, second := begin(t, store, "g1", "g1", "g2"), begin(t, store, "g2", "g1", "g2")
-	must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10, 20)))
-	await(t, func() bool { return second.Owner("b1") == "g1" })
-	old := first.held["b1"].ledger
-	first.stop()
-	must.NoError(t, store.End(t.Context(), first.Lease()))
-	await(t, func() bool { return second.holds() })
-	must.False(t, old.commit(t.Context(), 0, []byte("late")))
-	must.Eq(t, 0, len(second.outcomes(t)))
-}
-
-// The lease of an owner lapses although it lives: the store was away. It claims
-// its batch again at once, before others do, and lists on.
-func TestClaimedAgain(t *testing.T) {
-	store := &platformtest.Store{}
-	p := begin(t, store, "g1", "g1")
-	must.NoError(t, p.Accept(t.Context(), newBatch(10)))
-	before := p.held["b1"].ledger.owner
-	must.NoError(t, store.End(t.Context(), p.Lease()))
-	lease, err := store.Grant(t.Context(), time.Hour)
-	must.NoError(t, err)
-	p.lease.Store(lease)
-	await(t, func() bool {
-		p.held["b1"].ledger.mutex.Lock()
-		defer p.held["b1"].ledger.mutex.Unlock()
-		return p.held["b1"].ledger.owner > before
-	})
-}
-
 // Outcomes are listed at places that never change, whatever answers are lost.
 func TestLedger(t *testing.T) {
 	store := &platformtest.Store{}
@@ -443,17 +295,6 @@
 	}
 }
 
-// A process that stops gives its batches up at once; nobody waits for its lease.
-func TestDrain(t *testing.T) {
-	store := &platformtest.Store{}
-	first, second := begin(t, store, "g1", "g1", "g2"), begin(t, store, "g2", "g1", "g2")
-	must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10)))
-	await(t, func() bool { return second.Owner("b1") == "g1" })
-	first.Drain(t.Context())
-	await(t, func() bool { return second.holds() })
-	must.Error(t, first.AcceptOwn(t.Context(), newBatch(10, 20)))
-}
-
 // Batches that nobody reads any more leave nothing in the store.
 func TestRemoved(t *testing.T) {
 	store := &platformtest.Store{}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -132,7 +132,7 @@
 // send sends the request to one server.
 func (r *run) send(ctx context.Context, server *roster.Server) (*backend.Answer, error) {
 	left := r.request.left()
-	answer, err := server.Direct().Do(ctx, r.request.send(server.Name(), left, r.silence(left)))
+	answer, err := server.Direct().Do(ctx, r.request.to(server.Name(), left, r.silence(left)))
 	if err == nil || !refusal.IsNotRun(err) {
 		r.start()
 	}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -3,7 +3,6 @@
 package forward
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
@@ -13,20 +12,11 @@
 
 // Request is a caller's request on its way. Exported fields are set before it is run.
 type Request struct {
-	ID     string
-	Route  *table.Route
-	Host   string
-	Method string
-	// Target is the path and query.
-	Target string
-	Header http.Header
-	Body   []byte
-	// Account is the client account; "" where none is needed.
-	Account string
-	// Priority from 1, the first, to 9; 0 says nothing.
-	Priority int
-	// LastEvent is the last event that the caller has of its stream; 0 for none.
-	LastEvent uint64
+	// Send is what each backend server is sent, but for Server, Left and Silence,
+	// which differ from try to try.
+	backend.Send
+
+	Route *table.Route
 	// Until is when the caller or the route gives the request up.
 	Until clock.Boot
 	// Failed is called for each answer by which a backend server says that the
@@ -44,21 +34,11 @@
 // left returns how long the request may still take.
 func (r *Request) left() time.Duration { return r.Until.Sub(clock.Now()) }
 
-func (r *Request) send(server string, left, silence time.Duration) backend.Send {
-	return backend.Send{
-		ID:        r.ID,
-		Server:    server,
-		Host:      r.Host,
-		Method:    r.Method,
-		Target:    r.Target,
-		Header:    r.Header,
-		Body:      r.Body,
-		Account:   r.Account,
-		Left:      left,
-		LastEvent: r.LastEvent,
-		Priority:  r.Priority,
-		Silence:   silence,
-	}
+// to returns what one server is sent.
+func (r *Request) to(server string, left, silence time.Duration) backend.Send {
+	send := r.Send
+	send.Server, send.Left, send.Silence = server, left, silence
+	return send
 }
 
 // Answer is a backend server's answer to a request.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/backend"
 	"github.com/bramleyhatch/bramleyhatch/internal/batch"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/forward"
@@ -223,17 +224,19 @@
 		return err
 	}
 	request := &forward.Request{
-		ID:        caller.id,
-		Route:     caller.route,
-		Host:      r.Host,
-		Method:    r.Method,
-		Target:    r.URL.RequestURI(),
-		Header:    forwarded(r.Header),
-		Body:      body,
-		Account:   caller.account.Name,
-		Priority:  priority(caller),
-		LastEvent: h.Wire.LastEvent(r),
-		Until:     caller.began.Add(h.allowed(r, caller.route)),
+		Send: backend.Send{
+			ID:        caller.id,
+			Host:      r.Host,
+			Method:    r.Method,
+			Target:    r.URL.RequestURI(),
+			Header:    forwarded(r.Header),
+			Body:      body,
+			Account:   caller.account.Name,
+			Priority:  priority(caller),
+			LastEvent: h.Wire.LastEvent(r),
+		},
+		Route: caller.route,
+		Until: caller.began.Add(h.allowed(r, caller.route)),
 	}
 	if h.Count != nil && caller.account.Name != "" {
 		request.Began = func() { h.Count(caller.account.Name, caller.route.Name) }
--- a/internal/gateway/scorer.go
+++ b/internal/gateway/scorer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/backend"
 	"github.com/bramleyhatch/bramleyhatch/internal/batch"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/forward"
@@ -67,14 +68,16 @@
 	// the server is slow, and nothing of the text.
 	failures := 0
 	answer, err := s.Forwarder.Run(ctx, &forward.Request{
+		Send: backend.Send{
+			ID:     scorer.GetId(),
+			Host:   scorer.GetHost(),
+			Method: http.MethodPost,
+			Target: scorer.GetPath(),
+			Header: http.Header{},
+			Body:   scorer.GetBody(),
+		},
 		Failed: func() { failures++ },
-		ID:     scorer.GetId(),
 		Route:  &repeatable,
-		Host:   scorer.GetHost(),
-		Method: http.MethodPost,
-		Target: scorer.GetPath(),
-		Header: http.Header{},
-		Body:   scorer.GetBody(),
 		Until:  clock.Now().Add(routeTime(route)),
 	})
 	if err != nil && failures > 0 {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// mustBeAskedByOne checks that a server that is no longer passed over is given
+// one generation, and not a second.
+func mustBeAskedByOne(t *testing.T, roster *Roster, server *Server, need Need) {
+	t.Helper()
+	server.full = clock.Now()
+	must.NotNil(t, roster.Place(need))
+	must.Nil(t, roster.Place(need))
+}
+
 func names(roster *Roster) []string {
 	var found []string
 	for _, entry := range roster.Entries(pool) {
@@ -78,9 +87,7 @@
 	roster.Full(server)
 	roster.Finish(server)
 	must.Nil(t, roster.Place(need))
-	server.full = clock.Now()
-	must.NotNil(t, roster.Place(need))
-	must.Nil(t, roster.Place(need))
+	mustBeAskedByOne(t, roster, server, need)
 	roster.Answered(server)
 	must.NotNil(t, roster.Place(need))
 }
@@ -95,9 +102,7 @@
 	roster.Failed(server, "unreachable")
 	roster.Finish(server)
 	must.Nil(t, roster.Place(need))
-	server.full = clock.Now()
-	must.NotNil(t, roster.Place(need))
-	must.Nil(t, roster.Place(need))
+	mustBeAskedByOne(t, roster, server, need)
 	t.Run("and gets its share again once it answers", func(t *testing.T) {
 		roster.Answered(server)
 		for range 7 {
@@ -116,9 +121,7 @@
 	roster.Failed(server, "cut")
 	roster.Finish(server)
 	for range 3 {
-		server.full = clock.Now()
-		must.NotNil(t, roster.Place(need))
-		must.Nil(t, roster.Place(need))
+		mustBeAskedByOne(t, roster, server, need)
 		roster.Finish(server)
 	}
 }
