List whole texts without a scorer at once when they come again

Items of a group that comes again with a whole text were set to wait for judgement, also where they have no scorer; they asked ten times a second until the step was over, and the trainer waited for their groups.

Ruled out: the scorers' pool (the site has none for these routes).

The test fails before the change.

--- a/internal/batch/leftovers.go
+++ b/internal/batch/leftovers.go
@@ -105,7 +105,7 @@
 		reused++
 		one.events, one.versions = slices.Clone(leftover.events), slices.Clone(leftover.versions)
 		if leftover.isWhole {
-			one.phase = unscored
+			p.made(one)
 		}
 	}
 	p.order = slices.DeleteFunc(p.order, func(one *item) bool { return one.phase != waiting })
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -254,8 +254,11 @@
 func (p *Plan) Moved(index int) { p.items[index].moves++ }
 
 // Generated notes that a running item's text is whole.
-func (p *Plan) Generated(job Job) {
-	one := p.items[job.index]
+func (p *Plan) Generated(job Job) { p.made(p.items[job.index]) }
+
+// made notes that an item's text is whole, whether it was made now or by an
+// earlier batch: it is judged, or listed where it has no scorer.
+func (p *Plan) made(one *item) {
 	if one.spec.GetScorer() == nil {
 		p.settle(one, "")
 		return
--- a/internal/batch/plan_test.go
+++ b/internal/batch/plan_test.go
@@ -267,3 +267,29 @@
 		must.SliceEmpty(t, whole.Leftovers())
 	})
 }
+
+// A trainer that judges its texts itself sends items without a scorer. A group
+// of its last step comes again with the texts that it had. They are whole and have
+// nobody to judge them: asked again and again until the step was over, they were
+// listed by nobody, and the trainer waited for a group that was there.
+func TestReuseWithoutScorer(t *testing.T) {
+	unjudged := func() *statepb.Batch {
+		batch := newBatch(400, 300)
+		for _, item := range batch.GetItems() {
+			item.SetScorer(nil)
+		}
+		return batch
+	}
+	first := NewPlan(unjudged(), Rules{Attempts: 3}, start)
+	job := mustStart(t, first, start, "i0")
+	must.True(t, first.Event(job, "a", 3))
+	first.Generated(job)
+	first.End()
+	next := NewPlan(unjudged(), Rules{Attempts: 3}, start)
+	must.Eq(t, 1, next.Reuse(first.Leftovers()))
+	_, ok := next.NextScore(start)
+	must.False(t, ok)
+	pending := pendingOf(next)
+	must.SliceLen(t, 1, pending)
+	must.Eq(t, "a", pending[0].GetText())
+}
