Load weights where steps lack samplers most, decided as one

Change: weight.Schedule, pure, decides for a pool. A sampler holds every model's weights and a load concerns one, so parts go; each load goes to the model whose open or coming step has the smallest share of the samplers that it can use, at the sampler where it costs least. What steps ask is read from the keys of open batches, which now say model, step, oldest version and items: no call more.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -112,13 +112,19 @@
 	if err != nil {
 		return err
 	}
+	open, err := proto.Marshal(statepb.Open_builder{
+		Account: batch.GetAccount(), Model: batch.GetModel(), Step: batch.GetStep(), Oldest: batch.GetOldest(), Items: uint32(len(batch.GetItems())),
+	}.Build())
+	if err != nil {
+		return err
+	}
 	b.expectOwn(id, true)
 	defer b.expectOwn(id, false)
 	revision, err := b.Store.Commit(ctx, platform.Commit{
 		Expect: []platform.Expect{{Key: bulkKey(id)}},
 		Writes: []platform.Write{
 			{Key: bulkKey(id), Data: data},
-			{Key: openKey(id), Data: []byte(batch.GetAccount())},
+			{Key: openKey(id), Data: open},
 			{Key: storedKey(id), Data: []byte(batch.GetAccount())},
 			{Key: ownerKey(id), Data: owner, Lease: lease},
 		},
--- a/internal/batch/changes.go
+++ b/internal/batch/changes.go
@@ -16,7 +16,7 @@
 	b.lock()
 	defer b.mutex.Unlock()
 	for _, change := range changes {
-		if id, ok := strings.CutPrefix(change.Key, prefixOpen); ok {
+		if id, ok := strings.CutPrefix(change.Key, PrefixOpen); ok {
 			b.takeOpen(id, change)
 		}
 		if id, ok := strings.CutPrefix(change.Key, prefixOwner); ok {
--- a/internal/batch/ledger.go
+++ b/internal/batch/ledger.go
@@ -205,8 +205,9 @@
 // Keys of the store.
 const (
 	// Prefix of the small keys that every gateway watches.
-	Prefix      = "live/"
-	prefixOpen  = Prefix + "open/"
+	Prefix = "live/"
+	// PrefixOpen of the keys of batches that their trainers have not ended.
+	PrefixOpen  = Prefix + "open/"
 	prefixOwner = Prefix + "owner/"
 	// prefixStored of keys that stay as long as anything of a batch is stored.
 	prefixStored = Prefix + "stored/"
@@ -214,7 +215,7 @@
 	prefixOut    = "out/"
 )
 
-func openKey(batch string) string   { return prefixOpen + batch }
+func openKey(batch string) string   { return PrefixOpen + batch }
 func ownerKey(batch string) string  { return prefixOwner + batch }
 func storedKey(batch string) string { return prefixStored + batch }
 func bulkKey(batch string) string   { return prefixBulk + batch }
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/zeromicro/go-zero/rest"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/batch"
@@ -24,10 +26,12 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	store "github.com/bramleyhatch/bramleyhatch/internal/platform"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
 	"github.com/bramleyhatch/bramleyhatch/internal/table"
 	"github.com/bramleyhatch/bramleyhatch/internal/usage"
+	"github.com/bramleyhatch/bramleyhatch/internal/weight"
 	"github.com/bramleyhatch/bramleyhatch/platform"
 )
 
@@ -62,7 +66,7 @@
 	board     *batch.Board
 	wall      *clock.Wall
 	counter   *usage.Counter
-	wanted    wanted
+	steps     weight.Steps
 	holder    holder
 	// retirements are the hosts that are to be emptied.
 	retirements retirements
@@ -159,6 +163,27 @@
 	g.hosts.Take(changes)
 	g.holder.take(changes)
 	g.board.Take(changes)
+	takeSteps(&g.steps, changes)
+}
+
+// takeSteps takes changes of the keys of open batches.
+func takeSteps(steps *weight.Steps, changes []store.Value) {
+	for _, change := range changes {
+		id, isOpen := strings.CutPrefix(change.Key, batch.PrefixOpen)
+		if !isOpen {
+			continue
+		}
+		if change.Deleted {
+			steps.Close(id)
+			continue
+		}
+		open := &statepb.Open{}
+		if err := proto.Unmarshal(change.Data, open); err != nil {
+			klog.ErrorS(err, "weight: an open batch can't be read", "key", change.Key)
+			continue
+		}
+		steps.Open(id, weight.Step{Model: open.GetModel(), Number: open.GetStep(), Oldest: open.GetOldest(), Runs: int(open.GetItems())})
+	}
 }
 
 func (g *Gateway) takeOperator(changes []store.Value) {
@@ -175,7 +200,9 @@
 				klog.ErrorS(err, "weight: a named version can't be read", "revision", change.Revision)
 				continue
 			}
-			g.wanted.take(model, version)
+			if g.steps.Name(model, version) {
+				klog.InfoS("weight: named", "model", model, "version", version)
+			}
 			continue
 		}
 		if !platform.IsTable(change.Key) {
--- a/internal/bramleyhatch/gatewayduties.go
+++ b/internal/bramleyhatch/gatewayduties.go
@@ -22,10 +22,10 @@
 	// dutyLook is the wait between two looks whether the duty is free; they cost
 	// no call of the store.
 	dutyLook = 200 * time.Millisecond
-	// loadsAtOnce is the share of a pool's samplers that load weights at the same
-	// time: loads share the way to the weights' store, and take longer when more
-	// than about a quarter of the samplers load.
-	loadsAtOnce = 0.34
+	// loadsAtOnce is the greatest share of a pool's samplers that load weights at
+	// the same time, so that one half goes on serving whatever is named; how many it
+	// is worth is learned from the time that loads take.
+	loadsAtOnce = 0.5
 )
 
 // holderStore is what the holder of the duty speaks to.
@@ -127,10 +127,9 @@
 	return &weight.Steering{
 		Samplers:  &platform.Samplers{Holder: g.Process.Settings.GetName(), Timeout: g.Settings.GetStore().GetTimeout().AsDuration(), Idle: idleConnection},
 		Pools:     g.samplerPools,
-		Wanted:    g.wanted.get,
 		Loaded:    g.loaded,
 		Decisions: g.Decisions,
-		AtOnce:    loadsAtOnce,
+		Share:     loadsAtOnce,
 	}
 }
 
@@ -157,12 +156,15 @@
 }
 
 func (g *Gateway) samplerPool(now *table.Table, pool *table.Pool) weight.Pool {
-	next := weight.Pool{Name: pool.Name, Models: pool.Models, Targets: map[string]weight.Target{}}
+	next := weight.Pool{Name: pool.Name, Targets: map[string]weight.Target{}}
+	for _, model := range pool.Models {
+		next.Work = append(next.Work, g.steps.Work(model))
+	}
 	for i := range now.Routes {
 		next.Whole = next.Whole || now.Routes[i].SingleVersion
 	}
 	for _, entry := range g.roster.Seats(pool.Name) {
-		next.Seats = append(next.Seats, weight.Seat{ID: entry.ID, Zone: entry.Zone, Versions: entry.Versions})
+		next.Seats = append(next.Seats, weight.Seat{ID: entry.ID, Zone: entry.Zone, Born: entry.Born, Slots: entry.Slots, Versions: entry.Versions})
 		next.Targets[entry.ID] = weight.Target{ID: entry.ID, Address: entry.Address, Born: entry.Born}
 	}
 	return next
--- a/internal/measure/weights.go
+++ b/internal/measure/weights.go
@@ -81,7 +81,7 @@
 		random: rand.New(rand.NewPCG(seed, 2)),
 		now:    time.Unix(1000, 0),
 		start:  time.Unix(1000, 0),
-		wave:   &weight.Wave{Share: policy.share, Lag: weightsLag},
+		wave:   &weight.Wave{Schedule: weight.Schedule{Share: policy.share, Lag: weightsLag}},
 		zones:  map[string]int{},
 		least:  1,
 		worst:  1,
--- /dev/null
+++ b/internal/weight/schedule.go
@@ -0,0 +1,382 @@
+package weight
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	leastPause    = 200 * time.Millisecond
+	greatestPause = 5 * time.Second
+	// DefaultLag is for how long a load report may show what was before a change.
+	DefaultLag = 3 * time.Second
+	// comingWeight is what a sampler for the coming step counts beside one for the
+	// open step: a model with half of the samplers that its open step can use goes
+	// before one that has them all and none for the step after.
+	comingWeight = 0.5
+)
+
+// Work is what the steps of a model's trainer ask of the samplers of a pool.
+type Work struct {
+	Model string
+	// Named is the newest version that was named; 0 if none was.
+	Named uint64
+	// Oldest is the oldest version that the open step takes, or the next one if none is open.
+	Oldest uint64
+	// Coming is the oldest version that the step after that one will take; it is
+	// not above Named.
+	Coming uint64
+	// Runs is the number of generations that a step begins at once; 0 if it isn't
+	// known, which asks for all samplers.
+	Runs int
+}
+
+// Seat is a sampler of a pool as it is seen now.
+type Seat struct {
+	ID   string
+	Zone string
+	// Born tells its starts apart; a new one has forgotten all orders.
+	Born int64
+	// Slots is the number of generations that it runs at the same time; 0 if not known.
+	Slots int
+	// Running is the number of generations that it runs now, as far as known.
+	Running uint32
+	// IsSuspect says that it failed or was slow lately.
+	IsSuspect bool
+	// Versions of the weights by model.
+	Versions map[string]uint64
+}
+
+// Change is a sampler that is to load a version.
+type Change struct {
+	Seat    string
+	Model   string
+	Version uint64
+	// Open and Coming are the samplers that the model had for its open and for its
+	// coming step, and Wanted those that it can use: what decided.
+	Open, Coming, Wanted int
+}
+
+// Schedule decides which sampler of a pool loads which version of which model
+// next. It does no input or output, takes the time from its caller and is not
+// safe for concurrent use.
+//
+// Loads are scarce: the weights' store carries a few at a time, and a version
+// serves few steps. A sampler holds weights of every model at once, and a load
+// concerns one of them only, so samplers aren't divided between models: each
+// load goes to the model whose step lacks samplers most, and replaces the oldest
+// weights of that model. Divided into equal parts that were refreshed in the order
+// of the models' names, one model of three had one sampler of eleven, and its
+// generations waited 8 s for a place where a step has 7.5 s.
+type Schedule struct {
+	// Share is the greatest share of the samplers that change at the same time.
+	Share float64
+	// Lag is for how long a load report may show what was before a change.
+	Lag time.Duration
+
+	samplers map[string]*sampler
+	work     []Work
+	width    width
+}
+
+// sampler is what is known of one sampler.
+type sampler struct {
+	server  string
+	zone    string
+	born    int64
+	slots   int
+	running uint32
+	suspect bool
+	shown   map[string]uint64
+	// model and ordered are those of the newest order.
+	model    string
+	ordered  uint64
+	changing bool
+	since    time.Time
+	// settled is when it last answered an order.
+	settled   time.Time
+	failures  int
+	notBefore time.Time
+}
+
+// Want sets what the models' steps ask for. A version that is newer than before
+// is tried at once, also where the one before has failed.
+func (s *Schedule) Want(work []Work) {
+	for _, one := range work {
+		before := s.workOf(one.Model)
+		if before != nil && one.Named <= before.Named {
+			continue
+		}
+		for _, sampler := range s.samplers {
+			sampler.failures = 0
+			sampler.notBefore = time.Time{}
+		}
+	}
+	s.work = slices.Clone(work)
+}
+
+func (s *Schedule) workOf(model string) *Work {
+	for i := range s.work {
+		if s.work[i].Model == model {
+			return &s.work[i]
+		}
+	}
+	return nil
+}
+
+// Observe takes the samplers that are live now, as registrations and load reports
+// show them.
+func (s *Schedule) Observe(live []Seat, now time.Time) {
+	known := s.samplers
+	s.samplers = make(map[string]*sampler, len(live))
+	for i := range live {
+		seat := &live[i]
+		one := s.observe(known, seat.ID, seat.Zone, seat.Born)
+		one.slots = seat.Slots
+		one.running = seat.Running
+		one.suspect = seat.IsSuspect
+		for model, version := range seat.Versions {
+			s.see(one, model, version, now)
+		}
+	}
+}
+
+// observe notes that a sampler is live, and keeps what is known of its start.
+func (s *Schedule) observe(known map[string]*sampler, server, zone string, born int64) *sampler {
+	one := known[server]
+	if one == nil || one.born != born {
+		one = &sampler{server: server, born: born, shown: map[string]uint64{}}
+	}
+	one.zone = zone
+	s.samplers[server] = one
+	return one
+}
+
+// see takes the version of a load report. Reports lag: just after a change they
+// still show the version before, and believing them would order it again.
+func (s *Schedule) see(sampler *sampler, model string, version uint64, now time.Time) {
+	if version == 0 || version == sampler.shown[model] {
+		return
+	}
+	if version < sampler.shown[model] && now.Sub(sampler.settled) < s.Lag {
+		return
+	}
+	sampler.shown[model] = version
+}
+
+// Changing returns the number of samplers with an order under way.
+func (s *Schedule) Changing() int {
+	changing := 0
+	for _, sampler := range s.samplers {
+		if sampler.changing {
+			changing++
+		}
+	}
+	return changing
+}
+
+// Done notes the version of the ordered model that a sampler showed after an order.
+//
+// A swap can fail while the order is answered, and an engine that ignores
+// fencing numbers can be set back by an old order: only the version shown
+// counts, and one that is too old is ordered again.
+func (s *Schedule) Done(server string, shown uint64, now time.Time) {
+	sampler := s.samplers[server]
+	if sampler == nil || !sampler.changing {
+		return
+	}
+	sampler.changing = false
+	sampler.settled = now
+	sampler.shown[sampler.model] = shown
+	if shown < sampler.ordered {
+		sampler.fail(now)
+		return
+	}
+	sampler.failures = 0
+	s.width.learn(now.Sub(sampler.since), s.Changing()+1)
+}
+
+// Failed notes that an order was not answered, or refused.
+func (s *Schedule) Failed(server string, now time.Time) {
+	sampler := s.samplers[server]
+	if sampler == nil || !sampler.changing {
+		return
+	}
+	sampler.changing = false
+	// An order that timed out has waited for the store; one refused at once says nothing of it.
+	s.width.narrow(now.Sub(sampler.since))
+	sampler.fail(now)
+}
+
+func (s *sampler) fail(now time.Time) {
+	s.failures++
+	s.notBefore = now.Add(min(leastPause<<min(s.failures-1, 5), greatestPause))
+}
+
+// Next returns the samplers to order now.
+func (s *Schedule) Next(now time.Time) []Change {
+	free := s.Limit() - s.Changing()
+	if free <= 0 {
+		return nil
+	}
+	changing := s.changingByZone()
+	var changes []Change
+	for len(changes) < free {
+		change, ok := s.next(changing, now)
+		if !ok {
+			break
+		}
+		sampler := s.samplers[change.Seat]
+		sampler.changing = true
+		sampler.since = now
+		sampler.model, sampler.ordered = change.Model, change.Version
+		changing[sampler.zone]++
+		changes = append(changes, change)
+	}
+	return changes
+}
+
+// next returns the change that helps most: for the model whose steps lack
+// samplers most, at the sampler where it costs least.
+func (s *Schedule) next(changing map[string]int, now time.Time) (Change, bool) {
+	var best Change
+	var chosen *sampler
+	for i := range s.work {
+		work := &s.work[i]
+		change := s.coverage(work)
+		if change.Coming >= change.Wanted || work.Named == 0 {
+			continue
+		}
+		if chosen != nil && !change.goesBefore(best) {
+			continue
+		}
+		if sampler := s.cheapest(work, changing, now); sampler != nil {
+			best, chosen = change, sampler
+		}
+	}
+	if chosen == nil {
+		return Change{}, false
+	}
+	best.Seat = chosen.server
+	return best, true
+}
+
+// goesBefore reports whether a change helps more than another one: its model is
+// served worse, or has more work where both are served alike.
+func (c Change) goesBefore(other Change) bool {
+	if served, otherServed := c.served(), other.served(); served != otherServed {
+		return served < otherServed
+	}
+	return c.Wanted > other.Wanted
+}
+
+// served returns how well a model is served: by the share of the samplers it can
+// use that its open step has, or its coming one.
+func (c Change) served() float64 {
+	open := float64(c.Open) / float64(c.Wanted)
+	coming := comingWeight + float64(c.Coming)/float64(c.Wanted)
+	return min(open, coming)
+}
+
+// coverage counts the samplers that a model has, those included that load for it.
+func (s *Schedule) coverage(work *Work) Change {
+	change := Change{Model: work.Model, Version: work.Named, Wanted: s.wanted(work)}
+	for _, sampler := range s.samplers {
+		version := sampler.shown[work.Model]
+		if sampler.changing && sampler.model == work.Model {
+			version = max(version, sampler.ordered)
+		}
+		if version >= work.Oldest {
+			change.Open++
+		}
+		if version >= work.Coming {
+			change.Coming++
+		}
+	}
+	return change
+}
+
+// wanted returns how many samplers a step can use: as many as run all that it
+// begins at once.
+func (s *Schedule) wanted(work *Work) int {
+	slots := 0
+	for _, sampler := range s.samplers {
+		slots += sampler.slots
+	}
+	if work.Runs == 0 || slots == 0 {
+		return len(s.samplers)
+	}
+	mean := float64(slots) / float64(len(s.samplers))
+	return min(len(s.samplers), int(math.Ceil(float64(work.Runs)/mean)))
+}
+
+// cheapest returns the sampler to load a model's newest version, nil if none may.
+func (s *Schedule) cheapest(work *Work, changing map[string]int, now time.Time) *sampler {
+	var best *sampler
+	for _, sampler := range s.samplers {
+		if sampler.changing || sampler.shown[work.Model] >= work.Named || now.Before(sampler.notBefore) {
+			continue
+		}
+		if best == nil || s.compare(work, sampler, best, changing) < 0 {
+			best = sampler
+		}
+	}
+	return best
+}
+
+// compare orders two samplers by what a load costs there. Weights that no step
+// takes any more cost nothing, and those that only the open step takes cost less
+// than newer ones. Then come samplers that few other models use, so that models
+// are spread; the zone where the fewest change; and the one that runs the least.
+func (s *Schedule) compare(work *Work, a, b *sampler, changing map[string]int) int {
+	return cmp.Or(
+		compareBool(a.suspect, b.suspect),
+		compareBool(a.shown[work.Model] >= work.Oldest, b.shown[work.Model] >= work.Oldest),
+		compareBool(a.shown[work.Model] >= work.Coming, b.shown[work.Model] >= work.Coming),
+		cmp.Compare(s.others(work, a), s.others(work, b)),
+		cmp.Compare(changing[a.zone], changing[b.zone]),
+		cmp.Compare(a.running, b.running),
+		cmp.Compare(a.server, b.server),
+	)
+}
+
+// others returns how many other models can use a sampler for their open step.
+func (s *Schedule) others(work *Work, sampler *sampler) int {
+	count := 0
+	for i := range s.work {
+		other := &s.work[i]
+		if other.Model != work.Model && other.Named > 0 && sampler.shown[other.Model] >= other.Oldest {
+			count++
+		}
+	}
+	return count
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// Limit returns how many samplers may change at the same time now.
+func (s *Schedule) Limit() int {
+	most := int(math.Max(1, s.Share*float64(len(s.samplers))))
+	return s.width.limit(most)
+}
+
+func (s *Schedule) changingByZone() map[string]int {
+	changing := map[string]int{}
+	for _, sampler := range s.samplers {
+		if sampler.changing {
+			changing[sampler.zone]++
+		}
+	}
+	return changing
+}
--- a/internal/weight/steering.go
+++ b/internal/weight/steering.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -64,8 +63,9 @@
 
 // Pool is a pool of samplers that several models share.
 type Pool struct {
-	Name   string
-	Models []string
+	Name string
+	// Work is what the models' steps ask for.
+	Work []Work
 	// Whole lets running generations end before new weights are loaded.
 	Whole bool
 	Seats []Seat
@@ -80,31 +80,25 @@
 	Samplers Samplers
 	// Pools returns the pools as they are now.
 	Pools func() []Pool
-	// Wanted returns the version that was named last for a model; 0 if none was.
-	Wanted func(model string) uint64
 	// Loaded is told that a sampler has a version.
 	Loaded    func(sampler, model string, version uint64)
 	Decisions *decision.Log
-	// AtOnce is the most loads at the same time in a pool for each of its samplers.
-	AtOnce float64
+	// Share is the greatest share of a pool's samplers that load at the same time.
+	Share float64
 
-	mutex    sync.Mutex
-	waves    map[string]*Wave
-	assigned map[string]map[string]string
+	mutex     sync.Mutex
+	schedules map[string]*Schedule
 	// orders is how many orders a sampler has accepted since its start.
-	orders  map[Target]uint64
-	loading map[string]bool
-	took    time.Duration
-	loads   sync.WaitGroup
+	orders map[Target]uint64
+	took   time.Duration
+	loads  sync.WaitGroup
 }
 
 // Run steers until the term ends.
 func (s *Steering) Run(ctx context.Context, term Term) error {
 	s.mutex.Lock()
-	s.waves = map[string]*Wave{}
-	s.assigned = map[string]map[string]string{}
+	s.schedules = map[string]*Schedule{}
 	s.orders = map[Target]uint64{}
-	s.loading = map[string]bool{}
 	s.took = firstLoad
 	s.mutex.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -126,63 +120,25 @@
 func (s *Steering) steer(ctx context.Context, term Term, pool Pool, cancel context.CancelCauseFunc) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	models := s.trained(pool)
-	s.assigned[pool.Name] = Assign(models, pool.Seats, s.assigned[pool.Name])
-	now := time.Now()
-	room := max(1, int(s.AtOnce*float64(len(pool.Seats)))) - len(s.loading)
-	for _, model := range models {
-		if room <= 0 {
-			return
-		}
-		wave := s.wave(model)
-		wave.Announce(s.Wanted(model))
-		wave.Observe(s.members(pool, model), now)
-		for _, id := range wave.Next(now) {
-			target, ok := pool.Targets[id]
-			if !ok || s.loading[id] || room <= 0 {
-				wave.Failed(id, now)
-				continue
-			}
-			room--
-			s.loading[id] = true
-			load := Load{Model: model, Version: wave.Target(), Fence: term.Fence(), Whole: pool.Whole}
-			s.loads.Go(func() { s.load(ctx, term, target, load, cancel) })
-		}
-	}
-}
-
-// trained returns the models of a pool for which a version was named.
-func (s *Steering) trained(pool Pool) []string {
-	var models []string
-	for _, model := range pool.Models {
-		if s.Wanted(model) > 0 {
-			models = append(models, model)
-		}
+	schedule := s.schedules[pool.Name]
+	if schedule == nil {
+		schedule = &Schedule{Share: s.Share, Lag: DefaultLag}
+		s.schedules[pool.Name] = schedule
 	}
-	slices.Sort(models)
-	return models
-}
-
-func (s *Steering) wave(model string) *Wave {
-	if s.waves[model] == nil {
-		s.waves[model] = &Wave{Share: 0.5, Lag: DefaultLag}
-	}
-	return s.waves[model]
-}
-
-// members returns the samplers that are a model's part of a pool.
-func (s *Steering) members(pool Pool, model string) []Sampler {
-	var members []Sampler
-	for _, seat := range pool.Seats {
-		if s.assigned[pool.Name][seat.ID] == model {
-			members = append(members, Sampler{Server: seat.ID, Zone: seat.Zone, Version: seat.Versions[model]})
-		}
+	now := time.Now()
+	schedule.Want(pool.Work)
+	schedule.Observe(pool.Seats, now)
+	for _, change := range schedule.Next(now) {
+		target := pool.Targets[change.Seat]
+		s.Decisions.Record(change.Seat, "weight", "chosen for version %d of %s, which has %d samplers for its open step and %d for the next of %d; %d of %d load",
+			change.Version, change.Model, change.Open, change.Coming, change.Wanted, schedule.Changing(), schedule.Limit())
+		load := Load{Model: change.Model, Version: change.Version, Fence: term.Fence(), Whole: pool.Whole}
+		s.loads.Go(func() { s.load(ctx, term, schedule, target, load, cancel) })
 	}
-	return members
 }
 
 // load orders one sampler and waits until it has the version.
-func (s *Steering) load(ctx context.Context, term Term, target Target, load Load, cancel context.CancelCauseFunc) {
+func (s *Steering) load(ctx context.Context, term Term, schedule *Schedule, target Target, load Load, cancel context.CancelCauseFunc) {
 	began := time.Now()
 	ctx, stop := context.WithTimeout(ctx, patience)
 	defer stop()
@@ -192,19 +148,18 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	delete(s.loading, target.ID)
 	var superseded *platform.ConflictError
 	switch {
 	case err == nil:
 		s.Decisions.Record(target.ID, "weight", "has version %d of %s after %s", load.Version, load.Model, time.Since(began))
-		s.waves[load.Model].Done(target.ID, load.Version, time.Now())
+		schedule.Done(target.ID, load.Version, time.Now())
 		s.Loaded(target.ID, load.Model, load.Version)
 	case errors.As(err, &superseded):
 		s.Decisions.Record(target.ID, "weight", "a newer holder than term %d has sent it orders", load.Fence)
 		cancel(err)
 	default:
 		s.Decisions.Record(target.ID, "weight", "did not load version %d of %s: %v", load.Version, load.Model, err)
-		s.waves[load.Model].Failed(target.ID, time.Now())
+		schedule.Failed(target.ID, time.Now())
 	}
 }
 
--- a/internal/weight/width.go
+++ b/internal/weight/width.go
@@ -1,6 +1,9 @@
 package weight
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// firstShare of the greatest width is tried first, and at least firstWidth.
@@ -10,6 +13,11 @@
 	// only wait for the weight store.
 	leastQueued = 0.2
 	mostQueued  = 0.5
+	// narrow is the greatest width of which one change is more than leastQueued.
+	narrow = 5
+	// narrowGrowth is what a narrow width gains with each change that didn't wait, once
+	// one has: a wider one is tried with one change of ten.
+	narrowGrowth = 0.1
 	// steadyGrowth is what the width gains while as many changes end as are under way.
 	steadyGrowth = 8
 	// steadyShrink is what it loses in that time when changes wait for the store.
@@ -35,8 +43,8 @@
 	return max(1, int(w.current))
 }
 
-// learn takes the time that a change took.
-func (w *width) learn(took time.Duration) {
+// learn takes the time that a change took, and how many were under way at its end.
+func (w *width) learn(took time.Duration, under int) {
 	if took <= 0 {
 		return
 	}
@@ -44,6 +52,10 @@
 		w.fastest = took
 	}
 	queued := 1 - float64(w.fastest)/float64(took)
+	if w.current <= narrow {
+		w.learnNarrow(queued, under)
+		return
+	}
 	switch {
 	case queued > mostQueued:
 		w.steady = true
@@ -57,6 +69,24 @@
 	}
 }
 
+// learnNarrow learns while few changes are under way, of which one more is a
+// large part.
+//
+// Three loads at a store that carries two take 1.5 s each where two take 1.06 s:
+// as many are done in a second, and each is there half a second later. So a narrow
+// width goes down to what the time says that the store carries, and up slowly.
+func (w *width) learnNarrow(queued float64, under int) {
+	switch {
+	case queued > leastQueued:
+		w.steady = true
+		w.current = min(w.current, max(1, math.Round(float64(under)*(1-queued))))
+	case w.steady:
+		w.current += narrowGrowth
+	default:
+		w.current++
+	}
+}
+
 // narrow takes the time that a failed change took: one that took long has
 // waited for the store, one that failed at once says nothing about it.
 func (w *width) narrow(took time.Duration) {
