Learn a narrow width of loads from what changes have carried

A load at a sampler that was slow by itself (2.5 s) had shrunk the width to one, and the answer to each load was asked for every 150 ms.

Change: below six at a time the width is what the last six changes show that the store carries: as many as were under way, less the part of the time waited. A wider one is tried with every tenth. Questions come every 60 ms, the first one before the fastest load seen.

Ruled out: the share of the pool that may load (five of eleven, never reached).

--- a/internal/weight/schedule.go
+++ b/internal/weight/schedule.go
@@ -79,6 +79,9 @@
 	samplers map[string]*sampler
 	work     []Work
 	width    width
+	// busy is the time of all changes added up until counted.
+	busy    time.Duration
+	counted time.Time
 }
 
 // sampler is what is known of one sampler.
@@ -95,6 +98,8 @@
 	ordered  uint64
 	changing bool
 	since    time.Time
+	// busy is the schedule's own when the order was sent.
+	busy time.Duration
 	// settled is when it last answered an order.
 	settled   time.Time
 	failures  int
@@ -187,6 +192,7 @@
 	if sampler == nil || !sampler.changing {
 		return
 	}
+	s.count(now)
 	sampler.changing = false
 	sampler.settled = now
 	sampler.shown[sampler.model] = shown
@@ -195,7 +201,8 @@
 		return
 	}
 	sampler.failures = 0
-	s.width.learn(now.Sub(sampler.since), s.Changing()+1)
+	took := now.Sub(sampler.since)
+	s.width.learn(took, (s.busy-sampler.busy).Seconds()/took.Seconds())
 }
 
 // Failed notes that an order was not answered, or refused.
@@ -204,6 +211,7 @@
 	if sampler == nil || !sampler.changing {
 		return
 	}
+	s.count(now)
 	sampler.changing = false
 	// An order that timed out has waited for the store; one refused at once says nothing of it.
 	s.width.narrow(now.Sub(sampler.since))
@@ -217,6 +225,7 @@
 
 // Next returns the samplers to order now.
 func (s *Schedule) Next(now time.Time) []Change {
+	s.count(now)
 	free := s.Limit() - s.Changing()
 	if free <= 0 {
 		return nil
@@ -230,7 +239,7 @@
 		}
 		sampler := s.samplers[change.Seat]
 		sampler.changing = true
-		sampler.since = now
+		sampler.since, sampler.busy = now, s.busy
 		sampler.model, sampler.ordered = change.Model, change.Version
 		changing[sampler.zone]++
 		changes = append(changes, change)
@@ -365,6 +374,13 @@
 	}
 }
 
+// count adds up the time of changes: how many were under way while one was tells
+// whether it had to share the way to the weights.
+func (s *Schedule) count(now time.Time) {
+	s.busy += time.Duration(s.Changing()) * now.Sub(s.counted)
+	s.counted = now
+}
+
 // Limit returns how many samplers may change at the same time now.
 func (s *Schedule) Limit() int {
 	most := int(math.Max(1, s.Share*float64(len(s.samplers))))
--- a/internal/weight/steering.go
+++ b/internal/weight/steering.go
@@ -14,9 +14,9 @@
 const (
 	// steerInterval is the time between two looks at what is to be ordered.
 	steerInterval = 50 * time.Millisecond
-	// askInterval is the time between two questions whether a load is done. A
-	// report is some hundred milliseconds old, so asking more often tells nothing new.
-	askInterval = 150 * time.Millisecond
+	// askInterval is the time between two questions whether a load is done: a small
+	// part of a load, since the next one begins when it is seen.
+	askInterval = 60 * time.Millisecond
 	// firstLoad is how long the first load is expected to take.
 	firstLoad = 900 * time.Millisecond
 	// patience bounds one load; after that it is ordered again.
@@ -223,7 +223,7 @@
 		state, err := s.Samplers.State(ctx, target)
 		if err == nil && state.Versions[load.Model] >= load.Version {
 			s.mutex.Lock()
-			s.took = min(s.took, time.Since(began))
+			s.took = min(s.took, time.Since(began)-askInterval)
 			s.mutex.Unlock()
 			return nil
 		}
--- a/internal/weight/width.go
+++ b/internal/weight/width.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -15,9 +16,11 @@
 	mostQueued  = 0.5
 	// narrow is the greatest width of which one change is more than leastQueued.
 	narrow = 5
-	// narrowGrowth is what a narrow width gains with each change that didn't wait, once
-	// one has: a wider one is tried with one change of ten.
-	narrowGrowth = 0.1
+	// probeEvery is how many changes pass until a narrow width tries one more.
+	probeEvery = 10
+	// carriedKept is how many changes tell what the store carries: those of a few
+	// seconds, so that one sampler that is slow by itself doesn't.
+	carriedKept = 6
 	// steadyGrowth is what the width gains while as many changes end as are under way.
 	steadyGrowth = 8
 	// steadyShrink is what it loses in that time when changes wait for the store.
@@ -32,6 +35,9 @@
 	current float64
 	fastest time.Duration
 	steady  bool
+	// carried are what the last changes have told of the store, changes counts them.
+	carried [carriedKept]float64
+	changes int
 }
 
 // limit returns the present width, at most most.
@@ -43,8 +49,9 @@
 	return max(1, int(w.current))
 }
 
-// learn takes the time that a change took, and how many were under way at its end.
-func (w *width) learn(took time.Duration, under int) {
+// learn takes the time that a change took, and how many were under way in that
+// time on average.
+func (w *width) learn(took time.Duration, under float64) {
 	if took <= 0 {
 		return
 	}
@@ -73,16 +80,21 @@
 // large part.
 //
 // Three loads at a store that carries two take 1.5 s each where two take 1.06 s:
-// as many are done in a second, and each is there half a second later. So a narrow
-// width goes down to what the time says that the store carries, and up slowly.
-func (w *width) learnNarrow(queued float64, under int) {
-	switch {
-	case queued > leastQueued:
-		w.steady = true
-		w.current = min(w.current, max(1, math.Round(float64(under)*(1-queued))))
-	case w.steady:
-		w.current += narrowGrowth
-	default:
+// as many are done in a second, and each is there half a second later. What the
+// store carries is seen from each change: as many as were under way, less the part
+// of its time that it waited. The best of the last few counts, since a sampler that
+// is slow by itself says nothing of the store; taken for its word, one such sampler
+// held loads to one at a time for 10 s. A wider one is tried now and then.
+func (w *width) learnNarrow(queued, under float64) {
+	w.carried[w.changes%len(w.carried)] = under * (1 - queued)
+	w.changes++
+	w.steady = w.steady || queued > leastQueued
+	if !w.steady {
+		w.current++
+		return
+	}
+	w.current = max(1, math.Round(slices.Max(w.carried[:])))
+	if w.changes%probeEvery == 0 {
 		w.current++
 	}
 }
