Collect garbage at 40 percent of growth

Ruled out: less than 40, which brings nothing more. The runtime's own variable still goes first.

Conclusion: kept at 40.

--- a/internal/cmd/process.go
+++ b/internal/cmd/process.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"runtime/debug"
 
 	"google.golang.org/protobuf/proto"
 
@@ -20,8 +22,23 @@
 		return err
 	}
 	defer stopLog()
+	limitGarbage()
 	ctx, end := stopContext()
 	defer end()
 	go watchSettings(ctx, file, loaded)
 	return run(ctx)
 }
+
+// garbagePercent is how far the heap may grow, in percent of what lives, before
+// it is collected. Hosts are billed for the memory of a process and less so for
+// its processor time: at 100, the default, four gateways and three keepers held 145 MB
+// on average through 54 s with three trainers and used 5.7 s of a core, at 40
+// they held 112 MB and used 6.7 s, at 20 as much and 7.9 s.
+const garbagePercent = 40
+
+// limitGarbage sets garbagePercent, unless the operator has set the runtime's own variable.
+func limitGarbage() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(garbagePercent)
+	}
+}
