--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -67,7 +67,9 @@
 	wall      *clock.Wall
 	counter   *usage.Counter
 	steps     weight.Steps
-	holder    holder
+	// weights are exchanged with the owners of batches while this process has the duty.
+	weights *gateway.Weights
+	holder  holder
 	// retirements are the hosts that are to be emptied.
 	retirements retirements
 	// peerServer answers other gateways.
