--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -295,33 +294,6 @@
 	return b.owners[id]
 }
 
-// OpenOwners returns the processes that own open batches.
-func (b *Board) OpenOwners() []string {
-	b.lock()
-	defer b.mutex.Unlock()
-	var owners []string
-	for id := range b.open {
-		if owner := b.owners[id]; owner != "" && !slices.Contains(owners, owner) {
-			owners = append(owners, owner)
-		}
-	}
-	slices.Sort(owners)
-	return owners
-}
-
-// WaitingByModel returns the items of open batches that wait here for a slot.
-func (b *Board) WaitingByModel() map[string]int {
-	b.lock()
-	defer b.mutex.Unlock()
-	waiting := map[string]int{}
-	for _, held := range b.held {
-		if !held.ended {
-			waiting[held.batch.GetModel()] += int(held.waiting.Load())
-		}
-	}
-	return waiting
-}
-
 // Waiting returns the items that wait here for a slot of a pool.
 func (b *Board) Waiting(pool string) uint32 {
 	b.lock()
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -67,9 +67,7 @@
 	wall      *clock.Wall
 	counter   *usage.Counter
 	steps     weight.Steps
-	// weights are exchanged with the owners of batches while this process has the duty.
-	weights *gateway.Weights
-	holder  holder
+	holder    holder
 	// retirements are the hosts that are to be emptied.
 	retirements retirements
 	// peerServer answers other gateways.
--- a/internal/bramleyhatch/gatewayduties.go
+++ b/internal/bramleyhatch/gatewayduties.go
@@ -8,8 +8,6 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/duty"
-	"github.com/bramleyhatch/bramleyhatch/internal/gateway"
-	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/table"
 	"github.com/bramleyhatch/bramleyhatch/internal/usage"
@@ -24,9 +22,6 @@
 	// dutyLook is the wait between two looks whether the duty is free; they cost
 	// no call of the store.
 	dutyLook = 200 * time.Millisecond
-	// weightsInterval is the time between two exchanges with the owners of batches: a
-	// tenth of a load, and a few short messages to as many processes as own batches.
-	weightsInterval = 100 * time.Millisecond
 	// loadsAtOnce is the greatest share of a pool's samplers that load weights at
 	// the same time, so that one half goes on serving whatever is named; how many it
 	// is worth is learned from the time that loads take.
@@ -86,7 +81,6 @@
 	defer cancel()
 	works := []func(context.Context) error{
 		func(ctx context.Context) error { return g.newSteering().Run(ctx, term) },
-		g.exchangeWeights,
 		func(ctx context.Context) error { return g.retire(ctx, term) },
 	}
 	if g.Settings.GetStore().GetOrders() != "" {
@@ -130,7 +124,6 @@
 }
 
 func (g *Gateway) newSteering() *weight.Steering {
-	g.weights = &gateway.Weights{Hosts: g.hosts, Own: g.peerServer}
 	return &weight.Steering{
 		Samplers:  &platform.Samplers{Holder: g.Process.Settings.GetName(), Timeout: g.Settings.GetStore().GetTimeout().AsDuration(), Idle: idleConnection},
 		Pools:     g.samplerPools,
@@ -140,20 +133,11 @@
 	}
 }
 
-// loaded tells all owners of batches that a sampler has a version.
-func (g *Gateway) loaded(sampler weight.Target, model string, version uint64) {
-	g.weights.Loaded(peerpb.Loaded_builder{Sampler: sampler.ID, Born: sampler.Born, Model: model, Version: version}.Build())
-}
-
-// exchangeWeights tells the owners of open batches what was loaded, and learns
-// from them what waits, until the context ends.
-func (g *Gateway) exchangeWeights(ctx context.Context) error {
-	for pause.For(ctx, weightsInterval) {
-		for model, waiting := range g.weights.Exchange(ctx, g.board.OpenOwners()) {
-			g.steps.Wait(model, waiting, time.Now())
-		}
+// loaded notes that a sampler has a version.
+func (g *Gateway) loaded(sampler, model string, version uint64) {
+	if server := g.roster.Find(sampler); server != nil {
+		g.roster.Show(server, model, version)
 	}
-	return nil
 }
 
 // samplerPools returns the pools whose samplers have models.
@@ -174,7 +158,7 @@
 func (g *Gateway) samplerPool(now *table.Table, pool *table.Pool) weight.Pool {
 	next := weight.Pool{Name: pool.Name, Targets: map[string]weight.Target{}}
 	for _, model := range pool.Models {
-		next.Work = append(next.Work, g.steps.Work(model, time.Now()))
+		next.Work = append(next.Work, g.steps.Work(model))
 	}
 	for i := range now.Routes {
 		next.Whole = next.Whole || now.Routes[i].SingleVersion
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -114,18 +114,6 @@
 	return reply.Build(), nil
 }
 
-// Weights takes what was loaded, and tells what waits here.
-func (s *Server) Weights(_ context.Context, request *peerpb.WeightsRequest) (*peerpb.WeightsReply, error) {
-	for _, load := range request.GetLoads() {
-		s.Roster.Loaded(load.GetSampler(), load.GetBorn(), load.GetModel(), load.GetVersion())
-	}
-	reply := peerpb.WeightsReply_builder{}
-	for model, waiting := range s.Board.WaitingByModel() {
-		reply.Models = append(reply.Models, peerpb.ModelWaiting_builder{Model: model, Waiting: uint32(waiting)}.Build())
-	}
-	return reply.Build(), nil
-}
-
 // Detour makes a call of the store from this host.
 func (s *Server) Detour(ctx context.Context, request *peerpb.DetourRequest) (*peerpb.DetourReply, error) {
 	answer, err := s.Direct.Do(ctx, detour.Call{
--- a/internal/roster/engine.go
+++ b/internal/roster/engine.go
@@ -119,20 +119,6 @@
 	}
 }
 
-// Loaded notes that a start of a server has loaded a weight version, and wakes
-// those that wait for a server.
-func (r *Roster) Loaded(id string, born int64, model string, version uint64) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.prepare()
-	server := r.servers[id]
-	if server == nil || server.entry.Born != born {
-		return
-	}
-	server.seen[model] = version
-	r.wake()
-}
-
 // Seats returns the servers of a pool that may get work, with the weight
 // versions that they have shown.
 func (r *Roster) Seats(pool string) []Entry {
--- a/internal/weight/schedule.go
+++ b/internal/weight/schedule.go
@@ -31,10 +31,6 @@
 	// Runs is the number of generations that a step begins at once; 0 if it isn't
 	// known, which asks for all samplers.
 	Runs int
-	// Waiting is the number of generations that wait for a sampler now. Where it
-	// isn't known, all of them may.
-	Waiting        int
-	IsWaitingKnown bool
 }
 
 // Seat is a sampler of a pool as it is seen now.
@@ -59,10 +55,8 @@
 	Model   string
 	Version uint64
 	// Open and Coming are the samplers that the model had for its open and for its
-	// coming step, and Wanted those that a step can use: what decided.
+	// coming step, and Wanted those that it can use: what decided.
 	Open, Coming, Wanted int
-	// WantedNow are those that the open step can use now.
-	WantedNow int
 }
 
 // Schedule decides which sampler of a pool loads which version of which model
@@ -290,10 +284,7 @@
 // served returns how well a model is served: by the share of the samplers it can
 // use that its open step has, or its coming one.
 func (c Change) served() float64 {
-	open := 1.0
-	if c.WantedNow > 0 {
-		open = float64(c.Open) / float64(c.WantedNow)
-	}
+	open := float64(c.Open) / float64(c.Wanted)
 	coming := comingWeight + float64(c.Coming)/float64(c.Wanted)
 	return min(open, coming)
 }
@@ -313,34 +304,21 @@
 			change.Coming++
 		}
 	}
-	change.WantedNow = change.Wanted
-	if work.IsWaitingKnown {
-		change.WantedNow = min(len(s.samplers), change.Open+s.samplersFor(work.Waiting))
-	}
 	return change
 }
 
 // wanted returns how many samplers a step can use: as many as run all that it
 // begins at once.
 func (s *Schedule) wanted(work *Work) int {
-	if work.Runs == 0 {
-		return len(s.samplers)
-	}
-	return s.samplersFor(work.Runs)
-}
-
-// samplersFor returns how many samplers run a number of generations at once, all
-// where the samplers' slots aren't known.
-func (s *Schedule) samplersFor(runs int) int {
 	slots := 0
 	for _, sampler := range s.samplers {
 		slots += sampler.slots
 	}
-	if slots == 0 {
+	if work.Runs == 0 || slots == 0 {
 		return len(s.samplers)
 	}
 	mean := float64(slots) / float64(len(s.samplers))
-	return min(len(s.samplers), int(math.Ceil(float64(runs)/mean)))
+	return min(len(s.samplers), int(math.Ceil(float64(work.Runs)/mean)))
 }
 
 // cheapest returns the sampler to load a model's newest version, nil if none may.
--- a/internal/weight/schedule_test.go
+++ b/internal/weight/schedule_test.go
@@ -294,30 +294,30 @@
 func TestSteps(t *testing.T) {
 	t.Run("nothing is known", func(t *testing.T) {
 		var steps Steps
-		must.Eq(t, Work{Model: "a"}, steps.Work("a", start))
+		must.Eq(t, Work{Model: "a"}, steps.Work("a"))
 	})
 	t.Run("a version that no step has asked for yet is wanted everywhere", func(t *testing.T) {
 		var steps Steps
 		must.True(t, steps.Name("a", 2))
-		must.Eq(t, Work{Model: "a", Named: 2, Oldest: 2, Coming: 2}, steps.Work("a", start))
+		must.Eq(t, Work{Model: "a", Named: 2, Oldest: 2, Coming: 2}, steps.Work("a"))
 	})
 	t.Run("steps take the version before too", func(t *testing.T) {
 		var steps Steps
 		steps.Name("a", 6)
 		steps.Open("b1", Step{Model: "a", Number: 6, Oldest: 5, Runs: 64})
-		must.Eq(t, Work{Model: "a", Named: 6, Oldest: 5, Coming: 6, Runs: 64}, steps.Work("a", start))
+		must.Eq(t, Work{Model: "a", Named: 6, Oldest: 5, Coming: 6, Runs: 64}, steps.Work("a"))
 		// The step is over, and its trainer names the next version: its next step is
 		// about to come, and takes versions from 6 on.
 		steps.Close("b1")
 		must.True(t, steps.Name("a", 7))
-		must.Eq(t, Work{Model: "a", Named: 7, Oldest: 6, Coming: 7, Runs: 64}, steps.Work("a", start))
+		must.Eq(t, Work{Model: "a", Named: 7, Oldest: 6, Coming: 7, Runs: 64}, steps.Work("a"))
 	})
 	t.Run("an older step that is heard of late changes nothing", func(t *testing.T) {
 		var steps Steps
 		steps.Name("a", 6)
 		steps.Open("b2", Step{Model: "a", Number: 6, Oldest: 5, Runs: 64})
 		steps.Open("b1", Step{Model: "a", Number: 5, Oldest: 4, Runs: 32})
-		must.Eq(t, Work{Model: "a", Named: 6, Oldest: 5, Coming: 6, Runs: 64}, steps.Work("a", start))
+		must.Eq(t, Work{Model: "a", Named: 6, Oldest: 5, Coming: 6, Runs: 64}, steps.Work("a"))
 	})
 	t.Run("a version named before is not new", func(t *testing.T) {
 		var steps Steps
@@ -325,32 +325,4 @@
 		must.False(t, steps.Name("a", 3))
 		must.False(t, steps.Name("a", 2))
 	})
-	t.Run("what waits is believed for a moment", func(t *testing.T) {
-		var steps Steps
-		steps.Name("a", 2)
-		steps.Wait("a", 7, start)
-		must.Eq(t, 7, steps.Work("a", start.Add(waitingAge/2)).Waiting)
-		must.False(t, steps.Work("a", start.Add(waitingAge)).IsWaitingKnown)
-	})
-}
-
-// One model's step is open and all its generations have a place; the other's
-// coming step has no sampler. What the first one could use does not matter any
-// more: the second one would begin with nothing.
-func TestNothingWaits(t *testing.T) {
-	p := newPool(12)
-	p.holds("a", 5, 0, 1).holds("a", 6, 2).holds("b", 5, through(3, 8)...)
-	a := Work{Model: "a", Named: 6, Oldest: 5, Coming: 6, Runs: 64, IsWaitingKnown: true}
-	b := Work{Model: "b", Named: 6, Oldest: 5, Coming: 6, Runs: 64, IsWaitingKnown: true}
-	must.Eq(t, "b", p.next(a, b)[0].Model)
-	a.Waiting = 40
-	must.Eq(t, "a", newPoolLike(p).next(a, b)[0].Model)
-}
-
-// newPoolLike returns a pool whose samplers have what those of another one have,
-// and of which nothing was ordered.
-func newPoolLike(other *pool) *pool {
-	p := newPool(len(other.seats))
-	p.seats = other.seats
-	return p
 }
--- a/internal/weight/steering.go
+++ b/internal/weight/steering.go
@@ -81,7 +81,7 @@
 	// Pools returns the pools as they are now.
 	Pools func() []Pool
 	// Loaded is told that a sampler has a version.
-	Loaded    func(sampler Target, model string, version uint64)
+	Loaded    func(sampler, model string, version uint64)
 	Decisions *decision.Log
 	// Share is the greatest share of a pool's samplers that load at the same time.
 	Share float64
@@ -153,7 +153,7 @@
 	case err == nil:
 		s.Decisions.Record(target.ID, "weight", "has version %d of %s after %s", load.Version, load.Model, time.Since(began))
 		schedule.Done(target.ID, load.Version, time.Now())
-		s.Loaded(target, load.Model, load.Version)
+		s.Loaded(target.ID, load.Model, load.Version)
 	case errors.As(err, &superseded):
 		s.Decisions.Record(target.ID, "weight", "a newer holder than term %d has sent it orders", load.Fence)
 		cancel(err)
--- a/internal/weight/steering_test.go
+++ b/internal/weight/steering_test.go
@@ -96,7 +96,7 @@
 	t.Helper()
 	steering := &Steering{
 		Samplers: f, Pools: f.pools, Share: 0.34,
-		Loaded: func(Target, string, uint64) {},
+		Loaded: func(string, string, uint64) {},
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), length)
 	defer cancel()
--- a/internal/weight/steps.go
+++ b/internal/weight/steps.go
@@ -1,13 +1,6 @@
 package weight
 
-import (
-	"sync"
-	"time"
-)
-
-// waitingAge is how long a number of waiting generations is believed: some
-// questions to the processes that know it.
-const waitingAge = time.Second
+import "sync"
 
 // Step is a trainer's step that is open.
 type Step struct {
@@ -28,13 +21,6 @@
 	named  map[string]uint64
 	open   map[string]Step
 	trails map[string]trail
-	waits  map[string]waits
-}
-
-// waits is how many generations of a model waited at a time.
-type waits struct {
-	waiting int
-	at      time.Time
 }
 
 // trail is what a model's last step has told.
@@ -84,30 +70,19 @@
 	delete(s.open, batch)
 }
 
-// Wait takes how many generations of a model wait for a sampler.
-func (s *Steps) Wait(model string, waiting int, now time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.prepare()
-	s.waits[model] = waits{waiting: waiting, at: now}
-}
-
-// Work returns what the steps of a model ask of samplers now.
+// Work returns what the steps of a model ask of samplers.
 //
 // A trainer asks its next step as soon as it has named a version, and the step
 // takes versions as far behind that one as the step before did. So the next step is
 // known from the moment its version is named, and the one after it takes versions
 // from one further on.
-func (s *Steps) Work(model string, now time.Time) Work {
+func (s *Steps) Work(model string) Work {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	named := s.named[model]
 	last := s.trails[model]
 	work := Work{Model: model, Named: named, Oldest: named - min(named, last.lag), Runs: last.step.Runs}
 	work.Coming = min(named, work.Oldest+1)
-	if last, isKnown := s.waits[model]; isKnown && now.Sub(last.at) < waitingAge {
-		work.Waiting, work.IsWaitingKnown = last.waiting, true
-	}
 	return work
 }
 
@@ -118,5 +93,4 @@
 	s.named = map[string]uint64{}
 	s.open = map[string]Step{}
 	s.trails = map[string]trail{}
-	s.waits = map[string]waits{}
 }
