--- a/internal/measure/experiments.go
+++ b/internal/measure/experiments.go
@@ -2,7 +2,7 @@
 
 // Experiments returns all experiments in the order of docs/MEASUREMENTS.md.
 func Experiments() []Experiment {
-	return []Experiment{
+	all := []Experiment{
 		RoutingToday(),
 		Routing(),
 		Fairness(),
@@ -13,4 +13,8 @@
 		Weights(),
 		Fleet(),
 	}
+	for _, site := range LoadsSites() {
+		all = append(all, Loads(site))
+	}
+	return all
 }
