Test two guards of orders: the term, and the count of orders before

Taken out, neither failed a test. Each of the new subtests was seen to fail without its guard: "the term has ended" and "each order names those before it".

--- a/internal/weight/steering_test.go
+++ b/internal/weight/steering_test.go
@@ -33,10 +33,12 @@
 	lose bool
 	// newer makes samplers refuse orders as old.
 	newer bool
+	// named is the version that is wanted.
+	named uint64
 }
 
 func newFleet() *fleet {
-	return &fleet{versions: map[string]uint64{}, orders: map[string]uint64{}, loading: map[string]bool{}}
+	return &fleet{versions: map[string]uint64{}, orders: map[string]uint64{}, loading: map[string]bool{}, named: 2}
 }
 
 func (f *fleet) Load(_ context.Context, sampler Target, load Load, guard func() error) error {
@@ -77,7 +79,7 @@
 func (f *fleet) pools() []Pool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	pool := Pool{Name: "lm", Work: []Work{{Model: "m", Named: 2, Oldest: 2, Coming: 2}}, Targets: map[string]Target{}}
+	pool := Pool{Name: "lm", Work: []Work{{Model: "m", Named: f.named, Oldest: f.named, Coming: f.named}}, Targets: map[string]Target{}}
 	for _, seat := range seats(6) {
 		seat.Versions["m"] = max(1, f.versions[seat.ID])
 		pool.Seats = append(pool.Seats, seat)
@@ -86,13 +88,18 @@
 	return []Pool{pool}
 }
 
-type term struct{}
+type term struct{ ended bool }
 
-func (term) Fence() uint64        { return 7 }
-func (term) Valid(time.Time) bool { return true }
+func (term) Fence() uint64          { return 7 }
+func (t term) Valid(time.Time) bool { return !t.ended }
 
-// steer runs a steering that wants version 2 for a while of fake time.
+// steer runs a steering for a while of fake time.
 func steer(t *testing.T, f *fleet, length time.Duration) error {
+	t.Helper()
+	return steerIn(t, f, term{}, length)
+}
+
+func steerIn(t *testing.T, f *fleet, during term, length time.Duration) error {
 	t.Helper()
 	steering := &Steering{
 		Samplers: f, Pools: f.pools, Share: 0.34,
@@ -100,7 +107,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), length)
 	defer cancel()
-	return steering.Run(ctx, term{})
+	return steering.Run(ctx, during)
 }
 
 func TestSteering(t *testing.T) {
@@ -124,6 +131,33 @@
 			must.MapLen(t, 6, f.versions)
 		})
 	})
+	// A holder stands still for longer than its lease and goes on where it was: with
+	// an order to send. Another one may hold the duty by then.
+	t.Run("the term has ended", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet()
+			must.NoError(t, steerIn(t, f, term{ended: true}, 3*time.Second))
+			must.SliceEmpty(t, f.fences)
+		})
+	})
+	// An order that got no answer may be accepted seconds later. A sampler tells it
+	// by the number of orders before it, so each order must name that number: one
+	// that names another is refused, and the second version never comes.
+	t.Run("each order names those before it", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet()
+			time.AfterFunc(10*time.Second, func() {
+				f.mutex.Lock()
+				defer f.mutex.Unlock()
+				f.named = 3
+			})
+			must.NoError(t, steer(t, f, 20*time.Second))
+			for _, version := range f.versions {
+				must.Eq(t, 3, version)
+			}
+			must.MapLen(t, 6, f.versions)
+		})
+	})
 	// A holder that was suspended wakes, and samplers have had orders of a newer
 	// one: it must stop at once, and send nothing more.
 	t.Run("a newer holder", func(t *testing.T) {
