--- /dev/null
+++ b/cmd/measure/stepscmd.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/steplog"
+)
+
+// stepsCmd tells where the time of trainers' steps went.
+type stepsCmd struct {
+	Logs []string      `arg:"" type:"existingfile" help:"Logs of gateways, of all that may have owned a step."`
+	Due  time.Duration `default:"0s" help:"Print only steps that took at least this long."`
+	Plot string        `help:"File into which the steps are drawn; svg, png or pdf by its name."`
+}
+
+// Help gives an example.
+func (stepsCmd) Help() string {
+	return "Example:\n  go run ./cmd/measure steps gateway-*.log --due 7.5s --plot steps.svg"
+}
+
+// Run prints the table, and draws the plot if asked.
+func (s *stepsCmd) Run() error {
+	var logs []io.Reader
+	for _, name := range s.Logs {
+		file, err := os.Open(name)
+		if err != nil {
+			return eris.Wrap(err, "open log")
+		}
+		defer func() { _ = file.Close() }()
+		logs = append(logs, file)
+	}
+	steps, err := steplog.Read(io.MultiReader(logs...))
+	if err != nil {
+		return err
+	}
+	if err := steplog.Print(os.Stdout, steps, s.Due); err != nil {
+		return err
+	}
+	if s.Plot == "" {
+		return nil
+	}
+	return steplog.Plot(s.Plot, steplog.Late(steps, s.Due))
+}
--- /dev/null
+++ b/internal/steplog/print.go
@@ -0,0 +1,106 @@
+package steplog
+
+import (
+	"fmt"
+	"image/color"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Print writes the steps as a table, and below it what the late ones and all
+// lost in each part on average. A step is late from due on; 0 prints them all.
+func Print(w io.Writer, steps []Step, due time.Duration) error {
+	writer := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(writer, "at\tmodel\tstep\titems\thalf placed\twaited\tcut\tran\tclosed\ttotal\tagain\ttakeovers\t")
+	var late []Step
+	for _, step := range steps {
+		if step.Total() < due {
+			continue
+		}
+		late = append(late, step)
+		fmt.Fprintf(writer, "%s\t%s\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%d\t%d\t\n", step.Accepted.Format("15:04:05.0"), step.Model,
+			step.Number, step.Items, step.Placed.Seconds(), step.Waited.Seconds(), step.Cut.Seconds(), step.Ran.Seconds(),
+			step.Closed.Seconds(), step.Total().Seconds(), step.Again, step.Takeovers)
+	}
+	printMean(writer, "late", late)
+	printMean(writer, "all", steps)
+	return eris.Wrap(writer.Flush(), "print steps")
+}
+
+func printMean(w io.Writer, name string, steps []Step) {
+	if len(steps) == 0 {
+		return
+	}
+	mean := func(of func(*Step) time.Duration) float64 {
+		var sum time.Duration
+		for i := range steps {
+			sum += of(&steps[i])
+		}
+		return sum.Seconds() / float64(len(steps))
+	}
+	fmt.Fprintf(w, "mean of %s\t\t\t%d steps\t", name, len(steps))
+	fmt.Fprintf(w, "%.2f\t", mean(func(s *Step) time.Duration { return s.Placed }))
+	for _, part := range parts {
+		fmt.Fprintf(w, "%.2f\t", mean(part.of))
+	}
+	fmt.Fprintf(w, "%.2f\t\t\t\n", mean((*Step).Total))
+}
+
+// part is a part of a step's time.
+type part struct {
+	name  string
+	of    func(*Step) time.Duration
+	color color.Color
+}
+
+var parts = []part{
+	{"waited", func(s *Step) time.Duration { return s.Waited }, color.RGBA{R: 214, G: 120, B: 60, A: 255}},
+	{"cut", func(s *Step) time.Duration { return s.Cut }, color.RGBA{R: 190, G: 60, B: 60, A: 255}},
+	{"ran", func(s *Step) time.Duration { return s.Ran }, color.RGBA{R: 90, G: 140, B: 190, A: 255}},
+	{"closed", func(s *Step) time.Duration { return s.Closed }, color.RGBA{R: 150, G: 150, B: 150, A: 255}},
+}
+
+// barWidth of a step in a plot.
+const barWidth = 6
+
+// Plot draws the steps as bars of their parts into a file; its name's end says of
+// which kind it is (svg, png, pdf).
+func Plot(file string, steps []Step) error {
+	drawing := plot.New()
+	drawing.Title.Text = "Where the time of steps went"
+	drawing.X.Label.Text = "step, in the order of acceptance"
+	drawing.Y.Label.Text = "seconds"
+	var below *plotter.BarChart
+	for _, part := range parts {
+		values := make(plotter.Values, len(steps))
+		for i := range steps {
+			values[i] = part.of(&steps[i]).Seconds()
+		}
+		bars, err := plotter.NewBarChart(values, vg.Points(barWidth))
+		if err != nil {
+			return eris.Wrap(err, "plot steps")
+		}
+		bars.Color = part.color
+		bars.LineStyle.Width = 0
+		if below != nil {
+			bars.StackOn(below)
+		}
+		below = bars
+		drawing.Add(bars)
+		drawing.Legend.Add(part.name, bars)
+	}
+	width := vg.Points(float64(max(300, 2*barWidth*len(steps))))
+	return eris.Wrap(drawing.Save(width, 10*vg.Centimeter, file), "plot "+file)
+}
+
+// Late returns the steps that took at least due.
+func Late(steps []Step, due time.Duration) []Step {
+	return slices.DeleteFunc(slices.Clone(steps), func(step Step) bool { return step.Total() < due })
+}
--- /dev/null
+++ b/internal/steplog/steplog_test.go
@@ -0,0 +1,58 @@
+package steplog
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// logs of a step whose second item is moved once. A gatherer of logs has put the
+// host's name before each line.
+const logs = `g1 I0423 14:00:00.000000    8141 accept.go:144] "batch: accepted" batch="b1" account="a" step=7 model="m" items=2 owner=3
+g1 I0423 14:00:00.100000    8141 owner.go:258] "batch: placed" id="i0" batch="b1" server="s1" running=1 after=0 waiting=1
+g1 I0423 14:00:00.500000    8141 owner.go:258] "batch: placed" id="i1" batch="b1" server="s1" running=2 after=0 waiting=0
+g1 I0423 14:00:01.000000    8141 run.go:29] "batch: generated" id="i0" batch="b1" server="s1" took="900ms"
+g1 I0423 14:00:02.000000    8141 drain.go:97] "batch: given to its next owner" batch="b1" owner="g2" listed=1
+g2 I0423 14:00:02.000000    8142 drain.go:164] "batch: taken from its owner" batch="b1" owner=9 listed=1
+g2 I0423 14:00:02.500000    8142 owner.go:258] "batch: placed" id="i1" batch="b1" server="s2" running=1 after=4 waiting=0
+g2 I0423 14:00:04.000000    8142 run.go:29] "batch: generated" id="i1" batch="b1" server="s2" took="1.5s"
+g1 I0423 14:00:04.250000    8141 read.go:131] "batch: its trainer has ended it" batch="b1"
+g1 I0423 14:00:05.000000    8141 accept.go:144] "batch: accepted" batch="b2" account="a" step=8 model="m" items=2 owner=11
+not a line of klog
+`
+
+func TestRead(t *testing.T) {
+	steps, err := Read(strings.NewReader(logs))
+	must.NoError(t, err)
+	must.SliceLen(t, 1, steps)
+	step := steps[0]
+	must.Eq(t, "m", step.Model)
+	must.Eq(t, 7, step.Number)
+	must.Eq(t, 500*time.Millisecond, step.Waited)
+	must.Eq(t, 2*time.Second, step.Cut)
+	must.Eq(t, 1500*time.Millisecond, step.Ran)
+	must.Eq(t, 250*time.Millisecond, step.Closed)
+	must.Eq(t, 4250*time.Millisecond, step.Total())
+	must.Eq(t, 1, step.Again)
+	must.Eq(t, 1, step.Takeovers)
+}
+
+func TestPrint(t *testing.T) {
+	steps, err := Read(strings.NewReader(logs))
+	must.NoError(t, err)
+	t.Run("late steps only", func(t *testing.T) {
+		var text strings.Builder
+		must.NoError(t, Print(&text, steps, 4*time.Second))
+		must.StrContains(t, text.String(), "14:00:00.0")
+		must.StrContains(t, text.String(), "mean of late")
+		text.Reset()
+		must.NoError(t, Print(&text, steps, 5*time.Second))
+		must.StrNotContains(t, text.String(), "14:00:00.0")
+	})
+	t.Run("a plot", func(t *testing.T) {
+		must.NoError(t, Plot(filepath.Join(t.TempDir(), "steps.svg"), steps))
+	})
+}
