--- a/internal/batch/drain.go
+++ b/internal/batch/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -121,8 +122,8 @@
 	b.lock()
 	open := b.openRevisions[id]
 	b.mutex.Unlock()
-	held.owner.mutex.Lock()
-	defer held.owner.mutex.Unlock()
+	held.mutex.Lock()
+	defer held.mutex.Unlock()
 	held.ledger.mutex.Lock()
 	defer held.ledger.mutex.Unlock()
 	state := Handover{Batch: held.batch, Owner: held.ledger.owner, Open: open, Listed: listed, Pending: pending, Partials: held.plan.Partials()}
@@ -185,3 +186,13 @@
 	b.claiming[id] = true
 	return true
 }
+
+// Carry takes outcomes that an earlier owner had and didn't list.
+func (p *Plan) Carry(outcomes []*statepb.Outcome) {
+	for _, outcome := range outcomes {
+		if one := p.byID[outcome.GetItem()]; one != nil {
+			p.list(one, outcome)
+		}
+	}
+	p.order = slices.DeleteFunc(p.order, func(one *item) bool { return one.phase != waiting })
+}
--- a/internal/batch/drain_test.go
+++ b/internal/batch/drain_test.go
@@ -61,8 +61,8 @@
 		must.NotNil(t, held)
 		await(t, func() bool { return len(second.outcomes(t)) == 1 })
 		must.Eq(t, "whole", second.outcomes(t)[0].GetText())
-		held.owner.mutex.Lock()
-		defer held.owner.mutex.Unlock()
+		held.mutex.Lock()
+		defer held.mutex.Unlock()
 		must.Eq(t, []string{"half"}, held.plan.items[1].events)
 	})
 	t.Run("not a batch that its trainer has ended", func(t *testing.T) {
--- a/internal/batch/leftovers.go
+++ b/internal/batch/leftovers.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"sync"
-
-	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 )
 
 // leftoverBytes bounds the texts kept for later batches: those of a few steps.
@@ -91,28 +89,6 @@
 	return leftovers
 }
 
-// Partials returns the texts of items without an outcome, for the next owner.
-func (p *Plan) Partials() []*statepb.Partial {
-	var partials []*statepb.Partial
-	for _, one := range p.items {
-		if one.phase == settled || len(one.events) == 0 {
-			continue
-		}
-		partials = append(partials, statepb.Partial_builder{Item: one.spec.GetId(), Events: one.events, Versions: one.versions}.Build())
-	}
-	return partials
-}
-
-// Carry takes outcomes that an earlier owner had and didn't list.
-func (p *Plan) Carry(outcomes []*statepb.Outcome) {
-	for _, outcome := range outcomes {
-		if one := p.byID[outcome.GetItem()]; one != nil {
-			p.list(one, outcome)
-		}
-	}
-	p.order = slices.DeleteFunc(p.order, func(one *item) bool { return one.phase != waiting })
-}
-
 // Reuse takes texts that an earlier batch has left, as far as their versions fit
 // this one. It returns the number of items that it spares.
 //
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -20,11 +20,6 @@
 	// lookAgain is how long an owner waits at most before it looks again for free
 	// slots and slow servers: about one event of a sampler.
 	lookAgain = 50 * time.Millisecond
-	// keepInterval is the time between two looks for events that a keeper lacks.
-	keepInterval = 500 * time.Millisecond
-	// keepAfter is how long a run goes on before its text is kept: half of all texts
-	// are whole before that, and are made anew in no more.
-	keepAfter = time.Second
 	// silence is how long a sampler may send nothing before its run goes on
 	// elsewhere: many times the usual gap, and above the time of a weight load.
 	silence = 1500 * time.Millisecond
@@ -37,17 +32,6 @@
 	WriteItem(headers map[string]string) http.Header
 }
 
-// Keeper keeps texts that aren't whole on hosts with disks.
-type Keeper interface {
-	// Append keeps events, each copy of a batch in another place. An error says that
-	// what is kept there isn't known.
-	Append(ctx context.Context, batch string, number int, parts []*statepb.Part) error
-	// Fetch returns what is kept of a batch, as far as keepers answer.
-	Fetch(ctx context.Context, batch string) []*statepb.Partial
-	// Drop forgets a batch.
-	Drop(ctx context.Context, batch string)
-}
-
 // Scorer has texts judged.
 type Scorer interface {
 	// Score returns the proof of the scorer's answer. A *ScoreError says that it
@@ -138,46 +122,6 @@
 	o.older = nil
 }
 
-// keep gives the texts that aren't whole to the keeper of a copy until the context ends.
-//
-// An owner that dies takes with it what its samplers have made. The next one
-// would begin each text anew: the longest of a step take 6 s, and the trainer
-// waits 7.5 s for all of them. Kept twice a second, half a second is lost.
-func (o *owner) keep(ctx context.Context, number int) {
-	ticker := time.NewTicker(keepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			o.keepOnce(ctx, number, o.isLong)
-		}
-	}
-}
-
-// isLong reports whether the run of an item is worth keeping. The mutex is held.
-func (o *owner) isLong(index int) bool {
-	run := o.runs[index]
-	return run == nil || clock.Now().Sub(run.began) >= keepAfter
-}
-
-// keepOnce gives what came since the last time to the keeper of a copy.
-func (o *owner) keepOnce(ctx context.Context, number int, isKept func(index int) bool) {
-	o.mutex.Lock()
-	parts := o.plan.Parts(number, isKept)
-	o.mutex.Unlock()
-	if len(parts) == 0 {
-		return
-	}
-	if err := o.keeper.Append(ctx, o.batch.GetId(), number, parts); err != nil {
-		klog.InfoS("batch: texts not kept", "batch", o.batch.GetId(), "copy", number, "err", err.Error())
-		o.mutex.Lock()
-		o.plan.KeepAll(number)
-		o.mutex.Unlock()
-	}
-}
-
 // pump starts what can start now. It reports whether nothing is left to do.
 func (o *owner) pump(ctx context.Context) bool {
 	o.mutex.Lock()
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -30,11 +30,6 @@
 	mostMoves = 2
 )
 
-// copies is how many keepers have the texts of a batch that aren't whole. One disk
-// may be lost in the same moment as the batch's owner; its step then began anew
-// and was whole 11 s after it was asked, where it has 7.5 s.
-const copies = 2
-
 // Rules are what the batch's route says.
 type Rules struct {
 	// Attempts is the most failed answers of an item, and of its scorer.
@@ -344,28 +339,3 @@
 	}
 	p.Fault(job, now)
 }
-
-// Parts returns the events that came since the last call, for the keeper of a
-// copy, but for items that need not be kept.
-func (p *Plan) Parts(number int, isKept func(index int) bool) []*statepb.Part {
-	var parts []*statepb.Part
-	for _, one := range p.items {
-		kept := one.kept[number]
-		if one.phase == settled || kept >= len(one.events) || !isKept(one.index) {
-			continue
-		}
-		parts = append(parts, statepb.Part_builder{
-			Item: one.spec.GetId(), After: uint32(kept), Events: one.events[kept:], Versions: one.versions[kept:],
-		}.Build())
-		one.kept[number] = len(one.events)
-	}
-	return parts
-}
-
-// KeepAll makes Parts return all texts of a copy from their start: what its keeper
-// had is not known any more.
-func (p *Plan) KeepAll(number int) {
-	for _, one := range p.items {
-		one.kept[number] = 0
-	}
-}
