Go on with the term under its own fence when the duty is resumed

Change: the start before and this one are one holder with one term; its fence is in the key's value from then on, and only a new holder gets a new one.

--- a/internal/bramleyhatch/gatewayduties.go
+++ b/internal/bramleyhatch/gatewayduties.go
@@ -62,7 +62,7 @@
 		Address: g.Process.Settings.GetPeer(),
 		Prefix:  holderPrefix,
 		Free:    g.holder.free,
-		Left: func() uint64 {
+		Left: func() duty.Left {
 			return g.holder.leftBy(g.Process.Settings.GetName(), g.Process.Settings.GetPeer())
 		},
 		Look:      dutyLook,
--- a/internal/bramleyhatch/holder.go
+++ b/internal/bramleyhatch/holder.go
@@ -1,12 +1,14 @@
 package bramleyhatch
 
 import (
+	"cmp"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/batch"
+	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	store "github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
@@ -62,14 +64,14 @@
 	h.last, h.revision = last, change.Revision
 }
 
-// leftBy returns the revision of the duty's key if a process of this name and
-// address has written it, else 0. A host that has taken another one's name has an
+// leftBy returns what a process of this name and address holds. A host that has taken another one's name has an
 // address of its own, and the other one may live.
-func (h *holder) leftBy(process, address string) uint64 {
+func (h *holder) leftBy(process, address string) duty.Left {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.last == nil || h.last.GetProcess() != process || h.last.GetAddress() != address {
-		return 0
+		return duty.Left{}
 	}
-	return h.revision
+	// The fence of a term that has not been gone on with is its key's revision.
+	return duty.Left{Revision: h.revision, Fence: cmp.Or(h.last.GetFence(), h.revision)}
 }
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -47,9 +47,8 @@
 	// Free reports whether nobody holds the duty, where that is known without
 	// asking the store; nil asks it.
 	Free func() bool
-	// Left returns the revision of the duty's key if an earlier start of this process
-	// holds it, else 0; nil is 0.
-	Left func() uint64
+	// Left returns what an earlier start of this process holds; nil is nothing.
+	Left func() Left
 	// Look is the wait between two looks at a duty that another process holds; 0
 	// takes a half of the lease.
 	Look time.Duration
@@ -61,6 +60,16 @@
 
 	// hasHeld is true once this start of the process has held the duty.
 	hasHeld bool
+	// revision is that of the duty's key in the present term.
+	revision uint64
+}
+
+// Left is what an earlier start of a process has left of a duty; its zero value is nothing.
+type Left struct {
+	// Revision of the duty's key.
+	Revision uint64
+	// Fence of the term.
+	Fence uint64
 }
 
 // Run takes part until the context ends or the work has nothing left to do.
@@ -101,7 +110,7 @@
 // take returns a term if the duty was free and is now held here.
 func (k *Keeper) take(ctx context.Context) (*Term, uint64) {
 	rank, left := k.rank(), k.left()
-	if left == 0 {
+	if left.Revision == 0 {
 		if rank >= maxCandidates || !k.isFree(ctx) {
 			return nil, 0
 		}
@@ -113,27 +122,33 @@
 		return nil, 0
 	}
 	until := sent.Add(k.Lease - k.Margin)
-	fence, err := k.write(ctx, left, lease, until)
+	revision, err := k.write(ctx, left, lease, until)
 	if err != nil {
 		return nil, 0
 	}
+	fence := revision
+	if left.Revision != 0 {
+		fence = left.Fence
+	}
+	k.revision = revision
 	k.Decisions.Record(k.Name, "duty", "%s holds it, term %d, candidate %d", k.Process, fence, rank)
 	k.hasHeld = true
 	return NewTerm(fence, until), lease
 }
 
-// left returns the revision of the key that an earlier start of this process has
-// left; 0 if there is none.
+// left returns what an earlier start of this process has left of the duty.
 //
 // A process that was killed and is back would wait for its own lease to lapse. All
 // processes ended at once, no weights were loaded for the 3 s of the lease, and the
 // steps that were asked meanwhile waited for samplers. The start before is gone
-// for good: this one has its address. Its calls that are still under way bear a lower
-// fence, as after every change of the holder. A term that this start has had is no
-// such case: its last calls may be a moment old.
-func (k *Keeper) left() uint64 {
+// for good: this one has its address. Its term goes on under its fence, so that a
+// call of it that is done late is no call of an earlier holder; under a new fence
+// a platform that takes such calls had to be left alone for 6 s first, and usage
+// windows were reported too late. A term that this start has had is no such case: it
+// ended since the process stood still or was cut off.
+func (k *Keeper) left() Left {
 	if k.Left == nil || k.hasHeld {
-		return 0
+		return Left{}
 	}
 	return k.Left()
 }
@@ -154,29 +169,32 @@
 	return errors.As(err, &missing)
 }
 
-// write creates the duty's key, or replaces the one that was left at a revision,
-// and returns its revision, which is the fence.
+// write creates the duty's key, or replaces the one that was left, and returns its
+// revision, which is the fence of a new term.
 //
 // The answer may be lost after the change took effect; giving up then would
 // leave the duty held by nobody for a whole lease. The lease's number is known
 // to this process alone, so a key that carries it is its own write.
-func (k *Keeper) write(ctx context.Context, left, lease uint64, until time.Time) (uint64, error) {
-	data, err := k.holder()
+func (k *Keeper) write(ctx context.Context, left Left, lease uint64, until time.Time) (uint64, error) {
+	data, err := k.holder(left.Fence)
 	if err != nil {
 		return 0, err
 	}
-	fence, err := k.Store.Swap(ctx, k.key(), left, data, lease)
+	revision, err := k.Store.Swap(ctx, k.key(), left.Revision, data, lease)
 	var lost *platform.UnavailableError
 	for errors.As(err, &lost) && ctx.Err() == nil && time.Now().Before(until) {
 		pause.For(ctx, k.Lease/(2*renewals))
-		fence, err = k.readBack(ctx, lease)
+		revision, err = k.readBack(ctx, lease)
 	}
-	return fence, err
+	return revision, err
 }
 
-func (k *Keeper) holder() ([]byte, error) {
+// holder returns the value of the duty's key. A new term's fence is the revision
+// that the key gets, so only that of a term that goes on is in it.
+func (k *Keeper) holder(fence uint64) ([]byte, error) {
 	holder := statepb.Holder_builder{
 		Process: k.Process,
+		Fence:   fence,
 		Since:   time.Now().Unix(),
 		Lease:   k.Lease.Milliseconds(),
 		Address: k.Address,
@@ -263,7 +281,7 @@
 	term.End()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := k.Store.Delete(ctx, k.key(), term.Fence()); err != nil {
+	if err := k.Store.Delete(ctx, k.key(), k.revision); err != nil {
 		k.Decisions.Record(k.Name, "duty", "term %d was not given up, its lease will lapse: %v", term.Fence(), err)
 		return
 	}
