--- a/internal/bramleyhatch/holder.go
+++ b/internal/bramleyhatch/holder.go
@@ -1,10 +1,8 @@
 package bramleyhatch
 
 import (
-	"cmp"
 	"sync"
 
-	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/batch"
@@ -56,8 +54,8 @@
 	if change.Deleted {
 		return
 	}
-	last := &statepb.Holder{}
-	if err := proto.Unmarshal(change.Data, last); err != nil {
+	last, err := duty.ParseHolder(change)
+	if err != nil {
 		klog.ErrorS(err, "duty: the holder can't be read", "revision", change.Revision)
 		return
 	}
@@ -72,6 +70,5 @@
 	if h.last == nil || h.last.GetProcess() != process || h.last.GetAddress() != address {
 		return duty.Left{}
 	}
-	// The fence of a term that has not been gone on with is its key's revision.
-	return duty.Left{Revision: h.revision, Fence: cmp.Or(h.last.GetFence(), h.revision)}
+	return duty.Left{Revision: h.revision, Fence: h.last.GetFence()}
 }
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -55,6 +55,8 @@
 	if err := proto.Unmarshal(value.Data, holder); err != nil {
 		return nil, eris.Wrap(err, "read "+value.Key)
 	}
-	holder.SetFence(value.Revision)
+	if holder.GetFence() == 0 {
+		holder.SetFence(value.Revision)
+	}
 	return holder, nil
 }
