--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -182,7 +182,7 @@
 			klog.ErrorS(err, "weight: an open batch can't be read", "key", change.Key)
 			continue
 		}
-		steps.Open(id, weight.Step{Model: open.GetModel(), Number: open.GetStep(), Oldest: open.GetOldest(), Runs: int(open.GetItems())})
+		steps.Open(id, weight.Step{Model: open.GetModel(), Oldest: open.GetOldest(), Runs: int(open.GetItems())})
 	}
 }
 
--- a/internal/bramleyhatch/holder.go
+++ b/internal/bramleyhatch/holder.go
@@ -62,8 +62,8 @@
 	h.last, h.revision = last, change.Revision
 }
 
-// leftBy returns what a process of this name and address holds. A host that has taken another one's name has an
-// address of its own, and the other one may live.
+// leftBy returns what a process of this name and address holds. A host that has
+// taken another one's name has an address of its own, and the other one may live.
 func (h *holder) leftBy(process, address string) duty.Left {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -49,7 +49,9 @@
 //
 // The fence is the revision at which the holder created the key. The store's
 // revisions are one sequence that never falls, so the fence also grows when the
-// key has gone with its lease; a number kept in the value would be lost then.
+// key has gone with its lease; a number kept in the value would be lost then. Only a
+// term that a new start of its holder goes on with is named in the value: it began
+// at an earlier revision of the key.
 func ParseHolder(value platform.Value) (*statepb.Holder, error) {
 	holder := &statepb.Holder{}
 	if err := proto.Unmarshal(value.Data, holder); err != nil {
--- a/internal/weight/choice.go
+++ b/internal/weight/choice.go
@@ -167,8 +167,6 @@
 	// those that the open one takes: weights that no step takes any more cost nothing.
 	priceComing = 1 << 20
 	priceOpen   = 1 << 21
-	// priceSuspect is for a sampler that failed or was slow lately.
-	priceSuspect = 1 << 22
 )
 
 // price returns what a load costs at a sampler.
@@ -181,9 +179,6 @@
 	if version >= work.Oldest {
 		price += priceOpen
 	}
-	if sampler.suspect {
-		price += priceSuspect
-	}
 	return price
 }
 
--- a/internal/weight/schedule.go
+++ b/internal/weight/schedule.go
@@ -36,10 +36,8 @@
 	Born int64
 	// Slots is the number of generations that it runs at the same time; 0 if not known.
 	Slots int
-	// Running is the number of generations that it runs now, as far as known.
+	// Running is the number of generations that it runs now; 0 if not known.
 	Running uint32
-	// IsSuspect says that it failed or was slow lately.
-	IsSuspect bool
 	// Versions of the weights by model.
 	Versions map[string]uint64
 }
@@ -88,7 +86,6 @@
 	born    int64
 	slots   int
 	running uint32
-	suspect bool
 	// price of a load in the round that is being decided.
 	price int
 	shown map[string]uint64
@@ -139,7 +136,6 @@
 		one := s.observe(known, seat.ID, seat.Zone, seat.Born)
 		one.slots = seat.Slots
 		one.running = seat.Running
-		one.suspect = seat.IsSuspect
 		for model, version := range seat.Versions {
 			s.see(one, model, version, now)
 		}
--- a/internal/weight/steps.go
+++ b/internal/weight/steps.go
@@ -5,8 +5,6 @@
 // Step is a trainer's step that is open.
 type Step struct {
 	Model string
-	// Number of the step, counted by its trainer.
-	Number uint64
 	// Oldest version that may make any of its tokens.
 	Oldest uint64
 	// Runs is the number of its generations.
