--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -260,9 +260,7 @@
 		listing.Wait()
 		close(held.stopped)
 	})
-	for number := range copies {
-		b.work(func() { held.keep(ctx, number) })
-	}
+	b.work(func() { held.keep(ctx) })
 	if b.isDraining {
 		b.work(func() { b.handOver(b.ctx, batch.GetId(), held) })
 	}
--- a/internal/batch/drain.go
+++ b/internal/batch/drain.go
@@ -69,11 +69,7 @@
 	if b.giveTo(ctx, id, held) {
 		return
 	}
-	var kept sync.WaitGroup
-	for number := range copies {
-		kept.Go(func() { held.keepOnce(ctx, number, func(int) bool { return true }) })
-	}
-	kept.Wait()
+	held.keepOnce(ctx, func(int) bool { return true })
 	held.ledger.mutex.Lock()
 	revision := held.ledger.owner
 	held.ledger.mutex.Unlock()
--- a/internal/batch/ledger.go
+++ b/internal/batch/ledger.go
@@ -23,6 +23,11 @@
 	// chunkShare is the part of the store's largest value that a chunk may fill:
 	// base64 and the names around it take a third more.
 	chunkShare = 0.6
+	// chunkBytes bounds a chunk besides: a write whose answer was lost is tried again,
+	// and the answer then holds the chunk, which takes 0.05 s at 60 Mbit/s. One of a
+	// megabyte took longer than a call may, so that its owner never learned that the
+	// store held it.
+	chunkBytes = 256 << 10
 )
 
 // ledger lists the outcomes of a batch at places that never change. A place is
@@ -161,7 +166,7 @@
 
 // head returns as many of the waiting outcomes as fit into one value.
 func (l *ledger) head() []*statepb.Outcome {
-	size, most := 0, int(chunkShare*float64(l.valueBytes))
+	size, most := 0, min(chunkBytes, int(chunkShare*float64(l.valueBytes)))
 	for i, outcome := range l.pending {
 		size += proto.Size(outcome)
 		if i > 0 && size > most {
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -59,8 +59,8 @@
 	// events and versions are the text so far, a version for each event.
 	events   []string
 	versions []uint64
-	// kept are the numbers of events that keepers have, by copy.
-	kept [copies]int
+	// kept is the number of events that a keeper has.
+	kept int
 	// failures counts answers that say that the run failed, faults all others.
 	failures       int
 	faults         int
@@ -236,7 +236,7 @@
 	}
 	if p.rules.SingleVersion && len(one.versions) > 0 && one.versions[0] != version {
 		// Nothing of the text can be used: the rest is of another version.
-		one.events, one.versions, one.kept = nil, nil, [copies]int{}
+		one.events, one.versions, one.kept = nil, nil, 0
 		return false
 	}
 	one.events = append(one.events, data)
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -214,7 +214,7 @@
 	var clients []namedKeeper
 	for _, name := range names {
 		if connection := h.connect(h.keepers[name]); connection != nil {
-			clients = append(clients, namedKeeper{name: name, zone: h.keepers[name].GetZone(), KeeperClient: peerpb.NewKeeperClient(connection)})
+			clients = append(clients, namedKeeper{name: name, KeeperClient: peerpb.NewKeeperClient(connection)})
 		}
 	}
 	return clients
--- a/internal/gateway/keepers.go
+++ b/internal/gateway/keepers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -41,7 +40,6 @@
 	peerpb.KeeperClient
 
 	name string
-	zone string
 }
 
 // Keepers keeps texts that aren't whole on hosts with disks. Exported fields are
@@ -54,20 +52,11 @@
 
 	mutex sync.Mutex
 	// used are the keepers that have the texts of batches.
-	used map[copyKey]string
+	used map[string]string
 	// silent is when a keeper did not answer last.
 	silent map[string]clock.Boot
 }
 
-// nowhere stands for the keeper of a copy that has none.
-const nowhere = "-"
-
-// copyKey names a copy of a batch's texts.
-type copyKey struct {
-	batch  string
-	number int
-}
-
 var _ batch.Keeper = &Keepers{}
 
 // errNoKeeper says that no keeper is known.
@@ -76,23 +65,19 @@
 // errChanged says that a batch's texts go to another keeper from now on.
 var errChanged = eris.New("gateway: another keeper is used from now on")
 
-// Append keeps events with the keeper of a copy, which has all of a batch's texts.
-// After a change of that keeper, everything is to be appended anew.
+// Append keeps events with one keeper, which has all of a batch's texts. After a
+// change of that keeper, everything is to be appended anew.
 //
 // A keeper that did not answer is passed over for a while: asked again each time,
 // it left a batch's texts in no place for the 8 s until its lease had ended, while
-// two others were there.
-func (k *Keepers) Append(ctx context.Context, batch string, number int, parts []*statepb.Part) error {
-	chosen := k.choose(number)
-	kept := copyKey{batch: batch, number: number}
-	if chosen == nil && number > 0 {
-		k.isChanged(kept, nowhere)
-		return nil
-	}
+// two others were there. A second copy elsewhere was tried and filled the links of
+// owners with 60 Mbit/s.
+func (k *Keepers) Append(ctx context.Context, batch string, parts []*statepb.Part) error {
+	chosen := k.choose()
 	if chosen == nil {
 		return errNoKeeper
 	}
-	if k.isChanged(kept, chosen.name) {
+	if k.isChanged(batch, chosen.name) {
 		return errChanged
 	}
 	ctx, cancel := context.WithTimeout(ctx, keepTime)
@@ -106,35 +91,29 @@
 	return eris.Wrap(err, "append at "+chosen.name)
 }
 
-// isChanged notes the keeper of a copy, and reports whether it was another one.
-func (k *Keepers) isChanged(kept copyKey, name string) bool {
+// isChanged notes the keeper of a batch, and reports whether it was another one.
+func (k *Keepers) isChanged(batch, name string) bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.prepare()
-	used := k.used[kept]
-	k.used[kept] = name
+	used := k.used[batch]
+	k.used[batch] = name
 	return used != "" && used != name
 }
 
-// choose returns the keeper of a copy, nil if there is none: those that answer
-// first, and the second one in another zone than the first if there is one.
-func (k *Keepers) choose(number int) *namedKeeper {
+// choose returns the keeper to use, nil if there is none: one that answers and is
+// near.
+func (k *Keepers) choose() *namedKeeper {
 	clients := slices.DeleteFunc(k.Hosts.keeperClients(k.Zone), func(one namedKeeper) bool { return k.Retired(one.name) })
-	slices.SortStableFunc(clients, func(a, b namedKeeper) int {
-		return cmp.Compare(boolToInt(k.isSilent(a.name)), boolToInt(k.isSilent(b.name)))
-	})
-	if len(clients) <= number {
+	if len(clients) == 0 {
 		return nil
 	}
-	if number == 0 {
-		return &clients[0]
-	}
-	for i := range clients[1:] {
-		if clients[1+i].zone != clients[0].zone && !k.isSilent(clients[1+i].name) {
-			return &clients[1+i]
+	for i := range clients {
+		if !k.isSilent(clients[i].name) {
+			return &clients[i]
 		}
 	}
-	return &clients[1]
+	return &clients[0]
 }
 
 func (k *Keepers) isSilent(name string) bool {
@@ -146,7 +125,7 @@
 
 func (k *Keepers) prepare() {
 	if k.used == nil {
-		k.used = map[copyKey]string{}
+		k.used = map[string]string{}
 		k.silent = map[string]clock.Boot{}
 	}
 }
@@ -186,25 +165,20 @@
 	return found
 }
 
-// Drop forgets a batch at its keepers.
+// Drop forgets a batch at its keeper.
 func (k *Keepers) Drop(ctx context.Context, batch string) {
-	used := map[string]bool{}
 	k.mutex.Lock()
-	for kept, name := range k.used {
-		if kept.batch == batch {
-			used[name] = true
-			delete(k.used, kept)
-		}
-	}
+	used := k.used[batch]
+	delete(k.used, batch)
 	k.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, keepTime)
 	defer cancel()
 	for _, client := range k.Hosts.keeperClients(k.Zone) {
-		if !used[client.name] {
+		if client.name != used {
 			continue
 		}
 		if _, err := client.Drop(ctx, peerpb.DropRequest_builder{Batches: []string{batch}}.Build()); err != nil {
-			klog.V(1).InfoS("batch: not dropped by its keeper", "batch", batch, "keeper", client.name, "err", err.Error())
+			klog.V(1).InfoS("batch: not dropped by its keeper", "batch", batch, "keeper", used, "err", err.Error())
 		}
 	}
 }
