A place once read stays: say "nothing there" only when that is known

Reading the code for the same shape found four more: a process that claims a batch again after another one had owned it in between; a start that goes on with its former start's batch while a chunk of that one is under way; readers that wait at an owner which has given the batch away; and two adoptions of one batch after an accept without an answer.

Now: a ledger is open from a write until its end is known, and an owner says that a place has nothing only under the lease with which its key ends, with no write open; the reader asks the store else. A claim of a held batch expects the next place to be free. A process writes its former start's owner key anew before it reads the batch, so that no write of that start fits any more, and the key ends with its own lease. A batch that another one has listed further is read again, with its texts kept. Readers at an owner that stops go on at once.

Ruled out: a wait at the owner alone (no bound holds), reading the store for every empty page (a call a read).

Two tests were adapted to renamed fields (ledger.owner to title.Revision, unsure to isOpen); their assertions are as before.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -118,8 +118,9 @@
 	if err != nil {
 		return err
 	}
-	b.expectOwn(id, true)
-	defer b.expectOwn(id, false)
+	if b.reserve(id) {
+		defer b.release(id)
+	}
 	revision, err := b.Store.Commit(ctx, platform.Commit{
 		Expect: []platform.Expect{{Key: bulkKey(id)}},
 		Writes: []platform.Write{
@@ -149,7 +150,7 @@
 		b.open[id] = true
 		b.owners[id] = b.Process
 		b.ownerRevisions[id] = revision
-		b.start(Handover{Batch: batch, Owner: revision}, clock.Now())
+		b.start(Handover{Batch: batch, Owner: Title{Revision: revision, Lease: lease}}, clock.Now())
 	}
 	return nil
 }
@@ -160,15 +161,23 @@
 	return b.isDraining
 }
 
-// expectOwn keeps the watch from adopting a batch that is being accepted here.
-func (b *Board) expectOwn(id string, isExpected bool) {
+// reserve keeps the watch from adopting a batch that is being accepted here. It
+// reports false if that has begun, as where an earlier try was done without an answer.
+func (b *Board) reserve(id string) bool {
 	b.lock()
 	defer b.mutex.Unlock()
-	if isExpected {
-		b.claiming[id] = true
-		return
+	if b.claiming[id] {
+		return false
 	}
+	b.claiming[id] = true
+	return true
+}
+
+// release ends what kept the watch from adopting a batch. A write that got no
+// answer may have been seen by the watch meanwhile.
+func (b *Board) release(id string) {
+	b.lock()
+	defer b.mutex.Unlock()
 	delete(b.claiming, id)
-	// A write that got no answer may have been seen by the watch meanwhile.
 	b.resume(id)
 }
--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -23,6 +23,9 @@
 	// within some 0.3 s of each other; a batch that another one takes then loses what
 	// came of it while the store was away.
 	ownerHead = 400 * time.Millisecond
+	// leaseLook is the time between two looks for a lease by a process that has just
+	// started: its trainers wait.
+	leaseLook = 10 * time.Millisecond
 	// claimLook is the time between two looks at batches without an owner.
 	claimLook = 100 * time.Millisecond
 	// acceptTime bounds how long it is tried to learn what became of a batch
@@ -255,11 +258,22 @@
 	b.held[batch.GetId()] = held
 	b.work(func() {
 		var listing sync.WaitGroup
-		listing.Go(func() { held.ledger.run(ctx) })
+		listing.Go(func() {
+			held.ledger.run(ctx)
+			if held.ledger.overtaken() {
+				cancel()
+			}
+		})
 		held.run(ctx)
 		listing.Wait()
 		close(held.stopped)
 	})
+	b.work(func() {
+		<-held.stopped
+		if held.ledger.overtaken() {
+			b.readAgain(batch.GetId(), held)
+		}
+	})
 	b.work(func() { held.keep(ctx) })
 	if b.isDraining {
 		b.work(func() { b.handOver(b.ctx, batch.GetId(), held) })
--- a/internal/batch/changes.go
+++ b/internal/batch/changes.go
@@ -91,7 +91,7 @@
 		held.cancel()
 		delete(b.held, id)
 	case owner.GetProcess() == b.Process && held != nil:
-		held.ledger.reclaimed(change.Revision)
+		held.ledger.reclaimed(Title{Revision: change.Revision, Lease: change.Lease})
 	default:
 		b.resume(id)
 	}
@@ -110,5 +110,5 @@
 	}
 	b.claiming[id] = true
 	revision := b.ownerRevisions[id]
-	b.work(func() { b.adopt(b.ctx, id, revision) })
+	b.work(func() { b.takeBack(b.ctx, id, revision) })
 }
--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -61,49 +61,121 @@
 
 // claim makes this process the owner of a batch that has none.
 func (b *Board) claim(ctx context.Context, id string) {
-	revision, err := b.writeOwner(ctx, id)
+	b.lock()
+	known := b.held[id]
+	b.mutex.Unlock()
+	title, err := b.writeOwner(ctx, id, unclaimed(id, known)...)
+	var conflict *platform.ConflictError
+	if known != nil && errors.As(err, &conflict) && hasChunk(conflict, id) {
+		klog.InfoS("batch: listed further by another owner meanwhile", "batch", id)
+		b.leave(id, known)
+	}
 	if err != nil {
 		klog.InfoS("batch: not claimed", "batch", id, "err", err.Error())
 		pause.For(ctx, claimStep)
-		b.lock()
-		delete(b.claiming, id)
-		b.mutex.Unlock()
+		b.release(id)
 		return
 	}
-	b.lock()
-	known := b.held[id]
-	b.mutex.Unlock()
 	if known != nil {
-		klog.InfoS("batch: claimed again", "batch", id, "owner", revision)
-		known.ledger.reclaimed(revision)
+		klog.InfoS("batch: claimed again", "batch", id, "owner", title.Revision)
+		known.ledger.reclaimed(title)
 		b.lock()
 		delete(b.claiming, id)
 		delete(b.unowned, id)
 		b.mutex.Unlock()
 		return
 	}
-	b.adopt(ctx, id, revision)
+	b.adopt(ctx, id, title)
+}
+
+// unclaimed returns what a claim expects: that the batch has no owner, and where
+// this process holds it from before, that nobody has listed more of it since.
+//
+// Between two claims of one process another one may have owned the batch, listed
+// some of it and died, all while this one saw nothing of the store. Claimed by the
+// first condition alone, its own places would stand where others were read.
+func unclaimed(id string, known *held) []platform.Expect {
+	expect := []platform.Expect{{Key: ownerKey(id)}}
+	if known != nil {
+		expect = append(expect, platform.Expect{Key: chunkKey(id, known.ledger.next())})
+	}
+	return expect
+}
+
+func hasChunk(conflict *platform.ConflictError, id string) bool {
+	return slices.ContainsFunc(conflict.Present, func(value platform.Value) bool {
+		return value.Revision != 0 && strings.HasPrefix(value.Key, chunkPrefix(id))
+	})
+}
+
+// leave stops a batch here; what came of its texts is kept for when it is read again.
+func (b *Board) leave(id string, known *held) {
+	known.cancel()
+	<-known.stopped
+	known.mutex.Lock()
+	b.leftovers.add(known.plan.Texts())
+	known.mutex.Unlock()
+	b.lock()
+	defer b.mutex.Unlock()
+	if b.held[id] == known {
+		delete(b.held, id)
+	}
+}
+
+// readAgain goes on with a batch of this process from what the store holds of it.
+func (b *Board) readAgain(id string, known *held) {
+	b.leave(id, known)
+	b.lock()
+	defer b.mutex.Unlock()
+	b.resume(id)
 }
 
-func (b *Board) writeOwner(ctx context.Context, id string) (uint64, error) {
+// writeOwner makes this process the owner of a batch if the store is as expected.
+func (b *Board) writeOwner(ctx context.Context, id string, expect ...platform.Expect) (Title, error) {
 	lease := b.Lease()
 	if lease == 0 {
-		return 0, errors.New("batch: this process has no lease")
+		return Title{}, errors.New("batch: this process has no lease")
 	}
 	data, err := proto.Marshal(statepb.Owner_builder{Process: b.Process}.Build())
 	if err != nil {
-		return 0, err
+		return Title{}, err
 	}
-	return b.Store.Commit(ctx, platform.Commit{
-		Expect: []platform.Expect{{Key: ownerKey(id)}},
+	revision, err := b.Store.Commit(ctx, platform.Commit{
+		Expect: expect,
 		Writes: []platform.Write{{Key: ownerKey(id), Data: data, Lease: lease}},
 	})
+	return Title{Revision: revision, Lease: lease}, err
+}
+
+// takeBack writes the owner's key of a batch that this process owns anew, then reads
+// and runs the batch.
+//
+// The former process of this name, or an earlier try of this one, may have a chunk
+// under way that the store does after the batch was read here: it would be shown to
+// some readers and not to others, and no chunk of this process would fit behind it.
+// Such a write expects the former revision of the key. The new one ends with this
+// process's lease besides, and not with that of the former.
+func (b *Board) takeBack(ctx context.Context, id string, revision uint64) {
+	for ctx.Err() == nil && b.ownsAt(id, revision) {
+		if b.Lease() == 0 {
+			pause.For(ctx, leaseLook)
+			continue
+		}
+		title, err := b.writeOwner(ctx, id, platform.Expect{Key: ownerKey(id), Revision: revision})
+		if err == nil {
+			b.adopt(ctx, id, title)
+			return
+		}
+		klog.InfoS("batch: not taken back", "batch", id, "owner", revision, "err", err.Error())
+		pause.For(ctx, claimStep)
+	}
+	b.release(id)
 }
 
 // adopt reads a batch that this process owns from the store, and runs it.
-func (b *Board) adopt(ctx context.Context, id string, revision uint64) {
+func (b *Board) adopt(ctx context.Context, id string, title Title) {
 	batch, listed, partials, err := b.load(ctx, id, nil)
-	for err != nil && ctx.Err() == nil && b.ownsAt(id, revision) {
+	for err != nil && ctx.Err() == nil && b.ownsAt(id, title.Revision) {
 		klog.InfoS("batch: not read", "batch", id, "err", err.Error())
 		pause.For(ctx, claimStep)
 		batch, listed, partials, err = b.load(ctx, id, partials)
@@ -117,10 +189,15 @@
 	if err != nil || ctx.Err() != nil || b.held[id] != nil || !b.open[id] {
 		return
 	}
-	klog.InfoS("batch: taken over", "batch", id, "owner", revision, "listed", len(listed), "partly", len(partials))
+	if b.ownerRevisions[id] > title.Revision {
+		// The owner's key was written again, so chunks under this title fit no more.
+		b.resume(id)
+		return
+	}
+	klog.InfoS("batch: taken over", "batch", id, "owner", title.Revision, "listed", len(listed), "partly", len(partials))
 	delete(b.unowned, id)
 	b.metrics.taken.Inc()
-	b.start(Handover{Batch: batch, Owner: revision, Listed: listed, Partials: partials}, clock.Now())
+	b.start(Handover{Batch: batch, Owner: title, Listed: listed, Partials: partials}, clock.Now())
 }
 
 // awaitRoute waits until a configuration is known. A process that has just
--- a/internal/batch/claim_test.go
+++ b/internal/batch/claim_test.go
@@ -146,7 +146,7 @@
 	store := &platformtest.Store{}
 	p := begin(t, store, "g1", "g1")
 	must.NoError(t, p.Accept(t.Context(), newBatch(10)))
-	before := p.held["b1"].ledger.owner
+	before := p.held["b1"].ledger.title.Revision
 	must.NoError(t, store.End(t.Context(), p.Lease()))
 	lease, err := store.Grant(t.Context(), time.Hour)
 	must.NoError(t, err)
@@ -154,7 +154,7 @@
 	await(t, func() bool {
 		p.held["b1"].ledger.mutex.Lock()
 		defer p.held["b1"].ledger.mutex.Unlock()
-		return p.held["b1"].ledger.owner > before
+		return p.held["b1"].ledger.title.Revision > before
 	})
 }
 
--- a/internal/batch/drain.go
+++ b/internal/batch/drain.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
@@ -42,9 +41,10 @@
 // Handover is a batch as its owner leaves it.
 type Handover struct {
 	Batch *statepb.Batch
-	// Owner and Open are the revisions of the keys that say who owns the batch and
-	// that its trainer has not ended it.
-	Owner, Open uint64
+	// Owner is the title of the process that has the batch.
+	Owner Title
+	// Open is the revision of the key that says that its trainer has not ended it.
+	Open uint64
 	// Listed are the outcomes that the store holds, Pending those that it doesn't yet.
 	Listed, Pending []*statepb.Outcome
 	// Partials are the texts that aren't whole.
@@ -70,11 +70,8 @@
 		return
 	}
 	held.keepOnce(ctx, func(int) bool { return true })
-	held.ledger.mutex.Lock()
-	revision := held.ledger.owner
-	held.ledger.mutex.Unlock()
 	_, err := b.Store.Commit(ctx, platform.Commit{
-		Expect: []platform.Expect{{Key: ownerKey(id), Revision: revision}},
+		Expect: []platform.Expect{{Key: ownerKey(id), Revision: held.ledger.owned().Revision}},
 		Remove: []string{ownerKey(id)},
 	})
 	klog.InfoS("batch: handed over", "batch", id, "err", err)
@@ -92,9 +89,22 @@
 	defer cancel()
 	taken, err := b.Peers.HandOver(ctx, next, state)
 	klog.InfoS("batch: given to its next owner", "batch", id, "owner", next, "listed", len(state.Listed), "pending", len(state.Pending), "partly", len(state.Partials), "taken", taken, "err", err)
+	if taken {
+		b.given(id, next)
+	}
 	return taken
 }
 
+// given sends readers to the next owner of a batch at once.
+func (b *Board) given(id, next string) {
+	b.lock()
+	defer b.mutex.Unlock()
+	delete(b.held, id)
+	if b.owners[id] == b.Process {
+		b.owners[id] = next
+	}
+}
+
 // successor returns the process that should own a model's batches once this one
 // has left; "" if there is none.
 func (b *Board) successor(model string) string {
@@ -118,12 +128,11 @@
 	b.lock()
 	open := b.openRevisions[id]
 	b.mutex.Unlock()
+	owner := held.ledger.owned()
 	held.mutex.Lock()
 	defer held.mutex.Unlock()
-	held.ledger.mutex.Lock()
-	defer held.ledger.mutex.Unlock()
-	state := Handover{Batch: held.batch, Owner: held.ledger.owner, Open: open, Listed: listed, Pending: pending, Partials: held.plan.Partials()}
-	return state, isSure && open != 0 && state.Owner != 0 && !held.plan.IsEnded()
+	state := Handover{Batch: held.batch, Owner: owner, Open: open, Listed: listed, Pending: pending, Partials: held.plan.Partials()}
+	return state, isSure && open != 0 && owner.Revision != 0 && !held.plan.IsEnded()
 }
 
 // TakeHandover goes on with a batch that another process has stopped. An error says
@@ -133,22 +142,15 @@
 // The batch must be as the other one left it: where its trainer has ended it, or
 // another process has claimed it, the store refuses.
 func (b *Board) TakeHandover(ctx context.Context, state Handover) (bool, error) {
-	id, lease := state.Batch.GetId(), b.Lease()
+	id := state.Batch.GetId()
 	// A revision of 0 would ask the store for a batch that is not open, or has no owner.
-	if lease == 0 || state.Owner == 0 || state.Open == 0 || !b.begin(id) {
+	if b.Lease() == 0 || state.Owner.Revision == 0 || state.Open == 0 || !b.begin(id) {
 		return false, nil
 	}
-	defer b.expectOwn(id, false)
+	defer b.release(id)
 	ctx, cancel := context.WithTimeout(ctx, giveTime)
 	defer cancel()
-	data, err := proto.Marshal(statepb.Owner_builder{Process: b.Process}.Build())
-	if err != nil {
-		return false, err
-	}
-	revision, err := b.Store.Commit(ctx, platform.Commit{
-		Expect: []platform.Expect{{Key: ownerKey(id), Revision: state.Owner}, {Key: openKey(id), Revision: state.Open}},
-		Writes: []platform.Write{{Key: ownerKey(id), Data: data, Lease: lease}},
-	})
+	title, err := b.writeOwner(ctx, id, platform.Expect{Key: ownerKey(id), Revision: state.Owner.Revision}, platform.Expect{Key: openKey(id), Revision: state.Open})
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) || err != nil && isNothingDone(err) {
 		klog.InfoS("batch: not taken from its owner", "batch", id, "err", err.Error())
@@ -159,14 +161,14 @@
 	}
 	b.lock()
 	defer b.mutex.Unlock()
-	klog.InfoS("batch: taken from its owner", "batch", id, "owner", revision, "listed", len(state.Listed), "pending", len(state.Pending), "partly", len(state.Partials))
+	klog.InfoS("batch: taken from its owner", "batch", id, "owner", title.Revision, "listed", len(state.Listed), "pending", len(state.Pending), "partly", len(state.Partials))
 	b.metrics.taken.Inc()
 	b.open[id] = true
 	b.openRevisions[id] = state.Open
 	b.owners[id] = b.Process
-	b.ownerRevisions[id] = revision
+	b.ownerRevisions[id] = title.Revision
 	delete(b.unowned, id)
-	state.Owner = revision
+	state.Owner = title
 	b.start(state, clock.Now())
 	return true, nil
 }
--- a/internal/batch/drain_test.go
+++ b/internal/batch/drain_test.go
@@ -70,7 +70,7 @@
 		_, err := store.Commit(t.Context(), platform.Commit{Remove: []string{openKey("b1")}})
 		must.NoError(t, err)
 		first.mutex.Lock()
-		state := Handover{Batch: first.held["b1"].batch, Owner: first.ownerRevisions["b1"], Open: first.openRevisions["b1"]}
+		state := Handover{Batch: first.held["b1"].batch, Owner: Title{Revision: first.ownerRevisions["b1"]}, Open: first.openRevisions["b1"]}
 		first.mutex.Unlock()
 		taken, err := second.TakeHandover(t.Context(), state)
 		must.NoError(t, err)
@@ -90,10 +90,48 @@
 		_, first, second := stopping(t)
 		ledger := first.held["b1"].ledger
 		ledger.mutex.Lock()
-		ledger.unsure = true
+		ledger.isOpen = true
 		ledger.mutex.Unlock()
 		first.Drain(t.Context())
 		await(t, second.holds)
 		must.SliceEmpty(t, second.outcomes(t))
 	})
 }
+
+// A gateway stops while the answer to its last chunk is lost. The next owner was
+// given the batch without that chunk, and listed other results at its places.
+func TestNothingIsGivenUnsure(t *testing.T) {
+	store := &platformtest.Store{}
+	first, own := beginLate(t, store, "g1", "g1", "g2")
+	second := begin(t, store, "g2", "g1", "g2")
+	second.Group = time.Hour
+	first.Peers = nextOwner{board: func() *Board { return second.Board }}
+	must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10, 20)))
+	await(t, func() bool {
+		first.mutex.Lock()
+		defer first.mutex.Unlock()
+		return first.openRevisions["b1"] != 0
+	})
+	own.set(lost)
+	first.held["b1"].ledger.add(outcome("i0"), true)
+	await(t, func() bool {
+		page, err := first.ReadStored(t.Context(), "b1", "", 0)
+		return err == nil && len(page.Outcomes) == 1
+	})
+	first.Drain(t.Context())
+	await(t, second.holds)
+	await(t, func() bool { return len(second.outcomes(t)) == 1 })
+}
+
+// The next owner hears of a batch late: another process has claimed it meanwhile.
+func TestHandoverAfterAClaim(t *testing.T) {
+	store, first, second := stopping(t)
+	first.mutex.Lock()
+	state := Handover{Batch: first.held["b1"].batch, Owner: Title{Revision: first.ownerRevisions["b1"]}, Open: first.openRevisions["b1"]}
+	first.mutex.Unlock()
+	_, err := store.Commit(t.Context(), platform.Commit{Writes: []platform.Write{{Key: ownerKey("b1")}}})
+	must.NoError(t, err)
+	taken, err := second.TakeHandover(t.Context(), state)
+	must.NoError(t, err)
+	must.False(t, taken)
+}
--- a/internal/batch/ledger.go
+++ b/internal/batch/ledger.go
@@ -46,15 +46,26 @@
 	changed chan struct{}
 	// urgent ends the gathering of outcomes.
 	urgent chan struct{}
-	// owner is the revision of the key that says who owns the batch.
-	owner uint64
-	// unsure says that the ledger has stopped without knowing what became of its
-	// last write.
-	unsure bool
+	// title is what makes this process the batch's owner.
+	title Title
+	// isOpen says that a write was sent of which it isn't known whether the store has
+	// done it, or still will.
+	isOpen bool
+	// isOvertaken says that the store holds a chunk of another writer at the next place.
+	isOvertaken bool
+	isStopped   bool
 }
 
-func newLedger(store Store, batch string, group time.Duration, valueBytes int, owner uint64, listed []*statepb.Outcome, metrics *metrics) *ledger {
-	return &ledger{store: store, batch: batch, group: group, valueBytes: valueBytes, metrics: metrics, owner: owner, listed: listed, changed: make(chan struct{}), urgent: make(chan struct{}, 1)}
+// Title is what makes a process the owner of a batch.
+type Title struct {
+	// Revision of the key that says who owns the batch; 0 while this isn't known.
+	Revision uint64
+	// Lease with which the key ends; 0 while this isn't known.
+	Lease uint64
+}
+
+func newLedger(store Store, batch string, group time.Duration, valueBytes int, title Title, listed []*statepb.Outcome, metrics *metrics) *ledger {
+	return &ledger{store: store, batch: batch, group: group, valueBytes: valueBytes, metrics: metrics, title: title, listed: listed, changed: make(chan struct{}), urgent: make(chan struct{}, 1)}
 }
 
 // add takes outcomes to be listed: at once if they are urgent, else together
@@ -75,27 +86,58 @@
 	l.wake()
 }
 
-// reclaimed takes the revision of the owner's key after it was written anew.
-func (l *ledger) reclaimed(revision uint64) {
+// reclaimed takes the title after the owner's key was written anew.
+func (l *ledger) reclaimed(title Title) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.owner = revision
+	if title.Revision > l.title.Revision {
+		l.title = title
+	}
 	l.wake()
 }
 
-// read returns the outcomes from a place on, and a channel that is closed at the next change.
-func (l *ledger) read(after uint64) ([]*statepb.Outcome, <-chan struct{}) {
+// owned returns the title.
+func (l *ledger) owned() Title {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.title
+}
+
+// next returns the place of the next chunk.
+func (l *ledger) next() uint64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return uint64(len(l.listed))
+}
+
+// reading is what a ledger knows of the places from one on.
+type reading struct {
+	outcomes []*statepb.Outcome
+	// changed is closed at the next change.
+	changed <-chan struct{}
+	// isStopped says that there won't be one.
+	isStopped bool
+	// lease with which the title ends.
+	lease uint64
+	// isOpen says that the store may hold more than the ledger knows of.
+	isOpen bool
+}
+
+func (l *ledger) read(after uint64) reading {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if after >= uint64(len(l.listed)) {
-		return nil, l.changed
+	found := reading{changed: l.changed, isStopped: l.isStopped, lease: l.title.Lease, isOpen: l.isOpen}
+	if after < uint64(len(l.listed)) {
+		found.outcomes = l.listed[after:]
 	}
-	return l.listed[after:], l.changed
+	return found
 }
 
-// run writes outcomes until the context ends.
+// run writes outcomes until the context ends, or until another writer's chunk
+// stands where the next one belongs.
 func (l *ledger) run(ctx context.Context) {
-	for ctx.Err() == nil {
+	defer l.stop()
+	for ctx.Err() == nil && !l.overtaken() {
 		l.mutex.Lock()
 		changed, isEmpty := l.changed, len(l.pending) == 0
 		l.mutex.Unlock()
@@ -112,6 +154,20 @@
 	}
 }
 
+// stop lets readers go on elsewhere at once.
+func (l *ledger) stop() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.isStopped = true
+	l.wake()
+}
+
+func (l *ledger) overtaken() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.isOvertaken
+}
+
 // gather waits for more outcomes, so that one write lists many.
 func (l *ledger) gather(ctx context.Context) {
 	timer := time.NewTimer(l.group)
@@ -132,28 +188,27 @@
 func (l *ledger) write(ctx context.Context) {
 	began := clock.Now()
 	l.mutex.Lock()
-	chunk := statepb.Chunk_builder{First: uint64(len(l.listed)), Outcomes: l.head()}.Build()
+	first, outcomes := uint64(len(l.listed)), l.head()
 	l.mutex.Unlock()
-	data, err := proto.Marshal(chunk)
+	data, err := marshalChunk(first, outcomes)
 	if err != nil {
 		klog.ErrorS(err, "batch: a chunk can't be encoded", "batch", l.batch)
 		return
 	}
-	isTried := false
-	for ctx.Err() == nil {
-		isTried = true
-		if l.commit(ctx, chunk.GetFirst(), data) {
+	for ctx.Err() == nil && !l.overtaken() {
+		if l.commit(ctx, first, data) {
 			l.metrics.writes.WithLabelValues("held").Inc()
-			l.list(chunk.GetOutcomes())
-			klog.InfoS("batch: listed", "batch", l.batch, "first", chunk.GetFirst(), "outcomes", len(chunk.GetOutcomes()), "took", clock.Now().Sub(began))
+			l.list(outcomes)
+			klog.InfoS("batch: listed", "batch", l.batch, "first", first, "outcomes", len(outcomes), "took", clock.Now().Sub(began))
 			return
 		}
 		l.metrics.writes.WithLabelValues("open").Inc()
 		pause.For(ctx, writePause)
 	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.unsure = isTried
+}
+
+func marshalChunk(first uint64, outcomes []*statepb.Outcome) ([]byte, error) {
+	return proto.Marshal(statepb.Chunk_builder{First: first, Outcomes: outcomes}.Build())
 }
 
 // rest returns what is listed and what waits to be, once the ledger has stopped.
@@ -161,7 +216,7 @@
 func (l *ledger) rest() (listed, pending []*statepb.Outcome, isSure bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.listed, l.pending, !l.unsure
+	return l.listed, l.pending, !l.isOpen && !l.isOvertaken
 }
 
 // head returns as many of the waiting outcomes as fit into one value.
@@ -178,16 +233,17 @@
 
 // commit writes a chunk if this process owns the batch, and reports whether the
 // store holds it.
+//
+// From the call until its end is known the ledger is open: another gateway may read
+// the chunk from the store and show it before this process hears that it is there.
 func (l *ledger) commit(ctx context.Context, first uint64, data []byte) bool {
-	l.mutex.Lock()
-	owner := l.owner
-	l.mutex.Unlock()
-	if owner == 0 {
+	title, isFirst := l.begin()
+	if title.Revision == 0 {
 		return false
 	}
 	key := chunkKey(l.batch, first)
 	_, err := l.store.Commit(ctx, platform.Commit{
-		Expect: []platform.Expect{{Key: ownerKey(l.batch), Revision: owner}, {Key: key}},
+		Expect: []platform.Expect{{Key: ownerKey(l.batch), Revision: title.Revision}, {Key: key}},
 		Writes: []platform.Write{{Key: key, Data: data}},
 	})
 	var conflict *platform.ConflictError
@@ -195,14 +251,47 @@
 	case err == nil:
 		return true
 	case errors.As(err, &conflict):
-		for _, value := range conflict.Present {
-			if value.Key == key && bytes.Equal(value.Data, data) {
-				return true
-			}
-		}
-		klog.InfoS("batch: a chunk was not written, the batch is owned anew", "batch", l.batch, "first", first, "owner", owner)
-	default:
-		klog.InfoS("batch: a chunk was not written", "batch", l.batch, "first", first, "err", err.Error())
+		return l.conflict(conflict, title, key, data)
+	case isFirst && isNothingDone(err):
+		l.close()
+	}
+	klog.InfoS("batch: a chunk was not written", "batch", l.batch, "first", first, "err", err.Error())
+	return false
+}
+
+// begin opens the ledger for a write. It reports whether no earlier write is open.
+func (l *ledger) begin() (title Title, isFirst bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	isFirst = !l.isOpen
+	l.isOpen = l.isOpen || l.title.Revision != 0
+	return l.title, isFirst
+}
+
+func (l *ledger) close() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.isOpen = false
+}
+
+// conflict takes the store's word that a chunk can't be written. It reports whether
+// that is because the store holds it.
+//
+// Where the chunk isn't there, the owner's key has changed. No earlier try can be
+// done any more, since revisions don't come back, and what is listed is another
+// owner's to say.
+func (l *ledger) conflict(conflict *platform.ConflictError, title Title, key string, data []byte) bool {
+	present, isThere := conflict.Find(key)
+	if isThere && bytes.Equal(present.Data, data) {
+		return true
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	klog.InfoS("batch: a chunk was not written, the batch is owned anew", "batch", l.batch, "key", key, "owner", title.Revision, "overtaken", isThere)
+	l.isOpen = false
+	l.isOvertaken = isThere
+	if l.title == title {
+		l.title.Lease = 0
 	}
 	return false
 }
@@ -210,6 +299,7 @@
 func (l *ledger) list(outcomes []*statepb.Outcome) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.isOpen = false
 	l.listed = append(l.listed, outcomes...)
 	for _, outcome := range outcomes {
 		l.metrics.countOutcome(outcome.GetFailed())
--- a/internal/batch/leftovers.go
+++ b/internal/batch/leftovers.go
@@ -78,9 +78,19 @@
 // Leftovers returns the texts of groups that aren't whole: their items may come
 // again in a later batch.
 func (p *Plan) Leftovers() []Leftover {
+	return p.texts(func(one *item) bool { return p.groups[one.spec.GetGroup()] > 0 })
+}
+
+// Texts returns the texts of all items, for when the batch goes on from what the
+// store holds of it.
+func (p *Plan) Texts() []Leftover {
+	return p.texts(func(*item) bool { return true })
+}
+
+func (p *Plan) texts(isWanted func(*item) bool) []Leftover {
 	var leftovers []Leftover
 	for _, one := range p.items {
-		if p.groups[one.spec.GetGroup()] == 0 || len(one.events) == 0 || one.outcome.GetFailed() {
+		if !isWanted(one) || len(one.events) == 0 || one.outcome.GetFailed() {
 			continue
 		}
 		isWhole := one.phase == unscored || one.phase == scoring || one.phase == settled
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -20,10 +20,18 @@
 type Page struct {
 	Total    uint64
 	Outcomes []*statepb.Outcome
+	// Unsure says of a page without outcomes that the store may hold some.
+	Unsure bool
 }
 
 // ReadOwn returns the outcomes of a batch that this process owns from a place
 // on; it waits for one if there is none. It reports false if the batch isn't held here.
+//
+// A reader may have been shown a place that this process doesn't know of: a chunk
+// whose answer is late, or one that another process has listed since this one has
+// lost the batch. Told "nothing is there", the trainer would see a place go away; so
+// this is said only under a lease that stands and with no write open, and the store
+// is to be asked else.
 func (b *Board) ReadOwn(ctx context.Context, id, account string, after uint64, wait time.Duration) (Page, bool, error) {
 	b.lock()
 	held := b.held[id]
@@ -36,17 +44,22 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
-		outcomes, changed := held.ledger.read(after)
-		if len(outcomes) > 0 || wait <= 0 || after >= held.total {
-			return Page{Total: held.total, Outcomes: head(outcomes)}, true, nil
+	for isOver := wait <= 0; ; {
+		found := held.ledger.read(after)
+		page := Page{Total: held.total, Outcomes: head(found.outcomes)}
+		if len(found.outcomes) > 0 || after >= held.total {
+			return page, true, nil
+		}
+		if isOver || found.isStopped {
+			page.Unsure = found.isStopped || found.isOpen || found.lease == 0 || found.lease != b.Lease()
+			return page, true, nil
 		}
 		select {
 		case <-ctx.Done():
-			return Page{Total: held.total}, true, nil
+			isOver = true
 		case <-timer.C:
-			return Page{Total: held.total}, true, nil
-		case <-changed:
+			isOver = true
+		case <-found.changed:
 		}
 	}
 }
--- a/internal/duty/keeper_test.go
+++ b/internal/duty/keeper_test.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/duty"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform/platformtest"
 )
 
@@ -263,6 +265,12 @@
 		must.Eq(t, 1, resuming.count())
 		must.Eq(t, 0, waiting.count())
 		must.Eq(t, left, resuming.term(0).Fence())
+		// Killed once more, the next start has to go on under the same fence.
+		value, err := store.Get(t.Context(), duty.Key("order-a"))
+		must.NoError(t, err)
+		holder := &statepb.Holder{}
+		must.NoError(t, proto.Unmarshal(value.Data, holder))
+		must.Eq(t, left, holder.GetFence())
 		stop()
 		time.Sleep(lease)
 		must.Eq(t, 1, waiting.count())
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -30,7 +30,7 @@
 func (h *Handler) page(ctx context.Context, caller *caller, call Call) (batch.Page, error) {
 	wait := min(call.Wait, greatestWait)
 	page, isOwn, err := h.Board.ReadOwn(ctx, call.Batch, caller.account.Name, call.After, wait)
-	if isOwn || err != nil {
+	if isOwn && !page.Unsure || err != nil {
 		return page, err
 	}
 	if client := h.Hosts.Client(h.Board.Owner(call.Batch)); client != nil {
@@ -85,7 +85,7 @@
 		return false, nil
 	}
 	reply, err := client.HandOver(ctx, peerpb.HandOverRequest_builder{
-		Batch: state.Batch, Owner: state.Owner, Open: state.Open, Listed: state.Listed, Pending: state.Pending, Partials: state.Partials,
+		Batch: state.Batch, Owner: state.Owner.Revision, Open: state.Open, Listed: state.Listed, Pending: state.Pending, Partials: state.Partials,
 	}.Build())
 	return reply.GetTaken(), err
 }
@@ -117,7 +117,7 @@
 // HandOver goes on with a batch of another gateway.
 func (s *Server) HandOver(ctx context.Context, request *peerpb.HandOverRequest) (*peerpb.HandOverReply, error) {
 	taken, err := s.Board.TakeHandover(context.WithoutCancel(ctx), batch.Handover{
-		Batch: request.GetBatch(), Owner: request.GetOwner(), Open: request.GetOpen(),
+		Batch: request.GetBatch(), Owner: batch.Title{Revision: request.GetOwner()}, Open: request.GetOpen(),
 		Listed: request.GetListed(), Pending: request.GetPending(), Partials: request.GetPartials(),
 	})
 	if err != nil {
@@ -163,7 +163,7 @@
 	if err != nil && refusal.Of(err).Code != "no_batch" {
 		return nil, err
 	}
-	return peerpb.ReadReply_builder{Owned: isOwn, Allowed: err == nil, Total: page.Total, Outcomes: page.Outcomes}.Build(), nil
+	return peerpb.ReadReply_builder{Owned: isOwn && !page.Unsure, Allowed: err == nil, Total: page.Total, Outcomes: page.Outcomes}.Build(), nil
 }
 
 // Watch waits for changes that this gateway has seen by watches of its own.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -31,6 +31,17 @@
 	Present []Value
 }
 
+// Find returns the present value of one of the commit's keys; false if the key
+// doesn't exist or the store doesn't tell.
+func (e *ConflictError) Find(key string) (Value, bool) {
+	for _, value := range e.Present {
+		if value.Key == key && value.Revision != 0 {
+			return value, true
+		}
+	}
+	return Value{}, false
+}
+
 // CompactedError says that the store no longer knows what has changed since a revision.
 type CompactedError struct {
 	Prefix string
