Let late answers of the property's store end with their call, and owners be silent

Traced by the goroutines' stacks (ledger.commit in lateStore.Commit, 8 minutes).

The property now also reads with a silent owner, so from the store; without that it did not notice an owner that says nothing is there while a write is open. It does now (mutation by hand).

--- a/internal/batch/shown_test.go
+++ b/internal/batch/shown_test.go
@@ -67,7 +67,11 @@
 	}
 	revision, err := l.Store.Commit(ctx, commit)
 	if next == late {
-		<-let
+		select {
+		case <-let:
+		case <-ctx.Done():
+			return 0, &platform.UnavailableError{Operation: "commit", Cause: ctx.Err()}
+		}
 	}
 	if next == lost {
 		return 0, &platform.UnavailableError{Operation: "commit"}
@@ -103,7 +107,8 @@
 	return []*statepb.Outcome{statepb.Outcome_builder{Item: item, Text: "text of " + item}.Build()}
 }
 
-// readAt reads as a gateway does: from itself, else from the owner, else from the store.
+// readAt reads as a gateway does: from itself, else from the owner, else from the
+// store. An owner that isn't among the others is silent.
 func readAt(ctx context.Context, p *process, others map[string]*process, after uint64) ([]*statepb.Outcome, error) {
 	page, isOwn, err := p.ReadOwn(ctx, "b1", "", after, 0)
 	if isOwn && !page.Unsure || err != nil {
@@ -293,7 +298,11 @@
 				stores[name].finish()
 			case "read":
 				after := rapid.IntRange(0, len(items)-1).Draw(rt, "after")
-				found, err := readAt(t.Context(), processes[name], processes, uint64(after))
+				others := processes
+				if rapid.Bool().Draw(rt, "silent") {
+					others = nil
+				}
+				found, err := readAt(t.Context(), processes[name], others, uint64(after))
 				if err != nil {
 					continue
 				}
