Send a request where a connection is open and unused

Change: of the servers of the zone, those to which this gateway has an open, unused connection are drawn from first, while they are under half full, have not failed, and answered the last request within the time that its route wishes; a slow server keeps nobody.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -131,13 +131,16 @@
 
 // send sends the request to one server.
 func (r *run) send(ctx context.Context, server *roster.Server) (*backend.Answer, error) {
-	left := r.request.left()
+	left, began := r.request.left(), clock.Now()
 	answer, err := server.Direct().Do(ctx, r.request.to(server.Name(), left, r.silence(left)))
 	if err == nil || !refusal.IsNotRun(err) {
 		r.start()
 	}
 	if err == nil {
 		r.forwarder.Roster.Answered(server)
+		if target := r.request.Route.Target; target > 0 {
+			r.forwarder.Roster.Timed(server, clock.Now().Sub(began) > target)
+		}
 	}
 	return answer, err
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -61,6 +61,10 @@
 	missing clock.Boot
 	gone    bool
 	pace    pace
+	// spares are the connections that are open and unused, by when they were used last.
+	spares []clock.Boot
+	// isLate says that the last answer took longer than its caller wished.
+	isLate bool
 }
 
 // Direct returns the way to the server.
@@ -259,7 +263,9 @@
 	r.prepare()
 	now := clock.Now()
 	for _, one := range r.pools[pool] {
-		r.mark(r.servers[one.Name()], now)
+		server := r.servers[one.Name()]
+		r.mark(server, now)
+		server.SetSpare(server.hasSpare(now, r.Idle) && !server.isLate)
 	}
 	choice := r.chooser.Choose(r.pools[pool], route.Request{Now: time.Now(), Tried: tried})
 	if choice.Server == nil {
@@ -272,6 +278,10 @@
 func (r *Roster) begin(chosen *route.Server) *Server {
 	chosen.Begin()
 	server := r.servers[chosen.Name()]
+	if last := len(server.spares) - 1; last >= 0 {
+		// The transport takes the connection that was used last.
+		server.spares = server.spares[:last]
+	}
 	r.meter(server.entry.Pool).run(1, clock.Now())
 	return server
 }
@@ -281,6 +291,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	server.Finish()
+	server.spares = append(server.spares, clock.Now())
 	// Whatever came of the one that asked, the next one may ask: an end that says
 	// nothing of the server would otherwise keep all work from it for good.
 	server.isAsked = false
@@ -303,6 +314,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := clock.Now()
+	server.spares = nil
 	if server.failures > 0 && now < server.full {
 		return
 	}
@@ -348,6 +360,24 @@
 	server.refusals, server.isAsked = 0, false
 }
 
+// Timed notes whether an answer came within the time that its caller wished. A server
+// that is late is not preferred for its connections.
+func (r *Roster) Timed(server *Server, isLate bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	server.isLate = isLate
+}
+
+// hasSpare forgets connections that were closed unused, and reports whether one is left.
+func (s *Server) hasSpare(now clock.Boot, idle time.Duration) bool {
+	closed := 0
+	for closed < len(s.spares) && now.Sub(s.spares[closed]) >= idle {
+		closed++
+	}
+	s.spares = s.spares[closed:]
+	return len(s.spares) > 0
+}
+
 // mark sets whether a server gets new work now.
 func (r *Roster) mark(server *Server, now clock.Boot) {
 	switch {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -224,3 +225,58 @@
 		must.False(t, roster.IsBetter(roster.servers["s1"], need))
 	}
 }
+
+// A gateway has few look-ups for many servers. Drawn anew each time, nearly every one
+// waited for a new connection.
+func TestUnusedConnectionFirst(t *testing.T) {
+	begin := func() *Roster {
+		roster := &Roster{Zone: "a", Idle: time.Minute}
+		roster.prepare()
+		roster.chooser.Random = rand.New(rand.NewPCG(1, 2))
+		for _, id := range []string{"s1", "s2", "s3", "s4", "s5"} {
+			roster.Set(sampler(id, 4))
+		}
+		return roster
+	}
+	choose := func(roster *Roster) *Server {
+		server, _ := roster.Choose(pool, nil)
+		return server
+	}
+	t.Run("one after the other", func(t *testing.T) {
+		roster := begin()
+		first := choose(roster)
+		roster.Finish(first)
+		for range 20 {
+			next := choose(roster)
+			must.Eq(t, first.Name(), next.Name())
+			roster.Finish(next)
+		}
+	})
+	t.Run("many at once are spread", func(t *testing.T) {
+		roster := begin()
+		for range 10 {
+			must.LessEq(t, 3, choose(roster).Own())
+		}
+	})
+	t.Run("not once it has been closed", func(t *testing.T) {
+		roster := begin()
+		first := choose(roster)
+		roster.Finish(first)
+		first.spares[0] = first.spares[0].Add(-2 * roster.Idle)
+		_, reason := roster.Choose(pool, nil)
+		must.Eq(t, route.ReasonZone, reason)
+	})
+	for name, spoil := range map[string]func(*Roster, *Server){
+		"not at a server that was late":   func(r *Roster, server *Server) { r.Timed(server, true) },
+		"not at a server that has failed": func(r *Roster, server *Server) { r.Failed(server, "cut") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			roster := begin()
+			first := choose(roster)
+			roster.Finish(first)
+			spoil(roster, first)
+			_, reason := roster.Choose(pool, nil)
+			must.Eq(t, route.ReasonZone, reason)
+		})
+	}
+}
--- a/internal/route/chooser.go
+++ b/internal/route/chooser.go
@@ -16,6 +16,8 @@
 	DefaultSpread = 2
 	// leastReplicas of a prefix share its requests.
 	leastReplicas = 2
+	// spareBound is the utilization from which on an unused connection decides nothing.
+	spareBound = 0.5
 	// zoneMargin is the utilization by which another zone must be better.
 	zoneMargin = 0.25
 )
@@ -29,6 +31,7 @@
 	ReasonPrefix  Reason = "less loaded of two for the prefix"
 	ReasonDraws   Reason = "less loaded of two random ones"
 	ReasonZone    Reason = "less loaded of two random ones of the zone"
+	ReasonSpare   Reason = "less loaded of two random ones of the zone with an unused connection"
 	ReasonAway    Reason = "of another zone, this one is loaded"
 	ReasonSuspect Reason = "suspected, no open one is left"
 )
@@ -72,6 +75,7 @@
 	mean     float64
 	eligible []*Server
 	near     []*Server
+	spare    []*Server
 }
 
 // Choose returns the server for a request. With a prefix it prefers the servers
@@ -201,6 +205,9 @@
 	if len(c.near) == 0 {
 		return Choice{Server: c.draw(c.eligible), Reason: ReasonDraws}
 	}
+	if server := c.bySpare(); server != nil {
+		return Choice{Server: server, Reason: ReasonSpare}
+	}
 	near := c.draw(c.near)
 	away := c.draw(c.eligible)
 	if near.utilization() >= 1 && away.utilization()+zoneMargin < near.utilization() {
@@ -209,6 +216,30 @@
 	return Choice{Server: near, Reason: ReasonZone}
 }
 
+// bySpare draws among the servers of this zone to which a connection is open and
+// unused, or returns nil if none of them has room enough.
+//
+// Where many entries share many servers, each sends to one server so rarely that its
+// connection is closed before the next request: nearly every request waited for a new
+// one. Kept to those that it has used lately, an entry uses a few servers, and others
+// once these are half taken.
+func (c *Chooser) bySpare() *Server {
+	c.spare = c.spare[:0]
+	for _, server := range c.near {
+		if server.hasSpare {
+			c.spare = append(c.spare, server)
+		}
+	}
+	if len(c.spare) == 0 {
+		return nil
+	}
+	server := c.draw(c.spare)
+	if server.utilization() >= spareBound {
+		return nil
+	}
+	return server
+}
+
 // draw returns the less loaded of two random servers.
 func (c *Chooser) draw(servers []*Server) *Server {
 	first := c.random(len(servers))
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -54,6 +54,8 @@
 	ended int64
 	// estimate is the load that the chooser compares by.
 	estimate float64
+	// hasSpare says that a connection to the server is open and unused.
+	hasSpare bool
 }
 
 // NewServer returns an open server of which no load is known.
@@ -91,6 +93,9 @@
 // Reported returns the requests that run or wait by the last report.
 func (s *Server) Reported() int64 { return s.report.Running + s.report.Queued }
 
+// SetSpare sets whether a connection to the server is open and unused.
+func (s *Server) SetSpare(hasSpare bool) { s.hasSpare = hasSpare }
+
 // SetStanding sets whether the server gets new work.
 func (s *Server) SetStanding(standing Standing) { s.standing = standing }
 
