--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -17,7 +17,6 @@
 	Tables   tablesCmd   `cmd:"" default:"withargs" help:"Run experiments and print their tables."`
 	Overhead overheadCmd `cmd:"" help:"Compare requests through entry and sidecar with direct ones."`
 	Steps    stepsCmd    `cmd:"" help:"Tell from the logs of gateways where the time of trainers' steps went."`
-	Slopes   slopesCmd   `cmd:"" help:"Run growing numbers of idle processes and print what each costs."`
 }
 
 // tablesCmd prints the tables of experiments.
--- a/cmd/measure/overheadcmd.go
+++ b/cmd/measure/overheadcmd.go
@@ -97,7 +97,7 @@
 	if err := p.startSidecar(ctx, 1, "plain", "ledger", ledger["address"]); err != nil {
 		return "", "", err
 	}
-	through = "http://" + p.entries[0].caller + "/services/ledger/records/1"
+	through = "http://" + p.caller + "/services/ledger/records/1"
 	client := listen.Client("overhead")
 	for began := time.Now(); time.Since(began) < readyBound; time.Sleep(pollPause) {
 		if status, err := fetch(ctx, client, through, accountKey); err == nil && status == http.StatusOK {
--- a/cmd/measure/processes.go
+++ b/cmd/measure/processes.go
@@ -21,6 +21,8 @@
 	forceBound = 30 * time.Second
 	pollPause  = 50 * time.Millisecond
 	accountKey = "measure-key"
+	// zones are those of the processes, in turn.
+	zones = 7
 )
 
 // processes are the programs of one measurement.
@@ -30,43 +32,10 @@
 
 	platform string
 	commands []*exec.Cmd
-	entries  []started
-	sidecars []started
-}
-
-// started is a program that listens.
-type started struct {
-	pid    int
+	// caller is the address of the entry for callers.
 	caller string
 }
 
-// start starts the stand-ins, then the entries and sidecars.
-func (p *processes) start(ctx context.Context, count int) error {
-	standin, err := p.runStandin(ctx, "platform", "platform")
-	if err != nil {
-		return err
-	}
-	p.platform = "http://" + standin["address"]
-	engine, err := p.runStandin(ctx, "engine", "engine", "--model", "assistant")
-	if err != nil {
-		return err
-	}
-	if err := p.change(ctx, 1); err != nil {
-		return err
-	}
-	for i := range count {
-		if float64(i) < entryShare*float64(count) {
-			err = p.startEntry(ctx, i)
-		} else {
-			err = p.startSidecar(ctx, i, "engine", "assistant", engine["address"])
-		}
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // change writes a configuration with a number of its own to the store.
 func (p *processes) change(ctx context.Context, number uint64) error {
 	client := platform.NewClient(p.platform, time.Second)
@@ -91,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	p.entries = append(p.entries, started{pid: p.last(), caller: addresses["caller"]})
+	p.caller = addresses["caller"]
 	return p.host(ctx, name, "entry", addresses["peer"], i)
 }
 
@@ -102,21 +71,18 @@
 	if err != nil {
 		return err
 	}
-	p.sidecars = append(p.sidecars, started{pid: p.last()})
 	return p.host(ctx, name, "sidecar", addresses["peer"], i)
 }
 
-func (p *processes) last() int { return p.commands[len(p.commands)-1].Process.Pid }
-
 func (p *processes) common(name string, i int) string {
 	return fmt.Sprintf("[process]\nname = %s\nregion = region%d\nzone = zone%d\npeer = 127.0.0.1:0\nready = %s\n[platform]\naddress = %s\n",
-		name, i%2, i%slopeZones, p.file(name+".ready"), p.platform)
+		name, i%2, i%zones, p.file(name+".ready"), p.platform)
 }
 
 func (p *processes) file(name string) string { return filepath.Join(p.folder, name) }
 
 func (p *processes) host(ctx context.Context, name, role, address string, i int) error {
-	host := platform.Host{Name: name, Role: role, Address: address, Zone: fmt.Sprintf("zone%d", i%slopeZones), State: "live"}
+	host := platform.Host{Name: name, Role: role, Address: address, Zone: fmt.Sprintf("zone%d", i%zones), State: "live"}
 	return post(ctx, p.platform+"/control/hosts", host)
 }
 
@@ -133,7 +99,7 @@
 
 // launch starts a program and waits for its ready file.
 func (p *processes) launch(ctx context.Context, program, name string, args ...string) (map[string]string, error) {
-	path, err := filepath.Abs(programFile(p.programs, program))
+	path, err := filepath.Abs(filepath.Join(p.programs, program))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cmd/process.go
+++ b/internal/cmd/process.go
@@ -31,9 +31,7 @@
 
 // garbagePercent is how far the heap may grow, in percent of what lives, before
 // it is collected. Hosts are billed for the memory of a process and less so for
-// its processor time: at 100, the default, four gateways and three keepers held 145 MB
-// on average through 54 s with three trainers and used 5.7 s of a core, at 40
-// they held 112 MB and used 6.7 s, at 20 as much and 7.9 s.
+// its processor time, so garbage is collected sooner than the runtime's default.
 const garbagePercent = 40
 
 // limitGarbage sets garbagePercent, unless the operator has set the runtime's own variable.
--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -185,8 +185,7 @@
 // look makes a call directly to find out whether the store serves this host again.
 //
 // Nothing waits for it. A host that is cut off without an error waits out its
-// whole timeout on each direct call; batches that it owned were accepted 0.7 s
-// late, as every call after a second was sent directly first.
+// whole timeout on each direct call, and callers of its batches would with it.
 func (c *Caller) look(ctx context.Context, call Call) {
 	answer, err := c.Direct.ask(ctx, call)
 	if err == nil && !platform.IsTurnedAway(answer.Status) {
--- a/internal/detour/direct.go
+++ b/internal/detour/direct.go
@@ -62,8 +62,9 @@
 // Do makes one call. For a moment after the store has turned a call away, the
 // next ones are not made and count as turned away too.
 //
-// While the store was away for six seconds, the parts of 19 gateways made 3,300
-// calls to learn of it, and to help each other; a whole quiet minute takes 1,340.
+// While the store is away, all parts of all processes learn of it by calls of their
+// own, and help each other by more. Unbounded, these took up the store's limit just as
+// it came back.
 func (d *Direct) Do(ctx context.Context, call Call) (Answer, error) {
 	if d.isRefused() {
 		return Answer{Status: http.StatusServiceUnavailable}, nil
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -139,13 +139,13 @@
 // left returns what an earlier start of this process has left of the duty.
 //
 // A process that was killed and is back would wait for its own lease to lapse. All
-// processes ended at once, no weights were loaded for the 3 s of the lease, and the
+// processes ended at once, no weights were loaded for the length of the lease, and the
 // steps that were asked meanwhile waited for samplers. The start before is gone
 // for good: this one has its address. Its term goes on under its fence, so that a
 // call of it that is done late is no call of an earlier holder; under a new fence
-// a platform that takes such calls had to be left alone for 6 s first, and usage
-// windows were reported too late. A term that this start has had is no such case: it
-// ended since the process stood still or was cut off.
+// a platform that takes such calls has to be left alone for a while first, and usage
+// windows were reported too late. A term that this start has had goes on by regain,
+// or not at all.
 func (k *Keeper) left() Left {
 	if k.Left == nil || k.hasHeld {
 		return Left{}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -125,8 +125,8 @@
 // Candidates returns the names of the gateways that may take work over.
 //
 // In a rolling stop several stop at the same time, each for seconds. Ranked with
-// the others, they made those that could take a batch over wait for them, 150 ms
-// each: over a second until its texts went on.
+// the others, they made those that could take a batch over wait for them, one after
+// the other, before its texts went on.
 func (h *Hosts) Candidates() []string {
 	return h.names(func(host *statepb.Host) bool { return !host.GetLeaving() })
 }
@@ -262,9 +262,8 @@
 //
 // All gateways rank each other alike, and the first that answers is the one that
 // watches. When it dies, the next one finds no answer as the others do, watches
-// itself, and is followed from then on. If all turned to the store until the
-// dead one's lease had lapsed, each such death cost some 400 calls with 19
-// gateways, an eighth of a day's.
+// itself, and is followed from then on. Else all would turn to the store until the
+// dead one's lease had lapsed, with calls that grow with the gateways.
 func (h *Hosts) watcher() string {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/listen/grpc.go
+++ b/internal/listen/grpc.go
@@ -30,9 +30,8 @@
 	lastRedial  = time.Second
 	// peerDialTimeout bounds one try to connect to another process: fifty times the
 	// way between two zones, and less than the second after which a lost opening
-	// packet is sent again. Where whole hosts start anew, one that comes 0.1 s earlier
-	// than its keeper loses that packet; it then had no texts for 0.8 s, and made them
-	// all anew.
+	// packet is sent again. Where whole hosts start anew, one that is a little earlier
+	// than its keeper loses that packet, has no texts in time, and makes them all anew.
 	peerDialTimeout = 400 * time.Millisecond
 )
 
--- a/internal/weight/choice.go
+++ b/internal/weight/choice.go
@@ -114,8 +114,8 @@
 }
 
 // candidates returns the samplers that may load a model's newest version, by zone
-// and in each zone ordered by cost. Ordered once in a round: compared anew for each
-// of its orders, a round over 930 samplers took 6.7 ms of a core in place of 0.33.
+// and in each zone ordered by cost. They are ordered once in a round, since comparing
+// all for each order would grow with samplers and orders.
 func (s *Schedule) candidates(work *Work, now time.Time) map[string][]*sampler {
 	zones := map[string][]*sampler{}
 	for _, sampler := range s.samplers {
--- a/internal/weight/schedule.go
+++ b/internal/weight/schedule.go
@@ -61,8 +61,8 @@
 // concerns one of them only, so samplers aren't divided between models: each
 // load goes to the model whose step lacks samplers most, and replaces the oldest
 // weights of that model. Divided into equal parts that were refreshed in the order
-// of the models' names, one model of three had one sampler of eleven, and its
-// generations waited 8 s for a place where a step has 7.5 s.
+// of the models' names, the last model was left with a single sampler, and its steps
+// were late.
 type Schedule struct {
 	// Share is the greatest share of the samplers that change at the same time.
 	Share float64
--- a/internal/weight/width.go
+++ b/internal/weight/width.go
@@ -79,12 +79,12 @@
 // learnNarrow learns while few changes are under way, of which one more is a
 // large part.
 //
-// Three loads at a store that carries two take 1.5 s each where two take 1.06 s:
-// as many are done in a second, and each is there half a second later. What the
+// Three loads at a store that carries two take half as long again as two: as many
+// are done in a second, and each is there later. What the
 // store carries is seen from each change: as many as were under way, less the part
 // of its time that it waited. The best of the last few counts, since a sampler that
 // is slow by itself says nothing of the store; taken for its word, one such sampler
-// held loads to one at a time for 10 s. A wider one is tried now and then.
+// held loads to one at a time. A wider one is tried now and then.
 func (w *width) learnNarrow(queued, under float64) {
 	w.carried[w.changes%len(w.carried)] = under * (1 - queued)
 	w.changes++
