Tests: a write that is cut off, connections of a server that has failed or is half full

Found by taking guards out by hand: context.WithoutCancel in ledger.commit, the reset of unused connections after a failure and spareBound were noticed by no test; now they are.

--- a/internal/batch/shown_test.go
+++ b/internal/batch/shown_test.go
@@ -72,6 +72,8 @@
 	if next == late {
 		select {
 		case <-let:
+		case <-ctx.Done():
+			return 0, &platform.UnavailableError{Operation: "commit", Cause: ctx.Err()}
 		case <-time.After(callTime):
 			return 0, &platform.UnavailableError{Operation: "commit"}
 		}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -269,6 +269,14 @@
 	for name, spoil := range map[string]func(*Roster, *Server){
 		"not at a server that was late":   func(r *Roster, server *Server) { r.Timed(server, true) },
 		"not at a server that has failed": func(r *Roster, server *Server) { r.Failed(server, "cut") },
+		"not once a suspicion has ended": func(r *Roster, server *Server) {
+			r.Failed(server, "cut")
+			server.suspect, server.full = 0, 0
+		},
+		"not at a server that is half full": func(r *Roster, server *Server) {
+			server.Begin()
+			server.Begin()
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			roster := begin()
