--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -273,7 +273,7 @@
 			r.Failed(server, "cut")
 			server.suspect, server.full = 0, 0
 		},
-		"not at a server that is half full": func(r *Roster, server *Server) {
+		"not at a server that is half full": func(_ *Roster, server *Server) {
 			server.Begin()
 			server.Begin()
 		},
