Keep generations spread over samplers; a test waits for its gateway's lease

- TestStreamGoesOn: fifty streams one after the other went to one of two samplers, since it had an unused connection.
Servers with models are no longer preferred for their connections (TestUnusedConnectionFirst, not at a sampler).
- TestAcceptedWithoutAnswer: the one answer that the test's store loses was that of the gateway's own lease, 2 ms before the batch came, and the batch was refused truthfully ("not run").
The test meant the batch's: it now waits until the gateway takes batches, and asserts what it did.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -265,7 +265,7 @@
 	for _, one := range r.pools[pool] {
 		server := r.servers[one.Name()]
 		r.mark(server, now)
-		server.SetSpare(server.hasSpare(now, r.Idle) && !server.isLate)
+		server.SetSpare(server.mayKeep() && server.hasSpare(now, r.Idle))
 	}
 	choice := r.chooser.Choose(r.pools[pool], route.Request{Now: time.Now(), Tried: tried})
 	if choice.Server == nil {
@@ -368,6 +368,11 @@
 	server.isLate = isLate
 }
 
+// mayKeep reports whether requests may stay with a server for its connections. One
+// with models slows all that it generates down with each request more, which costs a
+// caller more than a new connection.
+func (s *Server) mayKeep() bool { return len(s.entry.Versions) == 0 && !s.isLate }
+
 // hasSpare forgets connections that were closed unused, and reports whether one is left.
 func (s *Server) hasSpare(now clock.Boot, idle time.Duration) bool {
 	closed := 0
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -234,7 +234,9 @@
 		roster.prepare()
 		roster.chooser.Random = rand.New(rand.NewPCG(1, 2))
 		for _, id := range []string{"s1", "s2", "s3", "s4", "s5"} {
-			roster.Set(sampler(id, 4))
+			entry := sampler(id, 4)
+			entry.Versions = nil
+			roster.Set(entry)
 		}
 		return roster
 	}
@@ -269,6 +271,7 @@
 	for name, spoil := range map[string]func(*Roster, *Server){
 		"not at a server that was late":   func(r *Roster, server *Server) { r.Timed(server, true) },
 		"not at a server that has failed": func(r *Roster, server *Server) { r.Failed(server, "cut") },
+		"not at a sampler":                func(_ *Roster, server *Server) { server.entry.Versions = map[string]uint64{"m": 2} },
 		"not once a suspicion has ended": func(r *Roster, server *Server) {
 			r.Failed(server, "cut")
 			server.suspect, server.full = 0, 0
--- a/test/gateway/fixture_test.go
+++ b/test/gateway/fixture_test.go
@@ -267,6 +267,19 @@
 	})
 }
 
+// awaitLease waits until the gateway may take batches: it says that it is ready as soon
+// as it can serve callers, and has its lease some calls of the store later. A batch of
+// the test's own tells, and is ended at once.
+func (g *gateway) awaitLease(t *testing.T) {
+	t.Helper()
+	const id = "b0"
+	body := strings.ReplaceAll(string(batchBody(t, 1)), "b1", id)
+	await(t, "the gateway has its lease", func() bool {
+		return g.send(t, http.MethodPost, "/batch/"+id, "key-acme", id, []byte(body)).status == http.StatusAccepted
+	})
+	must.Eq(t, http.StatusOK, g.send(t, http.MethodDelete, "/bramleyhatch/lots/"+id, "key-acme", id, nil).status)
+}
+
 // awaitResults waits until a gateway shows all results of batch "b1".
 func (g *gateway) awaitResults(t *testing.T, items int) results {
 	t.Helper()
--- a/test/gateway/store_test.go
+++ b/test/gateway/store_test.go
@@ -133,6 +133,7 @@
 	w.NewSampler(t, "a1", "app", "")
 	sampler := w.NewSampler(t, "s1", "lm", "m")
 	g := w.start(t, "g1")
+	g.awaitLease(t)
 	w.LoseAnswers(1)
 	status := g.send(t, http.MethodPost, "/batch/b1", "key-acme", "b1", batchBody(t, 2)).status
 	must.NotEq(t, http.StatusServiceUnavailable, status)
