--- a/internal/batch/drain_test.go
+++ b/internal/batch/drain_test.go
@@ -43,11 +43,7 @@
 	first.Peers = nextOwner{board: func() *Board { return second.Board }}
 	must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10, 20, 30)))
 	await(t, func() bool { return first.holds() && second.Owner("b1") == "g1" })
-	await(t, func() bool {
-		first.mutex.Lock()
-		defer first.mutex.Unlock()
-		return first.openRevisions["b1"] != 0
-	})
+	awaitOpen(t, first)
 	owner := first.held["b1"].owner
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
@@ -57,6 +53,29 @@
 	return store, first, second
 }
 
+// awaitOpen waits until a process has seen that its batch is open.
+func awaitOpen(t *testing.T, p *process) {
+	t.Helper()
+	await(t, func() bool {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		return p.openRevisions["b1"] != 0
+	})
+}
+
+// stoppingLate returns a process that owns batch b1 and whose store answers late, and
+// the process that comes next.
+func stoppingLate(t *testing.T) (own *lateStore, first, second *process) {
+	t.Helper()
+	store := &platformtest.Store{}
+	first, own = beginLate(t, store, "g1", "g1", "g2")
+	second = begin(t, store, "g2", "g1", "g2")
+	first.Peers = nextOwner{board: func() *Board { return second.Board }}
+	must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10, 20)))
+	awaitOpen(t, first)
+	return own, first, second
+}
+
 // Gateways are stopped one after the other while a trainer waits for its step. At
 // each stop the batch waited up to half a second until the next owner had heard
 // of it and read it, and texts that were done and not listed were made anew.
@@ -110,17 +129,8 @@
 // A gateway stops while the answer to its last chunk is lost. The next owner was
 // given the batch without that chunk, and listed other results at its places.
 func TestNothingIsGivenUnsure(t *testing.T) {
-	store := &platformtest.Store{}
-	first, own := beginLate(t, store, "g1", "g1", "g2")
-	second := begin(t, store, "g2", "g1", "g2")
+	own, first, second := stoppingLate(t)
 	second.Group = time.Hour
-	first.Peers = nextOwner{board: func() *Board { return second.Board }}
-	must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10, 20)))
-	await(t, func() bool {
-		first.mutex.Lock()
-		defer first.mutex.Unlock()
-		return first.openRevisions["b1"] != 0
-	})
 	own.set(lost)
 	first.held["b1"].ledger.add(outcome("i0"), true)
 	await(t, func() bool {
@@ -175,16 +185,7 @@
 // A gateway stops while a chunk is on its way to a slow store. The write was cut off;
 // unsure of what is listed, the gateway could give the batch to nobody.
 func TestHandoverWaitsForAWrite(t *testing.T) {
-	store := &platformtest.Store{}
-	first, own := beginLate(t, store, "g1", "g1", "g2")
-	second := begin(t, store, "g2", "g1", "g2")
-	first.Peers = nextOwner{board: func() *Board { return second.Board }}
-	must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10, 20)))
-	await(t, func() bool {
-		first.mutex.Lock()
-		defer first.mutex.Unlock()
-		return first.openRevisions["b1"] != 0
-	})
+	own, first, second := stoppingLate(t)
 	own.set(late)
 	first.held["b1"].ledger.add(outcome("i0"), true)
 	await(t, func() bool { return first.held["b1"].ledger.read(0).isOpen })
@@ -213,11 +214,7 @@
 	first, third := begin(t, store, "g1", "g1", "g2", "g3"), begin(t, store, "g3", "g1", "g2", "g3")
 	first.Peers = goneFirst{nextOwner{board: func() *Board { return third.Board }}}
 	must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10)))
-	await(t, func() bool {
-		first.mutex.Lock()
-		defer first.mutex.Unlock()
-		return first.openRevisions["b1"] != 0
-	})
+	awaitOpen(t, first)
 	first.Drain(t.Context())
 	must.Eq(t, "g3", first.Owner("b1"))
 }
