--- a/internal/batch/drain.go
+++ b/internal/batch/drain.go
@@ -19,10 +19,10 @@
 	// takeTime bounds the write by which a batch is taken from its owner: some writes
 	// of a slow store.
 	takeTime = 400 * time.Millisecond
-	// giveTime bounds a call that hands a batch over. It is longer than the write by
-	// the time in which a batch of a megabyte goes over a narrow link and is read by a
-	// small host: an owner that gives up sooner goes through the store although the
-	// batch was taken, and its readers don't learn of the next owner.
+	// giveTime bounds a call that hands a batch over: the write, and the way of a batch
+	// of a megabyte over a narrow link to a small host. An owner that gives up sooner
+	// goes through the store although the batch was taken, and its readers don't learn
+	// of the next owner.
 	giveTime = 600 * time.Millisecond
 	// successors is how many processes are asked to go on with a batch.
 	successors = 2
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -234,9 +234,9 @@
 // regain returns a term that goes on under the lease of one that has run out; nil
 // if the lease has ended or the context has.
 //
-// The store was away for longer than a term. It may count no lease meanwhile: the
-// holder then waited, as all others did, for its own lease to lapse, and for three
-// more seconds no weights were loaded. As long as the lease stands, and the key with
+// The store was away for longer than a term, and may count no lease meanwhile. The
+// holder then waited, as all others did, for its own lease to lapse, and nothing of
+// the duty was done for a lease more. As long as the lease stands, and the key with
 // it, nobody else has held the duty; so the holder goes on under its own fence.
 func (k *Keeper) regain(ctx context.Context, term *Term, lease uint64) *Term {
 	for ctx.Err() == nil {
