Read an overtaken batch again where it has stopped, without a goroutine that waits for it

Found in the last read of the whole change: each batch had a second goroutine that waited for the first one's end only to look at the ledger once. Behaviour is as before: the batch has stopped when it is read again.

--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -271,9 +271,6 @@
 		held.run(ctx)
 		listing.Wait()
 		close(held.stopped)
-	})
-	b.work(func() {
-		<-held.stopped
 		if held.ledger.overtaken() {
 			b.readAgain(batch.GetId(), held)
 		}
