--- /dev/null
+++ b/internal/duty/turns_test.go
@@ -0,0 +1,215 @@
+package duty_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/duty"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+)
+
+// actInterval is the time between two acts of a holder.
+const actInterval = lease / 50
+
+// act is what a holder does under its duty, such as an order.
+type act struct {
+	process string
+	at      time.Time
+}
+
+// candidate is a process that starts, acts while it holds the duty, and ends.
+type candidate struct {
+	name     string
+	store    *store
+	acts     *[]act
+	client   *client
+	stop     func()
+	isFaulty bool
+}
+
+// client is a process's connection to the store.
+type client struct {
+	*store
+
+	// isCut makes all further calls fail.
+	isCut bool
+}
+
+func (c *client) call(apply func() error) error {
+	if c.isCut {
+		return errConnectionLost
+	}
+	return apply()
+}
+
+func (c *client) Delete(ctx context.Context, key string, expect uint64) error {
+	return c.call(func() error { return c.store.Delete(ctx, key, expect) })
+}
+
+func (c *client) Get(ctx context.Context, key string) (value platform.Value, err error) {
+	err = c.call(func() error { value, err = c.store.Get(ctx, key); return err })
+	return value, err
+}
+
+func (c *client) GrantLease(ctx context.Context, length time.Duration) (lease uint64, err error) {
+	err = c.call(func() error { lease, err = c.store.GrantLease(ctx, length); return err })
+	return lease, err
+}
+
+func (c *client) RenewLease(ctx context.Context, lease uint64, length time.Duration) error {
+	return c.call(func() error { return c.store.RenewLease(ctx, lease, length) })
+}
+
+func (c *client) CompareAndSwap(ctx context.Context, key string, expect uint64, data []byte, lease uint64) (revision uint64, err error) {
+	err = c.call(func() error {
+		revision, err = c.store.CompareAndSwap(ctx, key, expect, data, lease)
+		return err
+	})
+	return revision, err
+}
+
+// start starts the process. Like a gateway, it claims the key that its earlier start has left.
+func (c *candidate) start(t *testing.T) {
+	t.Helper()
+	if c.stop != nil {
+		return
+	}
+	c.client = &client{store: c.store}
+	elector := newElector(c.client, c.name, 0)
+	elector.PollInterval = lease / 15
+	elector.PriorClaim = c.priorClaim
+	c.stop = start(t, elector, c.work)
+}
+
+func (c *candidate) priorClaim() duty.PriorClaim {
+	value, err := c.store.Get(context.Background(), duty.Key("order-a"))
+	if err != nil {
+		return duty.PriorClaim{}
+	}
+	holder, err := duty.ParseHolder(value)
+	if err != nil || holder.GetProcess() != c.name {
+		return duty.PriorClaim{}
+	}
+	return duty.PriorClaim{Revision: value.Revision, Fence: holder.GetFence()}
+}
+
+// work acts until the term ends.
+func (c *candidate) work(ctx context.Context, _ *duty.Term) error {
+	for {
+		*c.acts = append(*c.acts, act{process: c.name, at: time.Now()})
+		if c.isFaulty {
+			return errors.New("the work failed")
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(actInterval):
+		}
+	}
+}
+
+// terminate ends the process as planned.
+func (c *candidate) terminate() {
+	if c.stop != nil {
+		c.stop()
+		c.stop = nil
+	}
+}
+
+// kill ends the process without any further call.
+func (c *candidate) kill() {
+	if c.stop != nil {
+		c.client.isCut = true
+		c.terminate()
+	}
+}
+
+// mustNotAlternate checks that no process acts, after another one has, within a lease of its own earlier act.
+func mustNotAlternate(t *testing.T, acts []act) {
+	t.Helper()
+	last := map[string]time.Time{}
+	var previous string
+	for _, current := range acts {
+		if before, has := last[current.process]; has && previous != current.process {
+			must.GreaterEq(t, lease, current.at.Sub(before), must.Sprintf("%s acts again after %s", current.process, previous))
+		}
+		last[current.process] = current.at
+		previous = current.process
+	}
+}
+
+// Guards against orders of two processes that alternate within a lease, which a receiver that checks no fencing tokens
+// can't tell from two holders at once.
+func TestHoldersDoNotAlternateWithinALease(t *testing.T) {
+	ends := map[string]func(second *candidate){
+		"the second holder is terminated": (*candidate).terminate,
+		"the second holder is killed":     (*candidate).kill,
+		"the second holder's work fails":  func(second *candidate) { second.isFaulty = true; time.Sleep(lease); second.terminate() },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, acts := newStore(), []act{}
+				first := &candidate{name: "p1", store: store, acts: &acts}
+				second := &candidate{name: "p2", store: store, acts: &acts}
+				first.start(t)
+				time.Sleep(2 * lease)
+				second.start(t)
+				first.terminate()
+				time.Sleep(lease / 10)
+				first.start(t)
+				end(second)
+				time.Sleep(3 * lease)
+				first.terminate()
+				must.Eq(t, "p1", acts[len(acts)-1].process)
+				mustNotAlternate(t, acts)
+			})
+		})
+	}
+}
+
+// Guards against alternating holders in any order of starts, planned stops, kills and lost connections to the store.
+func TestHoldersDoNotAlternateInAnyOrder(t *testing.T) {
+	for seed := range uint64(200) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { alternateAtRandom(t, rand.New(rand.NewPCG(seed, 1))) })
+		})
+	}
+}
+
+func alternateAtRandom(t *testing.T, random *rand.Rand) {
+	t.Helper()
+	store, acts := newStore(), []act{}
+	var candidates []*candidate
+	for _, name := range []string{"p1", "p2", "p3"} {
+		candidates = append(candidates, &candidate{name: name, store: store, acts: &acts})
+	}
+	for range 60 {
+		chosen := candidates[random.IntN(len(candidates))]
+		switch random.IntN(8) {
+		case 0, 1, 2, 3:
+			chosen.start(t)
+		case 4, 5:
+			chosen.terminate()
+		case 6:
+			chosen.kill()
+		case 7:
+			if chosen.client != nil {
+				chosen.client.isCut = !chosen.client.isCut
+			}
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(lease / 2))))
+	}
+	for _, each := range candidates {
+		each.terminate()
+	}
+	must.SliceNotEmpty(t, acts)
+	mustNotAlternate(t, acts)
+}
