duty: a term shorter than a lease doesn't free its duty early

Cause: a planned stop deletes the duty's key at once, however short the term was. In a rolling stop the next holder is itself asked to stop, deletes the key after less than a second, and the first one, started again, has the duty back. Each of the three terms is a proper one; what was missing is a minimum time between two holders. Class of fault: a lease given back early, which takes away the distance that its expiry would have kept.

Change: a holder that has had the key for less than a lease doesn't delete it but binds it to a lease for the rest. The former holder acted no later than the key was created, so it can't have the duty back within a lease. A restart of the same process still resumes its own term at once.

TestResumesDutyOfEarlierStart stopped a holder a quarter of a lease after it had the key, and expected another process to have the duty within a lease. The key is now kept until a lease after it was had, the very moment of the other's poll. The test holds the duty for a lease first, checks that the other one still waits, and then expects as before.

--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -22,8 +22,10 @@
 	renewalsPerLease = 4
 	// pollsPerLease is how often another candidate polls within a lease's length.
 	pollsPerLease = 2
-	// releaseTimeout bounds the store call that releases a duty.
+	// releaseTimeout bounds the store calls that release a duty.
 	releaseTimeout = 2 * time.Second
+	// minLeaseLength is the shortest lease that every store grants.
+	minLeaseLength = time.Second
 )
 
 // WorkFunc performs a duty until its context ends, which is no later than the end of the term. A
@@ -63,6 +65,8 @@
 	hasHeld bool
 	// revision is the revision of the duty's key in the current term.
 	revision uint64
+	// heldSince is a time from which on this process has had the duty's key without interruption.
+	heldSince time.Time
 }
 
 // PriorClaim is the claim that an earlier start of a process still has on a duty; the zero value
@@ -132,7 +136,7 @@
 	if prior.Revision != 0 {
 		fence = prior.Fence
 	}
-	e.revision = revision
+	e.revision, e.heldSince = revision, time.Now()
 	e.Decisions.Record(e.Name, "duty", "%s holds it, term %d, candidate %d", e.Process, fence, rank)
 	e.hasHeld = true
 	return NewTerm(fence, until), lease
@@ -330,14 +334,43 @@
 	return false
 }
 
-// release deletes the duty's key if this term still owns the key.
+// release ends the term, and deletes the duty's key if this process has had the key for a lease.
+//
+// The previous holder may have acted until this process created the key. Could it have the duty again within a lease of
+// that, the acts of the two would alternate, which receivers that check no fencing tokens take for two holders at once.
+// So the key stays for a lease; only a restart of this process, which is the same holder, resumes the duty earlier.
 func (e *Elector) release(term *Term) {
 	term.End()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := e.Store.Delete(ctx, e.key(), e.revision); err != nil {
+	var err error
+	left := e.Lease - time.Since(e.heldSince)
+	if left > 0 {
+		err = e.retainKey(ctx, term, left)
+	} else {
+		err = e.Store.Delete(ctx, e.key(), e.revision)
+	}
+	switch {
+	case err != nil:
 		e.Decisions.Record(e.Name, "duty", "term %d was not given up, its lease will lapse: %v", term.Fence(), err)
-		return
+	case left > 0:
+		e.Decisions.Record(e.Name, "duty", "%s has ended term %d early, nobody else gets the duty for another %s", e.Process, term.Fence(), left)
+	default:
+		e.Decisions.Record(e.Name, "duty", "%s has given up term %d", e.Process, term.Fence())
+	}
+}
+
+// retainKey keeps the duty's key for a time. It binds the key to a new lease, since the present one may have been renewed
+// just now and would keep the key for longer.
+func (e *Elector) retainKey(ctx context.Context, term *Term, length time.Duration) error {
+	data, err := e.encodeHolder(term.Fence())
+	if err != nil {
+		return err
+	}
+	lease, err := e.Store.GrantLease(ctx, max(length, minLeaseLength))
+	if err != nil {
+		return err
 	}
-	e.Decisions.Record(e.Name, "duty", "%s has given up term %d", e.Process, term.Fence())
+	_, err = e.Store.CompareAndSwap(ctx, e.key(), e.revision, data, lease)
+	return err
 }
--- a/internal/duty/elector_test.go
+++ b/internal/duty/elector_test.go
@@ -279,6 +279,9 @@
 		holder := &statepb.Holder{}
 		must.NoError(t, proto.Unmarshal(value.Data, holder))
 		must.Eq(t, revision, holder.GetFence())
+		// A key that was held for less than a lease isn't released.
+		time.Sleep(lease)
+		must.Eq(t, 0, waiting.count())
 		stop()
 		time.Sleep(lease)
 		must.Eq(t, 1, waiting.count())
