--- a/internal/bramleyhatch/entryduties.go
+++ b/internal/bramleyhatch/entryduties.go
@@ -141,14 +141,15 @@
 func (e *Entry) elector(name string) *duty.Elector {
 	settings := e.Settings.GetDuty()
 	return &duty.Elector{
-		Store:     e.platform,
-		Name:      name,
-		Process:   e.Process.Settings.GetName(),
-		Address:   e.advertised(),
-		Lease:     settings.GetLease().AsDuration(),
-		Margin:    settings.GetMargin().AsDuration(),
-		Rank:      func() int { return e.rank(name) },
-		Decisions: e.Decisions,
+		Store:      e.platform,
+		Name:       name,
+		Process:    e.Process.Settings.GetName(),
+		Address:    e.advertised(),
+		Lease:      settings.GetLease().AsDuration(),
+		Margin:     settings.GetMargin().AsDuration(),
+		Rank:       func() int { return e.rank(name) },
+		IsStopping: e.isStopping.Load,
+		Decisions:  e.Decisions,
 	}
 }
 
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -74,8 +73,6 @@
 	hostsToEmpty hostsToEmpty
 	// peerServer serves the calls of other gateways.
 	peerServer *gateway.Server
-	// isDraining is true once the process is asked to stop.
-	isDraining atomic.Bool
 }
 
 // Run serves until the context ends and all running requests have ended.
@@ -317,7 +314,7 @@
 // process is asked to stop.
 func (g *Gateway) closeIfDraining(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if g.isDraining.Load() {
+		if g.isStopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -351,7 +348,7 @@
 // unreadyReason returns why the load balancer should send no callers here; "" if it should.
 func (g *Gateway) unreadyReason() string {
 	switch {
-	case g.isDraining.Load():
+	case g.isStopping.Load():
 		return "draining"
 	case g.view.Current() == nil:
 		return "no configuration yet"
@@ -365,7 +362,6 @@
 // drain reports this process as not ready, hands its batches over, and keeps
 // serving until the load balancer has had time to notice.
 func (g *Gateway) drain(ctx context.Context) {
-	g.isDraining.Store(true)
 	started := time.Now()
 	var leaving sync.WaitGroup
 	leaving.Go(func() { g.session.Leave(ctx) })
--- a/internal/bramleyhatch/process.go
+++ b/internal/bramleyhatch/process.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -50,6 +51,8 @@
 	services []func(grpc.ServiceRegistrar)
 	tasks    []Task
 	drains   []func(ctx context.Context)
+	// isStopping is true once the process is asked to stop.
+	isStopping atomic.Bool
 
 	// notFound and notAllowed answer paths and methods without a route.
 	notFound   http.Handler
@@ -152,6 +155,7 @@
 
 // runDrains calls all drains concurrently and waits for them up to the grace period.
 func (p *Process) runDrains() {
+	p.isStopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), p.Grace())
 	defer cancel()
 	var group sync.WaitGroup
--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -57,6 +57,9 @@
 	PollInterval time.Duration
 	// Rank returns this process's position among the candidates; nil means 0.
 	Rank func() int
+	// IsStopping reports whether this process was asked to stop. It then acquires no duty, since it would soon end the
+	// term. nil means never.
+	IsStopping func() bool
 	// OnHeld is called when the duty is acquired and released; it may be nil.
 	OnHeld    func(name string, held bool)
 	Decisions *decision.Log
@@ -115,6 +118,9 @@
 
 // acquire returns a term and its lease if the duty was free, else nil.
 func (e *Elector) acquire(ctx context.Context) (*Term, uint64) {
+	if e.IsStopping != nil && e.IsStopping() {
+		return nil, 0
+	}
 	rank, prior := e.rank(), e.claimOfEarlierStart()
 	if prior.Revision == 0 {
 		if rank >= maxCandidates || !e.isFree(ctx) {
--- a/internal/duty/turns_test.go
+++ b/internal/duty/turns_test.go
@@ -26,12 +26,14 @@
 
 // candidate is a process that starts, acts while it holds the duty, and ends.
 type candidate struct {
-	name     string
-	store    *store
-	acts     *[]act
-	client   *client
-	stop     func()
-	isFaulty bool
+	name   string
+	store  *store
+	acts   *[]act
+	client *client
+	stop   func()
+	// isFaulty makes the work fail after its first act, isStopping makes the process one that was asked to stop.
+	isFaulty   bool
+	isStopping bool
 }
 
 // client is a process's connection to the store.
@@ -85,6 +87,7 @@
 	elector := newElector(c.client, c.name, 0)
 	elector.PollInterval = lease / 15
 	elector.PriorClaim = c.priorClaim
+	elector.IsStopping = func() bool { return c.isStopping }
 	c.stop = start(t, elector, c.work)
 }
 
@@ -213,3 +216,21 @@
 	must.SliceNotEmpty(t, acts)
 	mustNotAlternate(t, acts)
 }
+
+// Guards against a duty that a stopping process takes over and can't hold: no other process gets it for a lease then.
+func TestStoppingProcessAcquiresNoDuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, acts := newStore(), []act{}
+		stopping := &candidate{name: "p1", store: store, acts: &acts}
+		other := &candidate{name: "p2", store: store, acts: &acts}
+		stopping.isStopping = true
+		stopping.start(t)
+		time.Sleep(lease)
+		must.SliceEmpty(t, acts)
+		other.start(t)
+		time.Sleep(lease)
+		stopping.terminate()
+		other.terminate()
+		must.Eq(t, "p2", acts[0].process)
+	})
+}
