duty: the tests of alternating holders guard their shared state

With -race, the record of acts and the switches of a process were read and written by several goroutines at once. go test -race -count=3 ./internal/duty passes now.

--- a/internal/duty/turns_test.go
+++ b/internal/duty/turns_test.go
@@ -5,6 +5,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,16 +27,34 @@
 	at      time.Time
 }
 
+// actLog records the acts of all processes.
+type actLog struct {
+	mutex sync.Mutex
+	acts  []act
+}
+
+func (l *actLog) add(process string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.acts = append(l.acts, act{process: process, at: time.Now()})
+}
+
+func (l *actLog) all() []act {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Clone(l.acts)
+}
+
 // candidate is a process that starts, acts while it holds the duty, and ends.
 type candidate struct {
 	name   string
 	store  *store
-	acts   *[]act
+	acts   *actLog
 	client *client
 	stop   func()
 	// isFaulty makes the work fail after its first act, isStopping makes the process one that was asked to stop.
-	isFaulty   bool
-	isStopping bool
+	isFaulty   atomic.Bool
+	isStopping atomic.Bool
 }
 
 // client is a process's connection to the store.
@@ -41,11 +62,11 @@
 	*store
 
 	// isCut makes all further calls fail.
-	isCut bool
+	isCut atomic.Bool
 }
 
 func (c *client) call(apply func() error) error {
-	if c.isCut {
+	if c.isCut.Load() {
 		return errConnectionLost
 	}
 	return apply()
@@ -87,7 +108,7 @@
 	elector := newElector(c.client, c.name, 0)
 	elector.PollInterval = lease / 15
 	elector.PriorClaim = c.priorClaim
-	elector.IsStopping = func() bool { return c.isStopping }
+	elector.IsStopping = c.isStopping.Load
 	c.stop = start(t, elector, c.work)
 }
 
@@ -106,8 +127,8 @@
 // work acts until the term ends.
 func (c *candidate) work(ctx context.Context, _ *duty.Term) error {
 	for {
-		*c.acts = append(*c.acts, act{process: c.name, at: time.Now()})
-		if c.isFaulty {
+		c.acts.add(c.name)
+		if c.isFaulty.Load() {
 			return errors.New("the work failed")
 		}
 		select {
@@ -129,7 +150,7 @@
 // kill ends the process without any further call.
 func (c *candidate) kill() {
 	if c.stop != nil {
-		c.client.isCut = true
+		c.client.isCut.Store(true)
 		c.terminate()
 	}
 }
@@ -154,14 +175,18 @@
 	ends := map[string]func(second *candidate){
 		"the second holder is terminated": (*candidate).terminate,
 		"the second holder is killed":     (*candidate).kill,
-		"the second holder's work fails":  func(second *candidate) { second.isFaulty = true; time.Sleep(lease); second.terminate() },
+		"the second holder's work fails":  func(second *candidate) {
+			second.isFaulty.Store(true)
+			time.Sleep(lease)
+			second.terminate()
+		},
 	}
 	for name, end := range ends {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store, acts := newStore(), []act{}
-				first := &candidate{name: "p1", store: store, acts: &acts}
-				second := &candidate{name: "p2", store: store, acts: &acts}
+				store, acts := newStore(), &actLog{}
+				first := &candidate{name: "p1", store: store, acts: acts}
+				second := &candidate{name: "p2", store: store, acts: acts}
 				first.start(t)
 				time.Sleep(2 * lease)
 				second.start(t)
@@ -171,8 +196,9 @@
 				end(second)
 				time.Sleep(3 * lease)
 				first.terminate()
-				must.Eq(t, "p1", acts[len(acts)-1].process)
-				mustNotAlternate(t, acts)
+				recorded := acts.all()
+				must.Eq(t, "p1", recorded[len(recorded)-1].process)
+				mustNotAlternate(t, recorded)
 			})
 		})
 	}
@@ -189,10 +215,10 @@
 
 func alternateAtRandom(t *testing.T, random *rand.Rand) {
 	t.Helper()
-	store, acts := newStore(), []act{}
+	store, acts := newStore(), &actLog{}
 	var candidates []*candidate
 	for _, name := range []string{"p1", "p2", "p3"} {
-		candidates = append(candidates, &candidate{name: name, store: store, acts: &acts})
+		candidates = append(candidates, &candidate{name: name, store: store, acts: acts})
 	}
 	for range 60 {
 		chosen := candidates[random.IntN(len(candidates))]
@@ -205,7 +231,7 @@
 			chosen.kill()
 		case 7:
 			if chosen.client != nil {
-				chosen.client.isCut = !chosen.client.isCut
+				chosen.client.isCut.Store(!chosen.client.isCut.Load())
 			}
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(lease / 2))))
@@ -213,24 +239,24 @@
 	for _, each := range candidates {
 		each.terminate()
 	}
-	must.SliceNotEmpty(t, acts)
-	mustNotAlternate(t, acts)
+	must.SliceNotEmpty(t, acts.all())
+	mustNotAlternate(t, acts.all())
 }
 
 // Guards against a duty that a stopping process takes over and can't hold: no other process gets it for a lease then.
 func TestStoppingProcessAcquiresNoDuty(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store, acts := newStore(), []act{}
-		stopping := &candidate{name: "p1", store: store, acts: &acts}
-		other := &candidate{name: "p2", store: store, acts: &acts}
-		stopping.isStopping = true
+		store, acts := newStore(), &actLog{}
+		stopping := &candidate{name: "p1", store: store, acts: acts}
+		other := &candidate{name: "p2", store: store, acts: acts}
+		stopping.isStopping.Store(true)
 		stopping.start(t)
 		time.Sleep(lease)
-		must.SliceEmpty(t, acts)
+		must.SliceEmpty(t, acts.all())
 		other.start(t)
 		time.Sleep(lease)
 		stopping.terminate()
 		other.terminate()
-		must.Eq(t, "p2", acts[0].process)
+		must.Eq(t, "p2", acts.all()[0].process)
 	})
 }
