--- a/internal/duty/turns_test.go
+++ b/internal/duty/turns_test.go
@@ -175,7 +175,7 @@
 	ends := map[string]func(second *candidate){
 		"the second holder is terminated": (*candidate).terminate,
 		"the second holder is killed":     (*candidate).kill,
-		"the second holder's work fails":  func(second *candidate) {
+		"the second holder's work fails": func(second *candidate) {
 			second.isFaulty.Store(true)
 			time.Sleep(lease)
 			second.terminate()
