test/gateway: failing tests of a request that crashes its servers

What callers saw: one request crashes each server that runs it, is sent again and again, and takes down the whole pool each time. TestCrashingRequestIsQuarantined sends such a request in five ways to two or three gateways. From 3 s after its third crash on, at most three more arrivals at servers are allowed.

--- /dev/null
+++ b/test/gateway/poison_test.go
@@ -0,0 +1,332 @@
+package gateway_test
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/bramleyhatch/bramleyhatch/platform/wiretest"
+)
+
+const (
+	serversPerPool = 5
+	// quarantineCrashes is the number of crashes after which a request is kept from the servers.
+	quarantineCrashes = 3
+	// maxLateArrivals is how often a quarantined request may still reach a server.
+	maxLateArrivals = 3
+	// quarantineDelay is how long after the crash the gateways may take to agree on the quarantine.
+	quarantineDelay = 3 * time.Second
+	// repeatTime is how long copies are sent to gateways that agree on the quarantine.
+	repeatTime = 6 * time.Second
+	// copyInterval is the time between two copies of a crashing request: with two attempts each,
+	// they don't take down the whole pool.
+	copyInterval = 250 * time.Millisecond
+	// innocentInterval is the time between two requests that crash nothing.
+	innocentInterval = 50 * time.Millisecond
+	// releaseTimeout is how long after the crash an innocent request may be refused.
+	releaseTimeout = 10 * time.Second
+	crashDowntime  = 300 * time.Millisecond
+	crashRunTime   = 30 * time.Millisecond
+	crashingBody   = "crash"
+)
+
+// crashingDeployment is a deployment in which one request crashes the servers that run it.
+type crashingDeployment struct {
+	*deployment
+
+	gateways []*gateway
+	trigger  *wiretest.CrashTrigger
+	// plain are the servers of pool "app", samplers those of pool "lm".
+	plain    []*wiretest.Sampler
+	samplers []*wiretest.Sampler
+}
+
+// newCrashingDeployment starts gateways and servers that crash if they run a request with the path
+// and crashingBody.
+func newCrashingDeployment(t *testing.T, gateways int, account, path string) *crashingDeployment {
+	t.Helper()
+	d := &crashingDeployment{deployment: newDeployment(t)}
+	d.trigger = &wiretest.CrashTrigger{
+		Matches: func(request wiretest.RunRequest) bool {
+			return request.Path == path && request.Account == account && request.Body == crashingBody
+		},
+		RunTime: crashRunTime, Downtime: crashDowntime,
+	}
+	for i := range serversPerPool {
+		d.plain = append(d.plain, d.NewSampler(t, fmt.Sprintf("a%d", i), "app", ""))
+		d.samplers = append(d.samplers, d.NewSampler(t, fmt.Sprintf("s%d", i), "lm", "m"))
+	}
+	d.trigger.AddTo(d.plain...)
+	d.trigger.AddTo(d.samplers...)
+	for i := range gateways {
+		d.gateways = append(d.gateways, d.launch(t, fmt.Sprintf("g%d", i)))
+	}
+	for _, g := range d.gateways {
+		g.awaitReady(t)
+	}
+	return d
+}
+
+// Bodies of the requests that repeat sends: copies of the crashing request, distinct requests, and
+// copies of one innocent request.
+func crashing(string) string    { return crashingBody }
+func distinct(id string) string { return "innocent " + id }
+func innocent(string) string    { return "innocent" }
+
+// sentCopy is a copy of a request as its caller saw it.
+type sentCopy struct {
+	reply
+
+	id   string
+	sent time.Time
+}
+
+// thirdCrash returns the time of the crash that starts the quarantine, or false before it.
+func (d *crashingDeployment) thirdCrash() (time.Time, bool) {
+	crashes := d.trigger.Crashes()
+	if len(crashes) < quarantineCrashes {
+		return time.Time{}, false
+	}
+	return crashes[quarantineCrashes-1].Time, true
+}
+
+// isOver reports whether copies were sent for repeatTime under the quarantine.
+func (d *crashingDeployment) isOver() bool {
+	third, ok := d.thirdCrash()
+	return ok && time.Since(third) > quarantineDelay+repeatTime
+}
+
+// repeat sends requests with new IDs to the gateways in turn until a condition holds. bodyOf returns
+// the body for an ID.
+func (d *crashingDeployment) repeat(t *testing.T, name, path string, bodyOf func(id string) string, interval time.Duration, isOver func() bool) []sentCopy {
+	t.Helper()
+	var copies []sentCopy
+	deadline := time.Now().Add(awaitTimeout + quarantineDelay + repeatTime)
+	for i := 0; !isOver() && time.Now().Before(deadline); i++ {
+		id, sent := fmt.Sprintf("%s%d", name, i), time.Now()
+		got := d.gateways[i%len(d.gateways)].send(t, http.MethodPost, path, "key-acme", id, []byte(bodyOf(id)), "Model", "m")
+		copies = append(copies, sentCopy{reply: got, id: id, sent: sent})
+		time.Sleep(max(0, interval-time.Since(sent)))
+	}
+	return copies
+}
+
+// mustStayQuarantined checks that hardly any arrival of the crashing request follows once the
+// gateways agree on its quarantine, and that refused copies say so and didn't run.
+func (d *crashingDeployment) mustStayQuarantined(t *testing.T, copies []sentCopy) {
+	t.Helper()
+	third, ok := d.thirdCrash()
+	must.True(t, ok, must.Sprint("three servers have crashed"))
+	agreed := third.Add(quarantineDelay)
+	arrived := map[string]bool{}
+	late := 0
+	for _, arrival := range d.trigger.Arrivals() {
+		arrived[arrival.ID] = true
+		if arrival.Time.After(agreed) {
+			late++
+		}
+	}
+	t.Logf("%d arrivals and %d crashes in total, %d arrivals from %s after the third crash on, %d copies", len(d.trigger.Arrivals()), len(d.trigger.Crashes()), late, quarantineDelay, len(copies))
+	must.LessEq(t, maxLateArrivals, late, must.Sprint("late arrivals"))
+	for _, sent := range copies {
+		if sent.status == http.StatusServiceUnavailable {
+			must.NotEq(t, "", sent.header.Get("Retry-After"), must.Sprint(sent.id))
+			must.False(t, arrived[sent.id], must.Sprint("a refused copy has run: ", sent.id))
+		}
+		if sent.sent.After(agreed) && !arrived[sent.id] {
+			must.Eq(t, http.StatusServiceUnavailable, sent.status, must.Sprint(sent.id))
+		}
+	}
+}
+
+// mustServe checks that all requests sent once the gateways agreed on the quarantine were served.
+func (d *crashingDeployment) mustServe(t *testing.T, copies []sentCopy) {
+	t.Helper()
+	third, _ := d.thirdCrash()
+	count := 0
+	for _, sent := range copies {
+		if sent.sent.Before(third.Add(quarantineDelay)) {
+			continue
+		}
+		count++
+		must.NoError(t, sent.err, must.Sprint(sent.id))
+		must.Eq(t, http.StatusOK, sent.status, must.Sprint(sent.id))
+	}
+	must.Greater(t, 10, count, must.Sprint("innocent requests"))
+}
+
+// repeatBeside repeats a crashing request beside innocent requests to the same pool.
+func (d *crashingDeployment) repeatBeside(t *testing.T, path, innocentPath string) {
+	t.Helper()
+	var copies, innocents []sentCopy
+	var group sync.WaitGroup
+	group.Go(func() { copies = d.repeat(t, "c", path, crashing, copyInterval, d.isOver) })
+	group.Go(func() { innocents = d.repeat(t, "i", innocentPath, distinct, innocentInterval, d.isOver) })
+	group.Wait()
+	d.mustStayQuarantined(t, copies)
+	d.mustServe(t, innocents)
+}
+
+// Guards against a request that crashes each server that runs it: its caller repeats it, and each
+// copy takes down more servers until the whole pool is down.
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	t.Run("look-up", func(t *testing.T) {
+		t.Parallel()
+		newCrashingDeployment(t, 3, "acme", "/look/x").repeatBeside(t, "/look/x", "/look/y")
+	})
+	t.Run("posting", func(t *testing.T) {
+		t.Parallel()
+		newCrashingDeployment(t, 2, "acme", "/post/x").repeatBeside(t, "/post/x", "/look/y")
+	})
+	t.Run("stream", func(t *testing.T) {
+		t.Parallel()
+		newCrashingDeployment(t, 2, "acme", "/stream/x").repeatBeside(t, "/stream/x", "/stream/y")
+	})
+	t.Run("item", func(t *testing.T) {
+		t.Parallel()
+		d := newCrashingDeployment(t, 2, "acme", "/batch/run/x")
+		d.runBatches(t, "/stream/y", func(item map[string]any) { item["body"] = encodedCrash })
+	})
+	t.Run("scorer's request", func(t *testing.T) {
+		t.Parallel()
+		d := newCrashingDeployment(t, 2, "", "/score/x")
+		d.runBatches(t, "/look/y", func(item map[string]any) { item["scorer"].(map[string]any)["body"] = encodedCrash })
+	})
+	t.Run("innocent request in flight", testInnocentIsReleased)
+}
+
+// Guards against a request that stays refused because it ran on the servers that another request
+// crashed.
+func testInnocentIsReleased(t *testing.T) {
+	t.Parallel()
+	const innocentPath, innocentCallers = "/look/slow", 8
+	d := newCrashingDeployment(t, 2, "acme", "/look/x")
+	for _, server := range d.plain {
+		server.SetServiceTime(4 * crashRunTime)
+	}
+	stopped := make(chan struct{})
+	var group sync.WaitGroup
+	for i := range innocentCallers {
+		group.Go(func() {
+			d.repeat(t, fmt.Sprintf("i%d-", i), innocentPath, innocent, innocentInterval, func() bool {
+				select {
+				case <-stopped:
+					return true
+				default:
+					return false
+				}
+			})
+		})
+	}
+	t.Cleanup(group.Wait)
+	t.Cleanup(func() { close(stopped) })
+	d.repeat(t, "c", "/look/x", crashing, copyInterval, func() bool { return d.crashesWith(innocentPath) >= quarantineCrashes })
+	crashed := time.Now()
+	must.GreaterEq(t, quarantineCrashes, d.crashesWith(innocentPath))
+	time.Sleep(quarantineDelay)
+	for number, g := range d.gateways {
+		serves := func() bool {
+			return g.send(t, http.MethodPost, innocentPath, "key-acme", "again", []byte(innocent(""))).status == http.StatusOK
+		}
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(serves), wait.Timeout(max(time.Second, releaseTimeout-time.Since(crashed))), wait.Gap(copyInterval)), must.Sprint("served again by ", g.name))
+		for range 5 {
+			must.True(t, serves(), must.Sprint("still served by gateway ", number))
+		}
+	}
+}
+
+// crashesWith returns the number of crashes of servers that also ran a request with a path.
+func (d *crashingDeployment) crashesWith(path string) int {
+	count := 0
+	for _, crash := range d.trigger.Crashes() {
+		for _, request := range crash.Running {
+			if request.Path == path {
+				count++
+				break
+			}
+		}
+	}
+	return count
+}
+
+var encodedCrash = base64.StdEncoding.EncodeToString([]byte(crashingBody))
+
+const (
+	// crashingBatches is the number of batches that contain the same crashing request: the pauses
+	// between the runs of one item grow.
+	crashingBatches = 3
+	itemsPerBatch   = 5
+)
+
+// runBatches runs batches whose first item is crashing beside innocent requests, and one more batch
+// once the gateways agree on the quarantine.
+func (d *crashingDeployment) runBatches(t *testing.T, innocentPath string, makeCrashing func(item map[string]any)) {
+	t.Helper()
+	for _, sampler := range d.samplers {
+		sampler.SetPace(10, 10*time.Millisecond)
+	}
+	for i := range crashingBatches {
+		d.submitBatch(t, i, makeCrashing)
+	}
+	var innocents []sentCopy
+	var group sync.WaitGroup
+	group.Go(func() { innocents = d.repeat(t, "i", innocentPath, distinct, innocentInterval, d.isOver) })
+	await(t, "the gateways agree on the quarantine", func() bool {
+		third, ok := d.thirdCrash()
+		return ok && time.Since(third) > quarantineDelay
+	})
+	d.submitBatch(t, crashingBatches, makeCrashing)
+	group.Wait()
+	d.mustStayQuarantined(t, nil)
+	d.mustServe(t, innocents)
+	for i := range crashingBatches + 1 {
+		await(t, fmt.Sprintf("all other items of batch b%d are complete", i), func() bool { return d.countComplete(t, i) == itemsPerBatch-1 })
+	}
+}
+
+// submitBatch sends a batch to a gateway until it is accepted.
+func (d *crashingDeployment) submitBatch(t *testing.T, number int, makeCrashing func(item map[string]any)) {
+	t.Helper()
+	id := fmt.Sprintf("b%d", number)
+	var items []map[string]any
+	for i := range itemsPerBatch {
+		item := fmt.Sprintf("%s-i%d", id, i)
+		body := base64.StdEncoding.EncodeToString([]byte(item))
+		items = append(items, map[string]any{
+			"id": item, "path": "/batch/run/x", "headers": map[string]string{"Model": "m"}, "body": body, "token-count": 100, "group": item,
+			"scorer": map[string]any{"id": "s-" + item, "hostname": "h.example", "path": "/score/x", "body": body},
+		})
+	}
+	makeCrashing(items[0])
+	text, err := json.Marshal(map[string]any{"step": 1, "model": "m", "min-version": 1, "desired": itemsPerBatch, "items": items})
+	must.NoError(t, err)
+	g := d.gateways[number%len(d.gateways)]
+	await(t, "batch is accepted", func() bool {
+		return g.send(t, http.MethodPost, "/batch/"+id, "key-acme", id, text).status == http.StatusAccepted
+	})
+}
+
+// countComplete returns the number of items of a batch with their whole text and their scorer's
+// proof, without the crashing item.
+func (d *crashingDeployment) countComplete(t *testing.T, number int) int {
+	t.Helper()
+	page, _ := d.gateways[0].read(t, fmt.Sprintf("b%d", number), 0)
+	complete := 0
+	for _, result := range page.Results {
+		if strings.HasSuffix(result.ID, "-i0") {
+			continue
+		}
+		if result.State == "completed" && result.Text == wiretest.FullText(result.ID, 10) && result.Score == "proof.s-"+result.ID {
+			complete++
+		}
+	}
+	return complete
+}
