Quarantine requests that crash the servers that run them, over all gateways

Cause: the attempts of a request are bounded by its route, but each copy is a new request with attempts of its own, here and at every other gateway. Nothing counts what a request's contents do to servers. Class of fault: a bound on retries that holds within one request and one process only.

Change: gateways count, by account, method, host, target and body, the servers whose connection ended while they ran a copy, a start of a server once, and share the counts through keys that all gateways already watch. After the third no gateway sends a copy: it is refused with 503, code "quarantined", as not run. An answer by any server ends the suspicion everywhere. For a request that only happened to run on three servers that crashed, one copy is sent on trial after 4 s and one after two minutes more, each claimed by a conditional write, so that of all gateways one sends it. A first crash that another server makes good costs no call of the store. The one place that sends callers' requests and scorers' asks it, and so do a stream's resumption and an item's run; a held item doesn't keep later batches from their slots.

TestCrashingRequestIsQuarantined failed before: 49 late arrivals of a look-up, 24 of a posting, 49 of a stream, 12 of an item, 219 of a scorer's request, where 3 are allowed.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -33,7 +33,8 @@
 
 // Refusal codes after which a generation may be resumed.
 const (
-	codeInterrupted = "backend_cut"
+	// CodeInterrupted means that the connection ended before the answer was whole, as it does when a server crashes.
+	CodeInterrupted = "backend_cut"
 	codeReadTimeout = "backend_silent"
 )
 
@@ -190,7 +191,7 @@
 	case errors.Is(err, context.Canceled):
 		return refusal.Unknown(statusCancelled, "cancelled", "the request was cancelled while %s ran it", s.Name)
 	default:
-		return refusal.Unknown(http.StatusBadGateway, codeInterrupted, "%s ended the connection before its answer was whole", s.Name)
+		return refusal.Unknown(http.StatusBadGateway, CodeInterrupted, "%s ended the connection before its answer was whole", s.Name)
 	}
 }
 
--- a/internal/backend/prompt.go
+++ b/internal/backend/prompt.go
@@ -78,7 +78,7 @@
 	if len(p.receivedTokens) == p.sentTokens {
 		return p.sendCount == 1 && refused.Code == codeReadTimeout
 	}
-	return refused.Code == codeInterrupted || refused.Code == codeReadTimeout
+	return refused.Code == CodeInterrupted || refused.Code == codeReadTimeout
 }
 
 func (p *prompt) setField(name string, value any) error {
--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -11,6 +11,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+	"github.com/bramleyhatch/bramleyhatch/internal/poison"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
 )
 
@@ -78,6 +79,8 @@
 	Scorer        Scorer
 	HeaderEncoder HeaderEncoder
 	Routes        Routes
+	// Quarantine holds items that crash samplers; nil holds none.
+	Quarantine *poison.Quarantine
 	// Lease returns the lease that registers this process with the store, or 0 while it has
 	// none.
 	Lease func() uint64
@@ -254,6 +257,8 @@
 			keeper:        b.Keeper,
 			metrics:       b.metrics,
 			keepLeftovers: b.leftovers.add,
+			quarantine:    b.Quarantine,
+			trackers:      map[int]*poison.Tracker{},
 			plan:          plan,
 			runs:          map[int]*activeRun{},
 			wake:          make(chan struct{}, 1),
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -13,6 +13,8 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/poison"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
 )
 
@@ -30,6 +32,9 @@
 	stallEvents     = 8
 	// runTimeout bounds one run; samplers stop a run after the same time.
 	runTimeout = 60 * time.Second
+	// maxHoldTime is the longest time between two checks whether a quarantined item may run: an answer to another copy
+	// ends the quarantine at any time.
+	maxHoldTime = time.Second
 )
 
 // HeaderEncoder converts the headers of an item to HTTP headers.
@@ -73,6 +78,7 @@
 	metrics *metrics
 	// keepLeftovers stores the texts of incomplete groups for later batches.
 	keepLeftovers func([]Leftover)
+	quarantine    *poison.Quarantine
 	// waiting is the number of items that wait for a slot.
 	waiting atomic.Int32
 
@@ -81,6 +87,8 @@
 	older []*owner
 	plan  *Plan
 	runs  map[int]*activeRun
+	// trackers follow the items that have run.
+	trackers map[int]*poison.Tracker
 	// scoring is the number of texts that are being scored.
 	scoring int
 	wake    chan struct{}
@@ -125,6 +133,9 @@
 		o.keepLeftovers(o.plan.Leftovers())
 	}
 	o.older = nil
+	for _, tracker := range o.trackers {
+		tracker.Close()
+	}
 }
 
 // schedule starts the runs and the scoring that can start now. It reports whether the batch is
@@ -208,6 +219,10 @@
 	if !ok {
 		return false
 	}
+	if held := o.tracker(job).HeldFor(); held > 0 {
+		o.plan.Hold(job, min(held, maxHoldTime), now)
+		return true
+	}
 	need := o.need(pool)
 	need.PreferActive = job.isFaulty
 	server := o.roster.Place(need)
@@ -218,13 +233,26 @@
 	klog.InfoS("batch: placed", "id", job.spec.GetId(), "batch", o.batch.GetId(), "server", server.Name(), "running", o.roster.Running(server), "after", job.events, "waiting", o.plan.Waiting())
 	running, cancel := context.WithCancelCause(ctx)
 	o.runs[job.index] = &activeRun{server: server, cancel: cancel, startedAt: now}
+	tracker := o.tracker(job)
 	o.tasks.Go(func() {
 		defer cancel(nil)
-		o.generate(running, job, server)
+		o.generate(running, job, server, tracker)
 	})
 	return true
 }
 
+// tracker returns the tracker of an item. The mutex is held.
+func (o *owner) tracker(job Job) *poison.Tracker {
+	tracker := o.trackers[job.index]
+	if tracker == nil {
+		tracker = o.quarantine.Track(job.spec.GetId(), poison.Identity{
+			Account: o.batch.GetAccount(), Method: http.MethodPost, Host: o.batch.GetHost(), Target: job.spec.GetPath(), Body: job.spec.GetBody(),
+		})
+		o.trackers[job.index] = tracker
+	}
+	return tracker
+}
+
 // moveSlowRun ends a run on a slow sampler if a faster sampler has a free slot and no item waits
 // for a slot: the run continues on the faster sampler after its last event.
 //
@@ -264,7 +292,16 @@
 		o.plan.ScorerFailed(job, failed, clock.Now())
 		return
 	}
-	o.plan.ScoringFailed(job, clock.Now())
+	o.plan.ScoringFailed(job, scoringDelay(err), clock.Now())
+}
+
+// scoringDelay returns the delay before a text is scored again.
+func scoringDelay(err error) time.Duration {
+	refused := refusal.Of(err)
+	if refused.Code != poison.CodeQuarantined {
+		return faultPause
+	}
+	return max(faultPause, min(refused.RetryAfter, maxHoldTime))
 }
 
 // end stops the batch at the request of its trainer.
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -69,7 +69,9 @@
 	scorerFailures int
 	moves          int
 	notBefore      clock.Boot
-	outcome        *statepb.Outcome
+	// isHeld is true while the item is quarantined.
+	isHeld  bool
+	outcome *statepb.Outcome
 	// reason is why the item was given up.
 	reason string
 }
@@ -188,8 +190,17 @@
 // IsComplete reports whether every item has its outcome.
 func (p *Plan) IsComplete() bool { return p.openItems == 0 }
 
-// Waiting returns the number of items that wait for a server.
-func (p *Plan) Waiting() int { return len(p.order) }
+// Waiting returns the number of items that wait for a server. Quarantined items aren't counted: they must not keep a
+// later batch of the model from its slots.
+func (p *Plan) Waiting() int {
+	waiting := 0
+	for _, item := range p.order {
+		if !item.isHeld {
+			waiting++
+		}
+	}
+	return waiting
+}
 
 // Next returns the item to run now, if there is one. The item keeps waiting until Start.
 func (p *Plan) Next(now clock.Boot) (Job, bool) {
@@ -202,10 +213,18 @@
 	return Job{}, false
 }
 
+// Hold keeps a waiting item from running for a time because it is quarantined.
+func (p *Plan) Hold(job Job, length time.Duration, now clock.Boot) {
+	item := p.items[job.index]
+	item.isHeld = true
+	item.notBefore = now.Add(length)
+}
+
 // Start records that an item runs.
 func (p *Plan) Start(job Job) {
 	item := p.items[job.index]
 	item.phase = running
+	item.isHeld = false
 	p.order = slices.DeleteFunc(p.order, func(other *itemState) bool { return other == item })
 }
 
@@ -287,11 +306,11 @@
 // Scored records the proof of the scorer's answer.
 func (p *Plan) Scored(job Job, proof string) { p.succeed(p.items[job.index], proof) }
 
-// ScoringFailed records that the scorer returned no score.
-func (p *Plan) ScoringFailed(job Job, now clock.Boot) {
+// ScoringFailed records that the scorer returned no score; the text is scored again after a pause.
+func (p *Plan) ScoringFailed(job Job, pause time.Duration, now clock.Boot) {
 	item := p.items[job.index]
 	item.phase = unscored
-	item.notBefore = now.Add(faultPause)
+	item.notBefore = now.Add(pause)
 }
 
 // ScorerFailed records that the scorer answered with failures.
@@ -306,7 +325,7 @@
 		p.fail(item, "scorer failed "+strconv.Itoa(item.scorerFailures)+" times")
 		return
 	}
-	p.ScoringFailed(job, now)
+	p.ScoringFailed(job, faultPause, now)
 }
 
 // Interrupted records that a run ended before its text was complete. Its events stay, and the
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -12,15 +12,20 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/forward"
+	"github.com/bramleyhatch/bramleyhatch/internal/poison"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
 )
 
 // generate runs an item on a server and records the result.
-func (o *owner) generate(ctx context.Context, job Job, server *roster.Server) {
+func (o *owner) generate(ctx context.Context, job Job, server *roster.Server, tracker *poison.Tracker) {
 	began := clock.Now()
-	err := o.stream(ctx, job, server)
+	err := tracker.Admit(ctx)
+	if err == nil {
+		err = o.stream(ctx, job, server)
+	}
 	o.roster.Finish(server)
+	recordRun(ctx, tracker, server, err)
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	defer o.notify()
@@ -39,6 +44,15 @@
 	}
 }
 
+// recordRun reports the end of a run to the item's tracker.
+func recordRun(ctx context.Context, tracker *poison.Tracker, server *roster.Server, err error) {
+	if err == nil || refusal.Of(err).Code == backend.CodeFailed {
+		tracker.RecordAnswer()
+		return
+	}
+	tracker.RecordFailure(ctx, server.Instance(), err)
+}
+
 // recordEnd updates the plan and the roster after a failed run, and returns the metric label of
 // its end.
 func (o *owner) recordEnd(ctx context.Context, job Job, server *roster.Server, err error, now clock.Boot) string {
@@ -50,6 +64,9 @@
 	case ctx.Err() != nil:
 		o.plan.Interrupted(job, 0, now)
 		return endStopped
+	case refused.Code == poison.CodeQuarantined:
+		o.plan.Interrupted(job, min(refused.RetryAfter, maxHoldTime), now)
+		return endRefused
 	case refused.Code == backend.CodeFailed && isItemFailure(refused.Status):
 		o.plan.Failed(job, refused.Status == http.StatusUnprocessableEntity, now)
 		return endFailed
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/settingspb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	store "github.com/bramleyhatch/bramleyhatch/internal/platform"
+	"github.com/bramleyhatch/bramleyhatch/internal/poison"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
 	"github.com/bramleyhatch/bramleyhatch/internal/table"
 	"github.com/bramleyhatch/bramleyhatch/internal/usage"
@@ -63,6 +64,7 @@
 	view       *table.View
 	roster     *roster.Roster
 	cold       *coldLimiter
+	quarantine *poison.Quarantine
 	forwarder  *forward.Forwarder
 	board      *batch.Board
 	wall       *clock.Wall
@@ -113,7 +115,9 @@
 		ColdLimits:        g.cold,
 		ReregisterTimeout: g.Settings.GetDirectory().GetBack().AsDuration(),
 	}
-	g.forwarder = &forward.Forwarder{Roster: g.roster}
+	g.quarantine = &poison.Quarantine{Store: g.store, Prefix: batch.Prefix + "poison/", Metrics: g.Metrics}
+	g.AddTask("quarantine", g.quarantine.Run)
+	g.forwarder = &forward.Forwarder{Roster: g.roster, Quarantine: g.quarantine}
 }
 
 // addBatches adds the batches of trainers.
@@ -126,6 +130,7 @@
 		Scorer:        &gateway.Scorer{View: g.view, Forwarder: g.forwarder, Proof: platform.Wire{}.Proof},
 		HeaderEncoder: platform.Wire{},
 		Routes:        gateway.Routes(g.view),
+		Quarantine:    g.quarantine,
 		Metrics:       g.Metrics,
 		Lease:         g.session.Lease,
 		Candidates:    g.hosts.Candidates,
@@ -167,6 +172,7 @@
 	g.dutyHolder.apply(changes)
 	g.board.ApplyChanges(changes)
 	g.cold.apply(changes)
+	g.quarantine.ApplyChanges(changes)
 	applySteps(&g.steps, changes)
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/poison"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
 	"github.com/bramleyhatch/bramleyhatch/internal/table"
@@ -40,6 +42,8 @@
 // first request.
 type Forwarder struct {
 	Roster *roster.Roster
+	// Quarantine refuses requests that crash backend servers; nil refuses none.
+	Quarantine *poison.Quarantine
 }
 
 // Run sends a request until a backend server has answered it. The error is a
@@ -51,15 +55,17 @@
 		pool:      request.Route.Pool(rand.Float64()),
 		policy:    policy{maxAttempts: request.Route.MaxAttempts, repeatable: request.isRepeatable(), latencyTarget: request.Route.LatencyTarget},
 		tried:     map[string]bool{},
+		tracker:   f.Quarantine.Track(request.ID, request.identity()),
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.left())
 	answer, err := run.execute(ctx)
 	if err != nil {
 		cancel()
+		run.tracker.Close()
 		return nil, err
 	}
 	finish := answer.Finish
-	answer.Finish = func() { finish(); cancel() }
+	answer.Finish = func() { finish(); cancel(); run.tracker.Close() }
 	return answer, nil
 }
 
@@ -70,6 +76,7 @@
 	pool      string
 	policy    policy
 	tried     map[string]bool
+	tracker   *poison.Tracker
 	received  bool
 }
 
@@ -83,6 +90,10 @@
 			}
 			continue
 		}
+		if err := r.tracker.Admit(ctx); err != nil {
+			r.forwarder.Roster.Finish(server)
+			return nil, r.refuse(ctx, err)
+		}
 		klog.InfoS("route: server chosen", "id", r.request.ID, "route", r.request.Route.Name, "server", server.Name(), "running", r.forwarder.Roster.Running(server), "reason", reason, "tried", len(r.tried), "left", r.request.left())
 		r.tried[server.Name()] = true
 		answer, err := r.tryServer(ctx, server)
@@ -175,7 +186,9 @@
 		if r.policy.repeatable {
 			resumable := newStream(ctx, r, server, answer)
 			result.Next, result.Finish = resumable.Next, resumable.close
+			return result, nil
 		}
+		r.observeBody(ctx, server, answer)
 		return result, nil
 	}
 	body, complete, err := answer.ReadAll(maxBufferedBytes)
@@ -188,14 +201,32 @@
 	}
 	if answer.StatusCode >= http.StatusInternalServerError && r.policy.repeatable && r.policy.executions+1 < r.policy.maxAttempts {
 		_ = answer.Body.Close()
+		r.tracker.RecordAnswer()
 		return nil, refusal.Unknown(http.StatusBadGateway, backend.CodeFailed, "%s answered %d", server.Name(), answer.StatusCode)
 	}
 	result.Body, result.Complete = body, complete
+	if complete {
+		r.tracker.RecordAnswer()
+	} else {
+		r.observeBody(ctx, server, answer)
+	}
 	return result, nil
 }
 
+// observeBody records how the rest of an answer ends that the caller reads directly.
+func (r *run) observeBody(ctx context.Context, server *roster.Server, answer *backend.Answer) {
+	answer.Body = &observedBody{ReadCloser: answer.Body, onEnd: func(err error) {
+		if errors.Is(err, io.EOF) {
+			r.tracker.RecordAnswer()
+			return
+		}
+		r.tracker.RecordFailure(ctx, server.Instance(), answer.Interrupted())
+	}}
+}
+
 func (r *run) recordFailure(ctx context.Context, server *roster.Server, err error) {
 	RecordFailure(ctx, r.forwarder.Roster, server, err)
+	r.tracker.RecordFailure(ctx, server.Instance(), err)
 }
 
 // RecordFailure reports a failed attempt to the roster. An attempt that ended because its
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/poison"
 	"github.com/bramleyhatch/bramleyhatch/internal/table"
 )
 
@@ -26,6 +27,11 @@
 	OnReceived func()
 }
 
+// identity returns what the copies of the request have in common.
+func (r *Request) identity() poison.Identity {
+	return poison.Identity{Account: r.Account, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
+}
+
 // isRepeatable reports whether the request may run more than once.
 func (r *Request) isRepeatable() bool {
 	return r.Route.Kind == table.Idempotent || r.Route.Kind == table.Stream && r.Route.Resumable
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -40,6 +40,7 @@
 	for {
 		event, err := s.events.Next()
 		if errors.Is(err, io.EOF) {
+			s.run.tracker.RecordAnswer()
 			return nil, io.EOF
 		}
 		if err == nil && event.Number != s.lastEvent+1 {
@@ -79,6 +80,11 @@
 		if server == nil {
 			return false
 		}
+		if err := s.run.tracker.Admit(s.ctx); err != nil {
+			klog.InfoS("route: the stream is not resumed", "id", s.run.request.ID, "after", s.lastEvent, "reason", err.Error())
+			s.run.forwarder.Roster.Finish(server)
+			return false
+		}
 		s.run.tried[server.Name()] = true
 		klog.InfoS("route: resuming the stream on another server", "id", s.run.request.ID, "server", server.Name(), "reason", reason, "after", s.lastEvent, "cause", cause.Error())
 		s.run.request.LastEvent = s.lastEvent
--- /dev/null
+++ b/internal/poison/quarantine.go
@@ -0,0 +1,305 @@
+// Package poison quarantines requests that crash each backend server that runs them.
+//
+// The bound on the attempts of one request doesn't stop such a request: each copy that a caller sends is a new request
+// with attempts of its own. So gateways count, by the contents of requests, the servers that crashed while they ran one,
+// and share the counts through the store. Once a request has crashed maxCrashes servers, no gateway sends a copy, except
+// for a few trials.
+package poison
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+)
+
+// CodeQuarantined is the refusal code of quarantined requests.
+const CodeQuarantined = "quarantined"
+
+const (
+	// maxSuspects bounds the suspects that a process remembers.
+	maxSuspects = 4096
+	// trialRetryDelay is the Retry-After of a copy that came when a trial was due and wasn't the one that was sent.
+	trialRetryDelay = time.Second
+)
+
+// Store is the part of the platform's store that a Quarantine uses.
+type Store interface {
+	GrantLease(ctx context.Context, length time.Duration) (uint64, error)
+	Commit(ctx context.Context, commit platform.Commit) (uint64, error)
+}
+
+// Quarantine holds the suspects that this process knows. Exported fields are set before the first call. It is safe for
+// concurrent use. A nil Quarantine admits all requests.
+type Quarantine struct {
+	Store Store
+	// Prefix is the prefix of the suspects' store keys.
+	Prefix string
+	// Metrics registers the metrics; nil leaves them unregistered.
+	Metrics prometheus.Registerer
+
+	// now is the clock; nil means clock.Now.
+	now func() clock.Boot
+
+	mutex    sync.Mutex
+	suspects map[string]*suspect
+	wake     chan struct{}
+	metrics  *metrics
+}
+
+// Track returns the tracker of the copy of a request that has an ID. The identity must not change until the tracker is
+// closed.
+func (q *Quarantine) Track(id string, identity Identity) *Tracker {
+	return &Tracker{quarantine: q, id: id, identity: identity}
+}
+
+// ApplyChanges updates the suspects from changed store keys.
+func (q *Quarantine) ApplyChanges(changes []platform.Value) {
+	q.lock()
+	defer q.mutex.Unlock()
+	for _, change := range changes {
+		if fingerprint, ok := strings.CutPrefix(change.Key, q.Prefix); ok {
+			q.apply(fingerprint, change)
+		}
+	}
+}
+
+// apply updates a suspect from a change of its key. The mutex is held.
+func (q *Quarantine) apply(fingerprint string, change platform.Value) {
+	known := q.suspects[fingerprint]
+	if known != nil && change.Revision <= known.revision {
+		return
+	}
+	if change.Deleted {
+		q.applyRemoval(fingerprint)
+		return
+	}
+	state := &statepb.Suspect{}
+	if err := proto.Unmarshal(change.Data, state); err != nil {
+		klog.ErrorS(err, "poison: decoding a suspect failed", "key", change.Key)
+		return
+	}
+	if known == nil {
+		known = q.add(fingerprint)
+	}
+	wasQuarantined := known.isQuarantined()
+	known.isCleared = false
+	known.merge(state, change.Revision, change.Lease, q.now())
+	q.logQuarantine(fingerprint, known, wasQuarantined)
+	if known.needsWrite() {
+		q.notify()
+	}
+}
+
+// applyRemoval updates a suspect whose key has expired, or was removed after an answer. The mutex is held.
+func (q *Quarantine) applyRemoval(fingerprint string) {
+	known := q.suspects[fingerprint]
+	if known == nil || known.revision == 0 {
+		return
+	}
+	klog.InfoS("poison: request is no longer suspected", "fingerprint", fingerprint, "crashed", known.servers, "trials", known.trials)
+	if known.forgetStored() {
+		delete(q.suspects, fingerprint)
+	}
+}
+
+// add adds a suspect without crashes. The mutex is held.
+func (q *Quarantine) add(fingerprint string) *suspect {
+	if len(q.suspects) >= maxSuspects {
+		q.evict()
+	}
+	added := &suspect{}
+	q.suspects[fingerprint] = added
+	return added
+}
+
+// evict forgets the suspect with the oldest change, quarantined ones last. The mutex is held.
+func (q *Quarantine) evict() {
+	var oldest string
+	for fingerprint, each := range q.suspects {
+		if oldest == "" || each.isOlder(q.suspects[oldest]) {
+			oldest = fingerprint
+		}
+	}
+	klog.InfoS("poison: forgetting a suspect because there are too many", "fingerprint", oldest, "max", maxSuspects)
+	delete(q.suspects, oldest)
+}
+
+// logQuarantine logs that a suspect has just been quarantined. The mutex is held.
+func (q *Quarantine) logQuarantine(fingerprint string, suspect *suspect, wasQuarantined bool) {
+	if suspect.isQuarantined() && !wasQuarantined {
+		klog.InfoS("poison: request quarantined", "fingerprint", fingerprint, "crashed", suspect.servers, "trials", suspect.trials)
+	}
+}
+
+// recordCrash records that a server crashed while it ran a copy of a request.
+func (q *Quarantine) recordCrash(id, fingerprint, server string) {
+	q.lock()
+	defer q.mutex.Unlock()
+	known := q.suspects[fingerprint]
+	if known == nil {
+		known = q.add(fingerprint)
+	}
+	wasQuarantined := known.isQuarantined()
+	if !known.recordCrash(server, q.now()) {
+		return
+	}
+	q.metrics.crashes.Inc()
+	klog.InfoS("poison: server crashed while it ran the request", "id", id, "fingerprint", fingerprint, "server", server, "crashed", len(known.servers))
+	q.logQuarantine(fingerprint, known, wasQuarantined)
+	q.notify()
+}
+
+// recordAnswer records that a server has answered a copy of a request.
+func (q *Quarantine) recordAnswer(identity func() string) {
+	q.lock()
+	defer q.mutex.Unlock()
+	if len(q.suspects) == 0 {
+		return
+	}
+	fingerprint := identity()
+	known := q.suspects[fingerprint]
+	switch {
+	case known == nil:
+	case known.revision == 0:
+		delete(q.suspects, fingerprint)
+	default:
+		klog.InfoS("poison: a server has answered the suspected request", "fingerprint", fingerprint, "crashed", known.servers, "trials", known.trials)
+		known.isCleared = true
+		q.notify()
+	}
+}
+
+// recordUnanswered records that a copy under which servers crashed has ended without an answer.
+func (q *Quarantine) recordUnanswered(fingerprint string) {
+	q.lock()
+	defer q.mutex.Unlock()
+	if known := q.suspects[fingerprint]; known != nil {
+		known.isUnanswered = true
+		q.notify()
+	}
+}
+
+// heldFor returns the time until a copy may be sent, or sent on trial.
+func (q *Quarantine) heldFor(identity func() string) time.Duration {
+	q.lock()
+	defer q.mutex.Unlock()
+	if len(q.suspects) == 0 {
+		return 0
+	}
+	known := q.suspects[identity()]
+	if known == nil || !known.isQuarantined() {
+		return 0
+	}
+	return known.untilTrial(q.now())
+}
+
+// admit returns nil if a copy may be sent, else a *refusal.Error.
+func (q *Quarantine) admit(ctx context.Context, identity func() string) error {
+	q.lock()
+	if len(q.suspects) == 0 {
+		q.mutex.Unlock()
+		return nil
+	}
+	fingerprint := identity()
+	known := q.suspects[fingerprint]
+	if known == nil || !known.isQuarantined() {
+		q.mutex.Unlock()
+		return nil
+	}
+	if wait := known.untilTrial(q.now()); wait > 0 {
+		q.mutex.Unlock()
+		return q.refuse(fingerprint, wait)
+	}
+	claim := trial{state: known.state(known.trials + 1), revision: known.revision, lease: known.lease}
+	q.mutex.Unlock()
+	if err := q.claimTrial(ctx, fingerprint, claim); err != nil {
+		klog.InfoS("poison: no trial of the quarantined request", "fingerprint", fingerprint, "err", err.Error())
+		return q.refuse(fingerprint, trialRetryDelay)
+	}
+	return nil
+}
+
+func (q *Quarantine) refuse(fingerprint string, wait time.Duration) error {
+	q.metrics.refused.Inc()
+	return refusal.NotRun(http.StatusServiceUnavailable, CodeQuarantined, "request %s has crashed backend servers", fingerprint).WithRetryAfter(wait)
+}
+
+// errNotStored means that a trial can't be claimed because the suspect isn't in the store yet.
+var errNotStored = errors.New("poison: the suspect is not in the store yet")
+
+// trial is the claim of the next trial of a suspect.
+type trial struct {
+	state    *statepb.Suspect
+	revision uint64
+	lease    uint64
+}
+
+// claimTrial makes this copy the one that is sent in the next trial. Of all gateways one succeeds, since each expects the
+// revision at which the trial was due.
+func (q *Quarantine) claimTrial(ctx context.Context, fingerprint string, claim trial) error {
+	if claim.revision == 0 {
+		return errNotStored
+	}
+	data, err := proto.Marshal(claim.state)
+	if err != nil {
+		return err
+	}
+	key := q.Prefix + fingerprint
+	revision, err := q.Store.Commit(ctx, platform.Commit{
+		Expect: []platform.Expect{{Key: key, Revision: claim.revision}},
+		Writes: []platform.Write{{Key: key, Data: data, Lease: claim.lease}},
+	})
+	if err != nil {
+		return err
+	}
+	klog.InfoS("poison: sending a copy of the quarantined request on trial", "fingerprint", fingerprint, "trial", claim.state.GetTrials())
+	q.metrics.trials.Inc()
+	q.ApplyChanges([]platform.Value{{Key: key, Data: data, Revision: revision, Lease: claim.lease}})
+	return nil
+}
+
+// lock locks the mutex and initializes the quarantine on first use.
+func (q *Quarantine) lock() {
+	q.mutex.Lock()
+	if q.suspects != nil {
+		return
+	}
+	if q.now == nil {
+		q.now = clock.Now
+	}
+	q.suspects = map[string]*suspect{}
+	q.wake = make(chan struct{}, 1)
+	q.metrics = newMetrics(q.Metrics, q.countQuarantined)
+}
+
+// notify wakes up Run. The mutex is held.
+func (q *Quarantine) notify() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (q *Quarantine) countQuarantined() float64 {
+	q.lock()
+	defer q.mutex.Unlock()
+	count := 0
+	for _, each := range q.suspects {
+		if each.isQuarantined() {
+			count++
+		}
+	}
+	return float64(count)
+}
--- a/internal/roster/registrations.go
+++ b/internal/roster/registrations.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"strconv"
+
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
@@ -39,6 +41,7 @@
 	server := &Server{
 		Server:           route.NewServer(entry.ID, r.Region, entry.Zone),
 		entry:            entry,
+		instance:         entry.ID + "@" + strconv.FormatInt(entry.StartedAtMillis, 10),
 		reportedVersions: map[string]uint64{},
 		direct: &backend.Direct{
 			Server: backend.Server{Address: "http://" + entry.Address, Name: entry.ID, IdleTimeout: r.IdleTimeout},
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -30,8 +30,10 @@
 type Server struct {
 	*route.Server
 
-	entry  Entry
-	direct *backend.Direct
+	entry Entry
+	// instance identifies this start of the server.
+	instance string
+	direct   *backend.Direct
 	// reportedVersions maps a model to the weight version that answers have reported since the
 	// registration.
 	reportedVersions map[string]uint64
@@ -61,5 +63,8 @@
 // Direct returns the client of the server.
 func (s *Server) Direct() *backend.Direct { return s.direct }
 
+// Instance returns a name of this start of the server: a server may start again under its ID.
+func (s *Server) Instance() string { return s.instance }
+
 // Entry returns the newest registration.
 func (s *Server) Entry() Entry { return s.entry }
