duty: a suspension during a call of the store counts against the term

What callers would see: a host is suspended while the answer of a renewal is on its way, another process takes the duty over and orders, and the first one, awake again, reads the answer and goes on with its lower fencing token until its next renewal (ONE, where receivers check no tokens).

Cause: extend added the whole suspension up to the answer to the new end, also the part after the renewal was sent, and revived a term that had run out. A new and a resumed term counted suspensions only from the answers on.

Change: both clocks are read before a call is sent, and suspensions count from there. A term that has run out isn't extended; resume asks the store.

--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/decision"
 	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
@@ -64,6 +65,9 @@
 	OnHeld    func(name string, held bool)
 	Decisions *decision.Log
 
+	// boot reads the clock that counts suspensions; nil means clock.Now.
+	boot func() clock.Boot
+
 	// hasHeld is true once this start of the process has held the duty.
 	hasHeld bool
 	// revision is the revision of the duty's key in the current term.
@@ -128,12 +132,12 @@
 		}
 		pause.For(ctx, time.Duration(rank)*e.Lease/(2*renewalsPerLease))
 	}
-	sent := time.Now()
+	sent := e.moment()
 	lease, err := e.Store.GrantLease(ctx, e.Lease)
 	if err != nil {
 		return nil, 0
 	}
-	until := sent.Add(e.Lease - e.Margin)
+	until := sent.at.Add(e.Lease - e.Margin)
 	revision, err := e.writeHolder(ctx, prior, lease, until)
 	if err != nil {
 		return nil, 0
@@ -145,7 +149,21 @@
 	e.revision, e.heldSince = revision, time.Now()
 	e.Decisions.Record(e.Name, "duty", "%s holds it, term %d, candidate %d", e.Process, fence, rank)
 	e.hasHeld = true
-	return NewTerm(fence, until), lease
+	return e.newTerm(fence, until, sent), lease
+}
+
+// moment returns the present time on both clocks.
+func (e *Elector) moment() moment { return moment{at: time.Now(), boot: e.readBoot()} }
+
+func (e *Elector) readBoot() clock.Boot {
+	if e.boot == nil {
+		return clock.Now()
+	}
+	return e.boot()
+}
+
+func (e *Elector) newTerm(fence uint64, until time.Time, sent moment) *Term {
+	return newTermSince(fence, until, sent, e.readBoot)
 }
 
 // claimOfEarlierStart returns the claim that an earlier start of this process still has on the
@@ -252,7 +270,7 @@
 // nobody else has held the duty, so the holder continues under its own fence.
 func (e *Elector) resume(ctx context.Context, term *Term, lease uint64) *Term {
 	for ctx.Err() == nil {
-		sent := time.Now()
+		sent := e.moment()
 		err := e.Store.RenewLease(ctx, lease, e.Lease)
 		var revision uint64
 		if err == nil {
@@ -261,7 +279,7 @@
 		switch {
 		case err == nil && revision == e.revision:
 			e.Decisions.Record(e.Name, "duty", "%s goes on with term %d, its lease stands", e.Process, term.Fence())
-			return NewTerm(term.Fence(), sent.Add(e.Lease-e.Margin))
+			return e.newTerm(term.Fence(), sent.at.Add(e.Lease-e.Margin), sent)
 		case err == nil, isLeaseGone(err):
 			e.Decisions.Record(e.Name, "duty", "term %d has run out and its lease has ended", term.Fence())
 			return nil
@@ -310,12 +328,12 @@
 // the answer may arrive late.
 func (e *Elector) renew(ctx context.Context, term *Term, lease uint64, cancel func()) {
 	for pause.For(ctx, e.Lease/renewalsPerLease) {
-		sent := time.Now()
+		sent := e.moment()
 		err := e.Store.RenewLease(ctx, lease, e.Lease)
 		var gone *platform.NotFoundError
 		switch {
 		case err == nil:
-			term.extend(sent.Add(e.Lease - e.Margin))
+			term.extend(sent.at.Add(e.Lease-e.Margin), sent)
 		case errors.As(err, &gone):
 			e.Decisions.Record(e.Name, "duty", "the lease of term %d has lapsed", term.Fence())
 			term.End()
--- a/internal/duty/term.go
+++ b/internal/duty/term.go
@@ -7,6 +7,17 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 )
 
+// moment is one time on both clocks. The monotonic clock of time.Time stops while the host is suspended.
+type moment struct {
+	at   time.Time
+	boot clock.Boot
+}
+
+// suspended returns how long the host was suspended between m and a later moment.
+func (m moment) suspended(later moment) time.Duration {
+	return max(0, later.boot.Sub(m.boot)-later.at.Sub(m.at))
+}
+
 // Term is the time during which a process holds a duty.
 // It is safe for concurrent use.
 type Term struct {
@@ -16,9 +27,8 @@
 
 	mutex sync.Mutex
 	until time.Time
-	// startedAt and startedBoot are the same moment on both clocks.
-	startedAt   time.Time
-	startedBoot clock.Boot
+	// start is the moment from which on suspensions count.
+	start moment
 }
 
 // NewTerm returns a term with a fencing token that ends at a time.
@@ -27,7 +37,13 @@
 }
 
 func newTerm(fence uint64, until, now time.Time, boot func() clock.Boot) *Term {
-	return &Term{fence: fence, until: until, readBoot: boot, startedAt: now, startedBoot: boot()}
+	return newTermSince(fence, until, moment{at: now, boot: boot()}, boot)
+}
+
+// newTermSince returns a term whose end was computed at an earlier moment, such as before a call to the store was sent:
+// a suspension during the call counts.
+func newTermSince(fence uint64, until time.Time, start moment, boot func() clock.Boot) *Term {
+	return &Term{fence: fence, until: until, readBoot: boot, start: start}
 }
 
 // End ends the term permanently.
@@ -56,22 +72,24 @@
 func (t *Term) Valid(now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return !t.until.IsZero() && now.Add(t.suspended(now)).Before(t.until)
+	return t.isValid(moment{at: now, boot: t.readBoot()})
 }
 
-// suspended returns how long the host has been suspended since the term began.
-func (t *Term) suspended(now time.Time) time.Duration {
-	return max(0, t.readBoot().Sub(t.startedBoot)-now.Sub(t.startedAt))
+func (t *Term) isValid(now moment) bool {
+	return !t.until.IsZero() && now.at.Add(t.start.suspended(now)).Before(t.until)
 }
 
-// extend moves the end of the term to a later time, unless the term has ended.
-func (t *Term) extend(until time.Time) {
+// extend moves the end of the term to a later time, which was computed when the renewal was sent.
+//
+// A suspension before the renewal was sent doesn't shorten the renewed lease; a later one does. A term that has run out
+// isn't extended: the renewal may have been answered before a suspension in which the lease expired.
+func (t *Term) extend(until time.Time, sent moment) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	now := time.Now()
-	if !t.until.IsZero() && until.After(t.until) {
-		// A suspension before the renewal was sent doesn't shorten the renewed lease; a suspension
-		// between sending the renewal and now must still be counted.
-		t.until = until.Add(t.suspended(now))
+	if !t.isValid(moment{at: time.Now(), boot: t.readBoot()}) {
+		return
+	}
+	if until = until.Add(t.start.suspended(sent)); until.After(t.until) {
+		t.until = until
 	}
 }
