duty: a process that is asked to stop while it waits for its turn takes no duty

A candidate of rank 1 or 2 waits up to a quarter of a lease between seeing the duty free and creating its key. Asked to stop in that time, it took the duty over all the same, and its short term kept the key. It is asked again after the wait. TestStoppingProcessAcquiresNoDuty has the case; without the second check it fails.

--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -58,8 +58,8 @@
 	PollInterval time.Duration
 	// Rank returns this process's position among the candidates; nil means 0.
 	Rank func() int
-	// IsStopping reports whether this process was asked to stop. It then acquires no duty, since it would soon end the
-	// term. nil means never.
+	// IsStopping reports whether this process was asked to stop. It then acquires no duty: its short term would keep its
+	// key, and the duty would have no holder for up to a lease. nil means never.
 	IsStopping func() bool
 	// OnHeld is called when the duty is acquired and released; it may be nil.
 	OnHeld    func(name string, held bool)
@@ -122,7 +122,7 @@
 
 // acquire returns a term and its lease if the duty was free, else nil.
 func (e *Elector) acquire(ctx context.Context) (*Term, uint64) {
-	if e.IsStopping != nil && e.IsStopping() {
+	if e.isStopping() {
 		return nil, 0
 	}
 	rank, prior := e.rank(), e.claimOfEarlierStart()
@@ -131,6 +131,9 @@
 			return nil, 0
 		}
 		pause.For(ctx, time.Duration(rank)*e.Lease/(2*renewalsPerLease))
+		if e.isStopping() {
+			return nil, 0
+		}
 	}
 	sent := e.moment()
 	lease, err := e.Store.GrantLease(ctx, e.Lease)
@@ -166,6 +169,8 @@
 	return newTermSince(fence, until, sent, e.readBoot)
 }
 
+func (e *Elector) isStopping() bool { return e.IsStopping != nil && e.IsStopping() }
+
 // claimOfEarlierStart returns the claim that an earlier start of this process still has on the
 // duty.
 //
--- a/internal/duty/turns_test.go
+++ b/internal/duty/turns_test.go
@@ -48,11 +48,12 @@
 // candidate is a process that starts, acts while it holds the duty, and ends.
 type candidate struct {
 	name   string
+	rank   int
 	store  *store
 	acts   *actLog
 	client *client
 	stop   func()
-	// isFaulty makes the work fail after its first act, isStopping makes the process one that was asked to stop.
+	// isFaulty makes the work fail after its first act, isStopping makes it behave like a process that was asked to stop.
 	isFaulty   atomic.Bool
 	isStopping atomic.Bool
 }
@@ -105,7 +106,7 @@
 		return
 	}
 	c.client = &client{store: c.store}
-	elector := newElector(c.client, c.name, 0)
+	elector := newElector(c.client, c.name, c.rank)
 	elector.PollInterval = lease / 15
 	elector.PriorClaim = c.priorClaim
 	elector.IsStopping = c.isStopping.Load
@@ -243,20 +244,30 @@
 	mustNotAlternate(t, acts.all())
 }
 
-// Guards against a duty that a stopping process takes over and can't hold: no other process gets it for a lease then.
+// Guards against a stopping process that takes a duty over: its short term would leave the duty without a holder for a
+// lease.
 func TestStoppingProcessAcquiresNoDuty(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		store, acts := newStore(), &actLog{}
-		stopping := &candidate{name: "p1", store: store, acts: acts}
-		other := &candidate{name: "p2", store: store, acts: acts}
-		stopping.isStopping.Store(true)
-		stopping.start(t)
-		time.Sleep(lease)
-		must.SliceEmpty(t, acts.all())
-		other.start(t)
-		time.Sleep(lease)
-		stopping.terminate()
-		other.terminate()
-		must.Eq(t, "p2", acts.all()[0].process)
-	})
+	for name, stopAfter := range map[string]time.Duration{
+		"asked before it sees the free duty": 0,
+		"asked while it waits for its turn":  tick,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, acts := newStore(), &actLog{}
+				stopping := &candidate{name: "p1", store: store, acts: acts, rank: 2}
+				other := &candidate{name: "p2", store: store, acts: acts}
+				stopping.isStopping.Store(stopAfter == 0)
+				stopping.start(t)
+				time.Sleep(stopAfter)
+				stopping.isStopping.Store(true)
+				time.Sleep(lease)
+				must.SliceEmpty(t, acts.all())
+				other.start(t)
+				time.Sleep(lease)
+				stopping.terminate()
+				other.terminate()
+				must.Eq(t, "p2", acts.all()[0].process)
+			})
+		})
+	}
 }
