duty: a key outlasts its creation by a lease, also if its holder dies

The lease runs from its grant. A process that believes the duty free grants its lease, the holder acts and releases the duty, and only then the process creates the key: if it acts and is killed before its first renewal, the key ends less than a lease after the former holder's last act, which then has the duty back too early. A holder whose key was created more than 50 ms after the grant now renews at once.

--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -25,6 +25,9 @@
 	pollsPerLease = 2
 	// releaseTimeout bounds the store calls that release a duty.
 	releaseTimeout = 2 * time.Second
+	// maxCreationDelay is how much earlier than the key its lease may begin. A holder needs longer than that from
+	// having its key until its first act.
+	maxCreationDelay = 50 * time.Millisecond
 	// minLeaseLength is the shortest lease that every store grants.
 	minLeaseLength = time.Second
 )
@@ -74,6 +77,8 @@
 	revision uint64
 	// heldSince is a time from which on this process has had the duty's key without interruption.
 	heldSince time.Time
+	// creationDelay is the time from the grant of the lease to the creation of the key.
+	creationDelay time.Duration
 }
 
 // PriorClaim is the claim that an earlier start of a process still has on a duty; the zero value
@@ -150,6 +155,7 @@
 		fence = prior.Fence
 	}
 	e.revision, e.heldSince = revision, time.Now()
+	e.creationDelay = e.heldSince.Sub(sent.at)
 	e.Decisions.Record(e.Name, "duty", "%s holds it, term %d, candidate %d", e.Process, fence, rank)
 	e.hasHeld = true
 	return e.newTerm(fence, until, sent), lease
@@ -331,8 +337,13 @@
 // renew extends the lease until the context ends or the lease no longer exists. A term is counted
 // from before the renewal is sent: the lease may run in the store from any moment after that, and
 // the answer may arrive late.
+//
+// If the key was created long after the lease was granted, the first renewal is sent at once. The previous holder may
+// have acted until the creation: if this process died, the key would expire less than a lease after that.
 func (e *Elector) renew(ctx context.Context, term *Term, lease uint64, cancel func()) {
-	for pause.For(ctx, e.Lease/renewalsPerLease) {
+	isDue := e.creationDelay > maxCreationDelay
+	for isDue || pause.For(ctx, e.Lease/renewalsPerLease) {
+		isDue = false
 		sent := e.moment()
 		err := e.Store.RenewLease(ctx, lease, e.Lease)
 		var gone *platform.NotFoundError
--- a/internal/duty/turns_test.go
+++ b/internal/duty/turns_test.go
@@ -271,3 +271,43 @@
 		})
 	}
 }
+
+// slowStore delays the creation of the duty's key after the grant of its lease.
+type slowStore struct {
+	*client
+}
+
+func (s *slowStore) CompareAndSwap(ctx context.Context, key string, expect uint64, data []byte, lease uint64) (uint64, error) {
+	time.Sleep(swapDelay)
+	return s.client.CompareAndSwap(ctx, key, expect, data, lease)
+}
+
+// swapDelay is a part of a lease that shows in the time between two holders.
+const swapDelay = lease / 5
+
+// Guards against a key that expires with its holder less than a lease after the previous holder acted: the previous holder
+// released the duty between the grant of the lease and the creation of the key.
+func TestKeyOutlastsItsCreationByALease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, acts := newStore(), &actLog{}
+		first := &candidate{name: "p1", store: store, acts: acts}
+		second := &candidate{name: "p2", store: store, acts: acts}
+		first.start(t)
+		time.Sleep(2 * lease)
+		second.client = &client{store: store}
+		elector := newElector(&slowStore{client: second.client}, second.name, 0)
+		elector.IsFree = func() bool { return true }
+		second.stop = start(t, elector, second.work)
+		time.Sleep(swapDelay - tick)
+		first.terminate()
+		time.Sleep(lease / 10)
+		second.kill()
+		first.start(t)
+		time.Sleep(3 * lease)
+		first.terminate()
+		recorded := acts.all()
+		must.Eq(t, "p1", recorded[len(recorded)-1].process)
+		must.True(t, slices.ContainsFunc(recorded, func(each act) bool { return each.process == second.name }))
+		mustNotAlternate(t, recorded)
+	})
+}
