duty: a process whose work has failed goes on under its own key

The process that kept the key is the same holder, so it may replace the key at once; it gets a new fencing token.

TestResumesDutyOfEarlierStart has its case of a stop within a lease back, with a bound of a lease and a poll, beside that after a lease.

--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -28,7 +28,7 @@
 	// maxCreationDelay is how much earlier than the key its lease may begin. A holder needs longer than that from
 	// having its key until its first act.
 	maxCreationDelay = 50 * time.Millisecond
-	// minLeaseLength is the shortest lease that every store grants.
+	// minLeaseLength is the shortest lease that the store is known to grant.
 	minLeaseLength = time.Second
 )
 
@@ -75,8 +75,11 @@
 	hasHeld bool
 	// revision is the revision of the duty's key in the current term.
 	revision uint64
-	// heldSince is a time from which on this process has had the duty's key without interruption.
+	// heldSince is when this process learned that it has the duty's key. It may have had the key for longer, so a hold
+	// that is counted from here is never too short.
 	heldSince time.Time
+	// retained is the revision of the key that this process kept when it ended a term early, 0 if there is none.
+	retained uint64
 	// creationDelay is the time from the grant of the lease to the creation of the key.
 	creationDelay time.Duration
 }
@@ -86,7 +89,7 @@
 type PriorClaim struct {
 	// Revision of the duty's key.
 	Revision uint64
-	// Fence of the term.
+	// Fence of the term; 0 starts a new term.
 	Fence uint64
 }
 
@@ -130,7 +133,7 @@
 	if e.isStopping() {
 		return nil, 0
 	}
-	rank, prior := e.rank(), e.claimOfEarlierStart()
+	rank, prior := e.rank(), e.claim()
 	if prior.Revision == 0 {
 		if rank >= maxCandidates || !e.isFree(ctx) {
 			return nil, 0
@@ -146,16 +149,20 @@
 		return nil, 0
 	}
 	until := sent.at.Add(e.Lease - e.Margin)
+	isRetained := e.retained != 0
+	e.retained = 0
 	revision, err := e.writeHolder(ctx, prior, lease, until)
 	if err != nil {
 		return nil, 0
 	}
 	fence := revision
-	if prior.Revision != 0 {
+	if prior.Fence != 0 {
 		fence = prior.Fence
 	}
-	e.revision, e.heldSince = revision, time.Now()
-	e.creationDelay = e.heldSince.Sub(sent.at)
+	if !isRetained {
+		e.heldSince = time.Now()
+	}
+	e.revision, e.creationDelay = revision, time.Since(sent.at)
 	e.Decisions.Record(e.Name, "duty", "%s holds it, term %d, candidate %d", e.Process, fence, rank)
 	e.hasHeld = true
 	return e.newTerm(fence, until, sent), lease
@@ -177,6 +184,15 @@
 
 func (e *Elector) isStopping() bool { return e.IsStopping != nil && e.IsStopping() }
 
+// claim returns the claim of this process on the duty, by a key that it retained when it ended a term or by an earlier
+// start. A term under a retained key gets a new fencing token, since the work of the term before has failed.
+func (e *Elector) claim() PriorClaim {
+	if e.retained != 0 {
+		return PriorClaim{Revision: e.retained}
+	}
+	return e.claimOfEarlierStart()
+}
+
 // claimOfEarlierStart returns the claim that an earlier start of this process still has on the
 // duty.
 //
@@ -376,9 +392,10 @@
 
 // release ends the term, and deletes the duty's key if this process has had the key for a lease.
 //
-// The previous holder may have acted until this process created the key. Could it have the duty again within a lease of
-// that, the acts of the two would alternate, which receivers that check no fencing tokens take for two holders at once.
-// So the key stays for a lease; only a restart of this process, which is the same holder, resumes the duty earlier.
+// The previous holder may have acted until this process created the key. If it got the duty back within a lease of that,
+// the two would seem to take turns, and receivers that check no fencing tokens can't tell this from two holders at once.
+// So a younger key expires a lease after it was acquired. Until then only this process, which is the same holder, may
+// have the duty: after its work has failed, or after a restart where PriorClaim is set.
 func (e *Elector) release(term *Term) {
 	term.End()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
@@ -394,7 +411,7 @@
 	case err != nil:
 		e.Decisions.Record(e.Name, "duty", "term %d was not given up, its lease will lapse: %v", term.Fence(), err)
 	case left > 0:
-		e.Decisions.Record(e.Name, "duty", "%s has ended term %d early, nobody else gets the duty for another %s", e.Process, term.Fence(), left)
+		e.Decisions.Record(e.Name, "duty", "%s has ended term %d; its key keeps other processes out for %s", e.Process, term.Fence(), left)
 	default:
 		e.Decisions.Record(e.Name, "duty", "%s has given up term %d", e.Process, term.Fence())
 	}
@@ -411,6 +428,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = e.Store.CompareAndSwap(ctx, e.key(), e.revision, data, lease)
+	e.retained, err = e.Store.CompareAndSwap(ctx, e.key(), e.revision, data, lease)
 	return err
 }
--- a/internal/duty/elector_test.go
+++ b/internal/duty/elector_test.go
@@ -257,6 +257,17 @@
 // duty isn't done for seconds: no weights are loaded, and the steps requested meanwhile find no
 // sampler. A term that the same start has held is not resumed this way.
 func TestResumesDutyOfEarlierStart(t *testing.T) {
+	t.Run("stopped within a lease", func(t *testing.T) {
+		// The key expires a lease after the restart had it, and the other process polls twice a lease.
+		mustResumeDuty(t, lease/4, lease+lease/2)
+	})
+	t.Run("stopped after a lease", func(t *testing.T) { mustResumeDuty(t, lease+lease/4, lease) })
+}
+
+// mustResumeDuty checks that a restarted process resumes its duty, holds it for a time, and that another process then has
+// the duty within a time.
+func mustResumeDuty(t *testing.T, held, takeover time.Duration) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		store := &platformtest.Store{}
 		granted, err := store.GrantLease(t.Context(), lease)
@@ -269,7 +280,7 @@
 		stop := start(t, restarted, resuming.work)
 		other := start(t, newElector(store, "p2", 0), waiting.work)
 		defer other()
-		time.Sleep(lease / 4)
+		time.Sleep(held)
 		must.Eq(t, 1, resuming.count())
 		must.Eq(t, 0, waiting.count())
 		must.Eq(t, revision, resuming.term(0).Fence())
@@ -279,11 +290,8 @@
 		holder := &statepb.Holder{}
 		must.NoError(t, proto.Unmarshal(value.Data, holder))
 		must.Eq(t, revision, holder.GetFence())
-		// A key that was held for less than a lease isn't released.
-		time.Sleep(lease)
-		must.Eq(t, 0, waiting.count())
 		stop()
-		time.Sleep(lease)
+		time.Sleep(takeover)
 		must.Eq(t, 1, waiting.count())
 		must.Greater(t, revision, waiting.term(0).Fence())
 	})
--- a/internal/duty/turns_test.go
+++ b/internal/duty/turns_test.go
@@ -18,12 +18,17 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
 
-// actInterval is the time between two acts of a holder.
-const actInterval = lease / 50
+const (
+	// actInterval is the time between two acts of a holder.
+	actInterval = lease / 50
+	// pollInterval is the time between two polls of a candidate.
+	pollInterval = lease / 15
+)
 
 // act is what a holder does under its duty, such as an order.
 type act struct {
 	process string
+	fence   uint64
 	at      time.Time
 }
 
@@ -33,10 +38,10 @@
 	acts  []act
 }
 
-func (l *actLog) add(process string) {
+func (l *actLog) add(process string, fence uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.acts = append(l.acts, act{process: process, at: time.Now()})
+	l.acts = append(l.acts, act{process: process, fence: fence, at: time.Now()})
 }
 
 func (l *actLog) all() []act {
@@ -107,7 +112,7 @@
 	}
 	c.client = &client{store: c.store}
 	elector := newElector(c.client, c.name, c.rank)
-	elector.PollInterval = lease / 15
+	elector.PollInterval = pollInterval
 	elector.PriorClaim = c.priorClaim
 	elector.IsStopping = c.isStopping.Load
 	c.stop = start(t, elector, c.work)
@@ -126,9 +131,9 @@
 }
 
 // work acts until the term ends.
-func (c *candidate) work(ctx context.Context, _ *duty.Term) error {
+func (c *candidate) work(ctx context.Context, term *duty.Term) error {
 	for {
-		c.acts.add(c.name)
+		c.acts.add(c.name, term.Fence())
 		if c.isFaulty.Load() {
 			return errors.New("the work failed")
 		}
@@ -156,17 +161,23 @@
 	}
 }
 
-// mustNotAlternate checks that no process acts, after another one has, within a lease of its own earlier act.
+// mustNotAlternate checks that no process acts, after another one has, within a lease of its own earlier act, that no
+// fencing token is lower than an earlier one, and that no two processes have the same.
 func mustNotAlternate(t *testing.T, acts []act) {
 	t.Helper()
 	last := map[string]time.Time{}
-	var previous string
+	holders := map[uint64]string{}
+	var previous act
 	for _, current := range acts {
-		if before, has := last[current.process]; has && previous != current.process {
-			must.GreaterEq(t, lease, current.at.Sub(before), must.Sprintf("%s acts again after %s", current.process, previous))
+		if before, has := last[current.process]; has && previous.process != current.process {
+			must.GreaterEq(t, lease, current.at.Sub(before), must.Sprintf("%s acts again after %s", current.process, previous.process))
+		}
+		must.GreaterEq(t, previous.fence, current.fence, must.Sprint("fencing tokens don't fall"))
+		if holder, has := holders[current.fence]; has {
+			must.Eq(t, holder, current.process, must.Sprint("each fencing token has one holder"))
 		}
-		last[current.process] = current.at
-		previous = current.process
+		last[current.process], holders[current.fence] = current.at, current.process
+		previous = current
 	}
 }
 
@@ -311,3 +322,56 @@
 		mustNotAlternate(t, recorded)
 	})
 }
+
+// Guards against a duty that nobody does for longer than a lease and some polls after its holder was stopped early.
+func TestDutyIsFreeALeaseAfterItsStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, acts := newStore(), &actLog{}
+		first := &candidate{name: "p1", store: store, acts: acts}
+		second := &candidate{name: "p2", store: store, acts: acts}
+		first.start(t)
+		time.Sleep(lease * 4 / 5)
+		second.start(t)
+		first.terminate()
+		time.Sleep(2 * lease)
+		second.terminate()
+		recorded := acts.all()
+		next := slices.IndexFunc(recorded, func(each act) bool { return each.process == second.name })
+		must.Between(t, lease, recorded[next].at.Sub(recorded[0].at), lease+2*pollInterval)
+	})
+}
+
+// Guards against a duty that a process does not do for a lease because its work has failed once.
+func TestProcessGoesOnAfterItsWorkFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, acts := newStore(), &actLog{}
+		only := &candidate{name: "p1", store: store, acts: acts}
+		only.isFaulty.Store(true)
+		only.start(t)
+		time.Sleep(pollInterval / 2)
+		only.isFaulty.Store(false)
+		time.Sleep(2 * pollInterval)
+		only.terminate()
+		recorded := acts.all()
+		must.Less(t, 2*pollInterval, recorded[1].at.Sub(recorded[0].at))
+		must.Greater(t, recorded[0].fence, recorded[1].fence)
+		mustNotAlternate(t, recorded)
+	})
+}
+
+// Guards against a restart within a lease that gets a new fencing token: late calls of the start before would count as
+// calls of an earlier holder.
+func TestRestartResumesARetainedKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, acts := newStore(), &actLog{}
+		only := &candidate{name: "p1", store: store, acts: acts}
+		for range 2 {
+			only.start(t)
+			time.Sleep(lease / 5)
+			only.terminate()
+		}
+		recorded := acts.all()
+		must.Eq(t, recorded[0].fence, recorded[len(recorded)-1].fence)
+		must.Greater(t, lease/5, recorded[len(recorded)-1].at.Sub(recorded[0].at))
+	})
+}
