weight: an order under way isn't cancelled when the duty's term ends

A planned stop cancelled the order, waited for nothing and released the duty: the sampler could accept the order of the former holder after the next one had the duty. Run now waits until the call has ended; the client bounds it. TestRunWaitsForOrdersUnderWay fails without it. An order whose answer is lost may still be carried out later; that is the platform's own.

--- a/internal/weight/poolcoordinator.go
+++ b/internal/weight/poolcoordinator.go
@@ -60,7 +60,7 @@
 
 // Samplers sends orders and state requests to samplers.
 type Samplers interface {
-	// Load returns nil once the sampler has accepted the order, ErrAlreadyLoaded if the sampler
+	// Load is bounded by a timeout of its own. It returns nil once the sampler has accepted the order, ErrAlreadyLoaded if the sampler
 	// already has the version, and a *platform.ConflictError if a newer holder has sent orders to
 	// the sampler.
 	Load(ctx context.Context, sampler SamplerInstance, load Load, guard func() error) error
@@ -196,7 +196,8 @@
 		return nil
 	}
 	c.Decisions.Record(sampler.ID, "weight", "ordered to load version %d of %s, term %d, order %d", load.Version, load.Model, load.Fence, orders+1)
-	err := c.Samplers.Load(ctx, sampler, load, guard)
+	// An order that is under way isn't cancelled: Run returns, and the duty is released, only once its fate is known.
+	err := c.Samplers.Load(context.WithoutCancel(ctx), sampler, load, guard)
 	switch {
 	case err == nil:
 		c.setOrders(sampler, orders+1)
--- a/internal/weight/poolcoordinator_test.go
+++ b/internal/weight/poolcoordinator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -169,3 +170,37 @@
 		})
 	})
 }
+
+// slowPool answers orders late, and notes whether an order was cancelled.
+type slowPool struct {
+	*fakePool
+
+	underWay    atomic.Int32
+	isCancelled atomic.Bool
+}
+
+func (s *slowPool) Load(ctx context.Context, sampler SamplerInstance, load Load, guard func() error) error {
+	s.underWay.Add(1)
+	defer s.underWay.Add(-1)
+	select {
+	case <-ctx.Done():
+		s.isCancelled.Store(true)
+		return ctx.Err()
+	case <-time.After(300 * time.Millisecond):
+		return s.fakePool.Load(ctx, sampler, load, guard)
+	}
+}
+
+// Guards against an order of the former holder that a sampler accepts after the duty was released.
+func TestRunWaitsForOrdersUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		samplers := &slowPool{fakePool: newFakePool()}
+		coordinator := &PoolCoordinator{Samplers: samplers, Pools: samplers.pools, Share: 0.34, OnLoaded: func(string, string, uint64) {}}
+		ctx, cancel := context.WithTimeout(t.Context(), scheduleInterval+100*time.Millisecond)
+		defer cancel()
+		must.NoError(t, coordinator.Run(ctx, term{}))
+		must.Eq(t, 0, samplers.underWay.Load())
+		must.False(t, samplers.isCancelled.Load())
+		must.SliceNotEmpty(t, samplers.fences)
+	})
+}
