--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/decision"
 	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
@@ -24,7 +25,10 @@
 	pollsPerLease = 2
 	// releaseTimeout bounds the store calls that release a duty.
 	releaseTimeout = 2 * time.Second
-	// minLeaseLength is the shortest lease that every store grants.
+	// maxCreationDelay is how much earlier than the key its lease may begin. A holder needs longer than that from
+	// having its key until its first act.
+	maxCreationDelay = 50 * time.Millisecond
+	// minLeaseLength is the shortest lease that the store is known to grant.
 	minLeaseLength = time.Second
 )
 
@@ -57,19 +61,27 @@
 	PollInterval time.Duration
 	// Rank returns this process's position among the candidates; nil means 0.
 	Rank func() int
-	// IsStopping reports whether this process was asked to stop. It then acquires no duty, since it would soon end the
-	// term. nil means never.
+	// IsStopping reports whether this process was asked to stop. It then acquires no duty: its short term would keep its
+	// key, and the duty would have no holder for up to a lease. nil means never.
 	IsStopping func() bool
 	// OnHeld is called when the duty is acquired and released; it may be nil.
 	OnHeld    func(name string, held bool)
 	Decisions *decision.Log
 
+	// boot reads the clock that counts suspensions; nil means clock.Now.
+	boot func() clock.Boot
+
 	// hasHeld is true once this start of the process has held the duty.
 	hasHeld bool
 	// revision is the revision of the duty's key in the current term.
 	revision uint64
-	// heldSince is a time from which on this process has had the duty's key without interruption.
+	// heldSince is when this process learned that it has the duty's key. It may have had the key for longer, so a hold
+	// that is counted from here is never too short.
 	heldSince time.Time
+	// retained is the revision of the key that this process kept when it ended a term early, 0 if there is none.
+	retained uint64
+	// creationDelay is the time from the grant of the lease to the creation of the key.
+	creationDelay time.Duration
 }
 
 // PriorClaim is the claim that an earlier start of a process still has on a duty; the zero value
@@ -77,7 +89,7 @@
 type PriorClaim struct {
 	// Revision of the duty's key.
 	Revision uint64
-	// Fence of the term.
+	// Fence of the term; 0 starts a new term.
 	Fence uint64
 }
 
@@ -118,34 +130,67 @@
 
 // acquire returns a term and its lease if the duty was free, else nil.
 func (e *Elector) acquire(ctx context.Context) (*Term, uint64) {
-	if e.IsStopping != nil && e.IsStopping() {
+	if e.isStopping() {
 		return nil, 0
 	}
-	rank, prior := e.rank(), e.claimOfEarlierStart()
+	rank, prior := e.rank(), e.claim()
 	if prior.Revision == 0 {
 		if rank >= maxCandidates || !e.isFree(ctx) {
 			return nil, 0
 		}
 		pause.For(ctx, time.Duration(rank)*e.Lease/(2*renewalsPerLease))
+		if e.isStopping() {
+			return nil, 0
+		}
 	}
-	sent := time.Now()
+	sent := e.moment()
 	lease, err := e.Store.GrantLease(ctx, e.Lease)
 	if err != nil {
 		return nil, 0
 	}
-	until := sent.Add(e.Lease - e.Margin)
+	until := sent.at.Add(e.Lease - e.Margin)
+	isRetained := e.retained != 0
+	e.retained = 0
 	revision, err := e.writeHolder(ctx, prior, lease, until)
 	if err != nil {
 		return nil, 0
 	}
 	fence := revision
-	if prior.Revision != 0 {
+	if prior.Fence != 0 {
 		fence = prior.Fence
 	}
-	e.revision, e.heldSince = revision, time.Now()
+	if !isRetained {
+		e.heldSince = time.Now()
+	}
+	e.revision, e.creationDelay = revision, time.Since(sent.at)
 	e.Decisions.Record(e.Name, "duty", "%s holds it, term %d, candidate %d", e.Process, fence, rank)
 	e.hasHeld = true
-	return NewTerm(fence, until), lease
+	return e.newTerm(fence, until, sent), lease
+}
+
+// moment returns the present time on both clocks.
+func (e *Elector) moment() moment { return moment{at: time.Now(), boot: e.readBoot()} }
+
+func (e *Elector) readBoot() clock.Boot {
+	if e.boot == nil {
+		return clock.Now()
+	}
+	return e.boot()
+}
+
+func (e *Elector) newTerm(fence uint64, until time.Time, sent moment) *Term {
+	return newTermSince(fence, until, sent, e.readBoot)
+}
+
+func (e *Elector) isStopping() bool { return e.IsStopping != nil && e.IsStopping() }
+
+// claim returns the claim of this process on the duty, by a key that it retained when it ended a term or by an earlier
+// start. A term under a retained key gets a new fencing token, since the work of the term before has failed.
+func (e *Elector) claim() PriorClaim {
+	if e.retained != 0 {
+		return PriorClaim{Revision: e.retained}
+	}
+	return e.claimOfEarlierStart()
 }
 
 // claimOfEarlierStart returns the claim that an earlier start of this process still has on the
@@ -252,7 +297,7 @@
 // nobody else has held the duty, so the holder continues under its own fence.
 func (e *Elector) resume(ctx context.Context, term *Term, lease uint64) *Term {
 	for ctx.Err() == nil {
-		sent := time.Now()
+		sent := e.moment()
 		err := e.Store.RenewLease(ctx, lease, e.Lease)
 		var revision uint64
 		if err == nil {
@@ -261,7 +306,7 @@
 		switch {
 		case err == nil && revision == e.revision:
 			e.Decisions.Record(e.Name, "duty", "%s goes on with term %d, its lease stands", e.Process, term.Fence())
-			return NewTerm(term.Fence(), sent.Add(e.Lease-e.Margin))
+			return e.newTerm(term.Fence(), sent.at.Add(e.Lease-e.Margin), sent)
 		case err == nil, isLeaseGone(err):
 			e.Decisions.Record(e.Name, "duty", "term %d has run out and its lease has ended", term.Fence())
 			return nil
@@ -308,14 +353,19 @@
 // renew extends the lease until the context ends or the lease no longer exists. A term is counted
 // from before the renewal is sent: the lease may run in the store from any moment after that, and
 // the answer may arrive late.
+//
+// If the key was created long after the lease was granted, the first renewal is sent at once. The previous holder may
+// have acted until the creation: if this process died, the key would expire less than a lease after that.
 func (e *Elector) renew(ctx context.Context, term *Term, lease uint64, cancel func()) {
-	for pause.For(ctx, e.Lease/renewalsPerLease) {
-		sent := time.Now()
+	isDue := e.creationDelay > maxCreationDelay
+	for isDue || pause.For(ctx, e.Lease/renewalsPerLease) {
+		isDue = false
+		sent := e.moment()
 		err := e.Store.RenewLease(ctx, lease, e.Lease)
 		var gone *platform.NotFoundError
 		switch {
 		case err == nil:
-			term.extend(sent.Add(e.Lease - e.Margin))
+			term.extend(sent.at.Add(e.Lease-e.Margin), sent)
 		case errors.As(err, &gone):
 			e.Decisions.Record(e.Name, "duty", "the lease of term %d has lapsed", term.Fence())
 			term.End()
@@ -342,9 +392,10 @@
 
 // release ends the term, and deletes the duty's key if this process has had the key for a lease.
 //
-// The previous holder may have acted until this process created the key. Could it have the duty again within a lease of
-// that, the acts of the two would alternate, which receivers that check no fencing tokens take for two holders at once.
-// So the key stays for a lease; only a restart of this process, which is the same holder, resumes the duty earlier.
+// The previous holder may have acted until this process created the key. If it got the duty back within a lease of that,
+// the two would seem to take turns, and receivers that check no fencing tokens can't tell this from two holders at once.
+// So a younger key expires a lease after it was acquired. Until then only this process, which is the same holder, may
+// have the duty: after its work has failed, or after a restart where PriorClaim is set.
 func (e *Elector) release(term *Term) {
 	term.End()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
@@ -360,7 +411,7 @@
 	case err != nil:
 		e.Decisions.Record(e.Name, "duty", "term %d was not given up, its lease will lapse: %v", term.Fence(), err)
 	case left > 0:
-		e.Decisions.Record(e.Name, "duty", "%s has ended term %d early, nobody else gets the duty for another %s", e.Process, term.Fence(), left)
+		e.Decisions.Record(e.Name, "duty", "%s has ended term %d; its key keeps other processes out for %s", e.Process, term.Fence(), left)
 	default:
 		e.Decisions.Record(e.Name, "duty", "%s has given up term %d", e.Process, term.Fence())
 	}
@@ -377,6 +428,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = e.Store.CompareAndSwap(ctx, e.key(), e.revision, data, lease)
+	e.retained, err = e.Store.CompareAndSwap(ctx, e.key(), e.revision, data, lease)
 	return err
 }
