--- a/test/gateway/metrics_test.go
+++ b/test/gateway/metrics_test.go
@@ -33,7 +33,7 @@
 		names[match[1]] = true
 		must.StrContains(t, string(page), "`"+match[1]+"`")
 	}
-	documented := regexp.MustCompile("`(bramleyhatch_(?:gateway|store|batch|log)_\\w+)`").FindAllStringSubmatch(string(page), -1)
+	documented := regexp.MustCompile("`(bramleyhatch_(?:gateway|store|batch|log|poison)_\\w+)`").FindAllStringSubmatch(string(page), -1)
 	must.SliceNotEmpty(t, documented)
 	for _, match := range documented {
 		must.True(t, names[match[1]], must.Sprint(match[1]))
