poison: what a review of the quarantine found

Tests are named; they were written with the change and not run on the code before: - A crash after an answer brought back the crashes before it at other gateways: a merge kept what an older value of the store had held (TestCrashAfterAnAnswerCountsAlone, TestMergeDropsWhatTheStoreDropped). - A late answer of a write brought back a suspect whose removal the watch had shown, and no watch showed it again (TestLateAnswerOfAWriteBringsNothingBack). Suspects also end here after their retention. - An answer was lost when another gateway wrote a crash at the same time, or while the first write was under way (TestMergeKeepsAnAnswer, TestAnswerOnTrialOutlastsACrashElsewhere, TestAnswerDuringTheFirstWriteRemovesTheKey). - A trial was used up by a server that was never reached (TestTrialLastsUntilAServerIsReached); the second trial comes 30 s after the first instead of two minutes. - Crashes of a server that restarts under its identity, before its registration is known, counted once (TestLaterCrashUnderTheSameIdentityCounts). - An answer of 5xx ended the suspicion (TestServerErrorEndsNoSuspicion), and so did the end of a body without length or chunks, which a crash looks like. - All copies that came when a trial was due called the store, each with a server's slot (TestOneClaimAtATime). - Writes are gathered, bounded and share a lease (TestManySuspectsAreWrittenInParts, TestSuspectsHaveALease). - An item's first crash was only written with its second or at the end of its batch: owners of copies could have three crashes without knowing of each other's. It is written after each run now. - A held item went on as held after its release and lost its precedence. - The host counts without case and port.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -35,6 +35,8 @@
 const (
 	// CodeInterrupted means that the connection ended before the answer was whole, as it does when a server crashes.
 	CodeInterrupted = "backend_cut"
+	// CodeUnreachable means that no connection to the server was obtained.
+	CodeUnreachable = "backend_unreachable"
 	codeReadTimeout = "backend_silent"
 )
 
@@ -179,7 +181,7 @@
 // which report no error: a resumed generation would use one of these and time out again.
 func (s *Server) refuse(err error, connected bool) *refusal.Error {
 	if !connected {
-		return refusal.NotRun(http.StatusServiceUnavailable, "backend_unreachable", "%s can't be reached", s.Name).WithRetryAfter(retryAfter)
+		return refusal.NotRun(http.StatusServiceUnavailable, CodeUnreachable, "%s can't be reached", s.Name).WithRetryAfter(retryAfter)
 	}
 	var timeout *ReadTimeoutError
 	switch {
--- a/internal/backend/direct.go
+++ b/internal/backend/direct.go
@@ -140,6 +140,10 @@
 	return body, int64(len(body)) <= limit, nil
 }
 
+// IsFramed reports whether the end of the body shows that it is whole. A body without a length or chunks ends with its
+// connection, also if the server crashes.
+func (a *Answer) IsFramed() bool { return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 }
+
 // SetReadTimeout sets the read timeout for the rest of the answer.
 func (a *Answer) SetReadTimeout(timeout time.Duration) { a.watchdog.setTimeout(timeout) }
 
--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -79,7 +79,7 @@
 	Scorer        Scorer
 	HeaderEncoder HeaderEncoder
 	Routes        Routes
-	// Quarantine holds items that crash samplers; nil holds none.
+	// Quarantine keeps back items that crash samplers; nil keeps back none.
 	Quarantine *poison.Quarantine
 	// Lease returns the lease that registers this process with the store, or 0 while it has
 	// none.
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -133,9 +133,6 @@
 		o.keepLeftovers(o.plan.Leftovers())
 	}
 	o.older = nil
-	for _, tracker := range o.trackers {
-		tracker.Close()
-	}
 }
 
 // schedule starts the runs and the scoring that can start now. It reports whether the batch is
@@ -223,6 +220,7 @@
 		o.plan.Hold(job, min(held, maxHoldTime), now)
 		return true
 	}
+	o.plan.Release(job)
 	need := o.need(pool)
 	need.PreferActive = job.isFaulty
 	server := o.roster.Place(need)
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -220,6 +220,9 @@
 	item.notBefore = now.Add(length)
 }
 
+// Release ends the quarantine of a waiting item.
+func (p *Plan) Release(job Job) { p.items[job.index].isHeld = false }
+
 // Start records that an item runs.
 func (p *Plan) Start(job Job) {
 	item := p.items[job.index]
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -22,10 +22,14 @@
 	began := clock.Now()
 	err := tracker.Admit(ctx)
 	if err == nil {
-		err = o.stream(ctx, job, server)
+		err = o.stream(ctx, job, server, tracker)
 	}
 	o.roster.Finish(server)
-	recordRun(ctx, tracker, server, err)
+	if err != nil {
+		tracker.RecordFailure(ctx, server.Instance(), err)
+		// The item may wait long for its next run, and other owners may have copies of it.
+		tracker.Close()
+	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	defer o.notify()
@@ -44,15 +48,6 @@
 	}
 }
 
-// recordRun reports the end of a run to the item's tracker.
-func recordRun(ctx context.Context, tracker *poison.Tracker, server *roster.Server, err error) {
-	if err == nil || refusal.Of(err).Code == backend.CodeFailed {
-		tracker.RecordAnswer()
-		return
-	}
-	tracker.RecordFailure(ctx, server.Instance(), err)
-}
-
 // recordEnd updates the plan and the roster after a failed run, and returns the metric label of
 // its end.
 func (o *owner) recordEnd(ctx context.Context, job Job, server *roster.Server, err error, now clock.Boot) string {
@@ -65,7 +60,8 @@
 		o.plan.Interrupted(job, 0, now)
 		return endStopped
 	case refused.Code == poison.CodeQuarantined:
-		o.plan.Interrupted(job, min(refused.RetryAfter, maxHoldTime), now)
+		o.plan.Interrupted(job, 0, now)
+		o.plan.Hold(job, min(refused.RetryAfter, maxHoldTime), now)
 		return endRefused
 	case refused.Code == backend.CodeFailed && isItemFailure(refused.Status):
 		o.plan.Failed(job, refused.Status == http.StatusUnprocessableEntity, now)
@@ -91,7 +87,7 @@
 var errVersionMismatch = refusal.Unknown(http.StatusConflict, "unfit", "the sampler's weight version doesn't fit the batch")
 
 // stream sends an item and reads the events of the answer.
-func (o *owner) stream(ctx context.Context, job Job, server *roster.Server) error {
+func (o *owner) stream(ctx context.Context, job Job, server *roster.Server, tracker *poison.Tracker) error {
 	ctx, cancel := context.WithTimeout(ctx, runTimeout)
 	defer cancel()
 	answer, err := server.Direct().Do(ctx, backend.Request{
@@ -111,10 +107,15 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode != http.StatusOK {
+		tracker.RecordAnswer(answer.StatusCode)
 		return refusal.Unknown(answer.StatusCode, backend.CodeFailed, "%s answered %d", server.Name(), answer.StatusCode)
 	}
 	o.roster.RecordAnswer(server)
-	return o.readEvents(job, server, answer)
+	err = o.readEvents(job, server, answer)
+	if err == nil && answer.IsFramed() {
+		tracker.RecordAnswer(answer.StatusCode)
+	}
+	return err
 }
 
 // readEvents records the events of an answer up to its end.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -201,23 +201,30 @@
 	}
 	if answer.StatusCode >= http.StatusInternalServerError && r.policy.repeatable && r.policy.executions+1 < r.policy.maxAttempts {
 		_ = answer.Body.Close()
-		r.tracker.RecordAnswer()
+		r.recordAnswer(answer)
 		return nil, refusal.Unknown(http.StatusBadGateway, backend.CodeFailed, "%s answered %d", server.Name(), answer.StatusCode)
 	}
 	result.Body, result.Complete = body, complete
 	if complete {
-		r.tracker.RecordAnswer()
+		r.recordAnswer(answer)
 	} else {
 		r.observeBody(ctx, server, answer)
 	}
 	return result, nil
 }
 
+// recordAnswer reports an answer that was read to its end.
+func (r *run) recordAnswer(answer *backend.Answer) {
+	if answer.IsFramed() {
+		r.tracker.RecordAnswer(answer.StatusCode)
+	}
+}
+
 // observeBody records how the rest of an answer ends that the caller reads directly.
 func (r *run) observeBody(ctx context.Context, server *roster.Server, answer *backend.Answer) {
 	answer.Body = &observedBody{ReadCloser: answer.Body, onEnd: func(err error) {
 		if errors.Is(err, io.EOF) {
-			r.tracker.RecordAnswer()
+			r.recordAnswer(answer)
 			return
 		}
 		r.tracker.RecordFailure(ctx, server.Instance(), answer.Interrupted())
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -40,7 +40,7 @@
 	for {
 		event, err := s.events.Next()
 		if errors.Is(err, io.EOF) {
-			s.run.tracker.RecordAnswer()
+			s.run.recordAnswer(s.answer)
 			return nil, io.EOF
 		}
 		if err == nil && event.Number != s.lastEvent+1 {
--- a/internal/poison/identity.go
+++ b/internal/poison/identity.go
@@ -4,10 +4,11 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 )
 
-// fingerprintBytes is the length of a fingerprint before its encoding: enough that two requests with the same
-// fingerprint never meet.
+// fingerprintBytes is the length of a fingerprint before its encoding: long enough that different requests don't share one
+// in practice.
 const fingerprintBytes = 16
 
 // Identity is what the copies of a request have in common. Each copy has an ID of its own.
@@ -15,7 +16,8 @@
 	// Account is the client account; "" for requests without one.
 	Account string
 	Method  string
-	Host    string
+	// Host may have a port; its case doesn't matter.
+	Host string
 	// Target is the path and query.
 	Target string
 	Body   []byte
@@ -24,7 +26,8 @@
 // fingerprint returns a short name of the identity that can be part of a store key.
 func (i *Identity) fingerprint() string {
 	hash := sha256.New()
-	for _, field := range [][]byte{[]byte(i.Account), []byte(i.Method), []byte(i.Host), []byte(i.Target), i.Body} {
+	host, _, _ := strings.Cut(i.Host, ":")
+	for _, field := range [][]byte{[]byte(i.Account), []byte(i.Method), []byte(strings.ToLower(host)), []byte(i.Target), i.Body} {
 		// The lengths keep apart identities whose fields give the same bytes when joined.
 		_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, uint64(len(field))))
 		_, _ = hash.Write(field)
--- a/internal/poison/metrics.go
+++ b/internal/poison/metrics.go
@@ -13,7 +13,7 @@
 	m := &metrics{
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "bramleyhatch_poison_crashes_total",
-			Help: "Backend servers that crashed while they ran a request of this process, once for each such request.",
+			Help: "Backend servers that crashed while they ran a request of this process, once per request and start of a server.",
 		}),
 		refused: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "bramleyhatch_poison_refused_total",
--- a/internal/poison/publish.go
+++ b/internal/poison/publish.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
@@ -16,61 +17,112 @@
 const (
 	// maxKeysPerCommit bounds the suspects that are written together; the store takes a few dozen keys a call.
 	maxKeysPerCommit = 16
-	// writeRetryDelay is the delay after a failed write: short enough that other gateways learn of a crash well within
-	// the seconds after which they must not send the request any more.
-	writeRetryDelay = 200 * time.Millisecond
+	// gatherDelay is the delay before a write, so that the crashes and answers of many requests share one. Other gateways
+	// still learn of a crash well within the seconds after which they must not send the request any more.
+	gatherDelay = 100 * time.Millisecond
+	// minRetryDelay is the delay after a failed write; it doubles up to maxRetryDelay.
+	minRetryDelay = 200 * time.Millisecond
+	maxRetryDelay = time.Second
+	// maxLeaseAge is how long new suspects are bound to the same lease.
+	maxLeaseAge = time.Minute
+	// sweepInterval is the time between two searches for suspects that are over.
+	sweepInterval = time.Minute
 )
 
+// lease is the lease of this process's latest writes.
+type lease struct {
+	id        uint64
+	grantedAt clock.Boot
+}
+
 // Run writes new crashes to the store until the context ends.
 func (q *Quarantine) Run(ctx context.Context) error {
 	q.lock()
 	wake := q.wake
 	q.mutex.Unlock()
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-sweep.C:
+			q.dropOver()
 		case <-wake:
+			q.writeAll(ctx)
 		}
-		q.writeAll(ctx)
+	}
+}
+
+// dropOver forgets the suspects that are over.
+func (q *Quarantine) dropOver() {
+	q.lock()
+	defer q.mutex.Unlock()
+	for fingerprint := range q.suspects {
+		q.dropIfOver(fingerprint)
 	}
 }
 
 // writeAll writes until the store knows all suspects, or the context ends.
 func (q *Quarantine) writeAll(ctx context.Context) {
-	for ctx.Err() == nil {
-		pending := q.pending()
-		if len(pending) == 0 {
+	retryDelay := minRetryDelay
+	for pause.For(ctx, gatherDelay) {
+		commit, err := q.commit()
+		if err == nil && len(commit.Expect) == 0 {
 			return
 		}
-		if err := q.write(ctx, pending); err != nil {
-			klog.InfoS("poison: writing suspects to the store failed; retrying", "suspects", len(pending), "err", err.Error())
-			pause.For(ctx, writeRetryDelay)
+		if err == nil {
+			err = q.write(ctx, commit)
 		}
+		if err == nil {
+			retryDelay = minRetryDelay
+			continue
+		}
+		klog.InfoS("poison: writing suspects to the store failed; retrying", "suspects", len(commit.Expect), "after", retryDelay, "err", err.Error())
+		pause.For(ctx, retryDelay)
+		retryDelay = min(2*retryDelay, maxRetryDelay)
 	}
 }
 
-// pending returns the fingerprints of some suspects that must be written.
-func (q *Quarantine) pending() []string {
+// commit returns the change that writes some suspects, quarantined ones first, and removes those that were answered.
+func (q *Quarantine) commit() (platform.Commit, error) {
 	q.lock()
 	defer q.mutex.Unlock()
-	var pending []string
-	for fingerprint, each := range q.suspects {
-		if each.needsWrite() && len(pending) < maxKeysPerCommit {
-			pending = append(pending, fingerprint)
+	var commit platform.Commit
+	for _, isQuarantined := range []bool{true, false} {
+		for fingerprint, each := range q.suspects {
+			if len(commit.Expect) == maxKeysPerCommit || !each.needsWrite() || each.isQuarantined() != isQuarantined {
+				continue
+			}
+			if err := q.addTo(&commit, fingerprint, each); err != nil {
+				return platform.Commit{}, err
+			}
 		}
 	}
-	return pending
+	return commit, nil
 }
 
-// write writes suspects to the store.
-func (q *Quarantine) write(ctx context.Context, fingerprints []string) error {
-	commit, err := q.commit(fingerprints)
-	if err != nil {
-		return err
+// addTo adds a suspect to a commit. The mutex is held.
+func (q *Quarantine) addTo(commit *platform.Commit, fingerprint string, suspect *suspect) error {
+	key := q.Prefix + fingerprint
+	if len(suspect.servers) == 0 {
+		commit.Remove = append(commit.Remove, key)
+	} else {
+		data, err := proto.Marshal(suspect.state(suspect.trials))
+		if err != nil {
+			return err
+		}
+		commit.Writes = append(commit.Writes, platform.Write{Key: key, Data: data})
 	}
+	commit.Expect = append(commit.Expect, platform.Expect{Key: key, Revision: suspect.revision})
+	suspect.isWriting = true
+	return nil
+}
+
+// write sends a commit to the store.
+func (q *Quarantine) write(ctx context.Context, commit platform.Commit) error {
 	if len(commit.Writes) > 0 {
-		lease, err := q.Store.GrantLease(ctx, retention)
+		lease, err := q.currentLease(ctx)
 		if err != nil {
 			return err
 		}
@@ -81,39 +133,30 @@
 	revision, err := q.Store.Commit(ctx, commit)
 	var conflict *platform.ConflictError
 	switch {
+	case err == nil:
+		q.applyCommit(commit, revision)
+		return nil
 	case errors.As(err, &conflict):
-		q.applyConflict(commit, conflict)
+		q.applyError(commit, err)
 		return nil
-	case err != nil:
+	default:
+		q.applyError(commit, err)
 		return err
 	}
-	q.applyCommit(commit, revision)
-	return nil
 }
 
-// commit returns the change that writes suspects and removes cleared ones.
-func (q *Quarantine) commit(fingerprints []string) (platform.Commit, error) {
-	q.lock()
-	defer q.mutex.Unlock()
-	var commit platform.Commit
-	for _, fingerprint := range fingerprints {
-		known := q.suspects[fingerprint]
-		if known == nil {
-			continue
-		}
-		key := q.Prefix + fingerprint
-		commit.Expect = append(commit.Expect, platform.Expect{Key: key, Revision: known.revision})
-		if known.isCleared {
-			commit.Remove = append(commit.Remove, key)
-			continue
-		}
-		data, err := proto.Marshal(known.state(known.trials))
-		if err != nil {
-			return platform.Commit{}, err
-		}
-		commit.Writes = append(commit.Writes, platform.Write{Key: key, Data: data})
+// currentLease returns the lease of new writes.
+func (q *Quarantine) currentLease(ctx context.Context) (uint64, error) {
+	now := q.time()
+	if q.lease.id != 0 && now.Sub(q.lease.grantedAt) < maxLeaseAge {
+		return q.lease.id, nil
 	}
-	return commit, nil
+	id, err := q.Store.GrantLease(ctx, retention)
+	if err != nil {
+		return 0, err
+	}
+	q.lease = lease{id: id, grantedAt: now}
+	return id, nil
 }
 
 // applyCommit updates the suspects after a commit.
@@ -125,18 +168,38 @@
 	for _, key := range commit.Remove {
 		changes = append(changes, platform.Value{Key: key, Revision: revision, Deleted: true})
 	}
-	q.ApplyChanges(changes)
+	q.lock()
+	defer q.mutex.Unlock()
+	q.applyOwn(changes)
 }
 
-// applyConflict updates the suspects to the current values of the store, so that the next commit expects those.
-func (q *Quarantine) applyConflict(commit platform.Commit, conflict *platform.ConflictError) {
-	q.ApplyChanges(conflict.Current)
+// applyError updates the suspects after a failed commit. A conflict shows the present values of the store, which the next
+// commit expects. After most other errors the commit may have taken effect, which the watch will show.
+func (q *Quarantine) applyError(commit platform.Commit, err error) {
+	var conflict *platform.ConflictError
+	var missing *platform.NotFoundError
 	q.lock()
 	defer q.mutex.Unlock()
+	switch {
+	case errors.As(err, &conflict):
+		q.applyConflict(commit, conflict)
+	case errors.As(err, &missing):
+		// The lease has ended.
+		q.lease = lease{}
+	}
+}
+
+// applyConflict updates the suspects of a commit to the present values of the store. The mutex is held.
+func (q *Quarantine) applyConflict(commit platform.Commit, conflict *platform.ConflictError) {
 	for _, expect := range commit.Expect {
-		if _, exists := conflict.Find(expect.Key); exists || expect.Revision == 0 {
-			continue
+		current, exists := conflict.Find(expect.Key)
+		fingerprint := strings.TrimPrefix(expect.Key, q.Prefix)
+		known := q.suspects[fingerprint]
+		switch {
+		case exists:
+			q.applyOwn([]platform.Value{current})
+		case known != nil && known.revision == expect.Revision:
+			q.applyRemoval(fingerprint)
 		}
-		q.applyRemoval(strings.TrimPrefix(expect.Key, q.Prefix))
 	}
 }
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -27,12 +27,8 @@
 // CodeQuarantined is the refusal code of quarantined requests.
 const CodeQuarantined = "quarantined"
 
-const (
-	// maxSuspects bounds the suspects that a process remembers.
-	maxSuspects = 4096
-	// trialRetryDelay is the Retry-After of a copy that came when a trial was due and wasn't the one that was sent.
-	trialRetryDelay = time.Second
-)
+// maxSuspects bounds the suspects that a process remembers.
+const maxSuspects = 4096
 
 // Store is the part of the platform's store that a Quarantine uses.
 type Store interface {
@@ -54,8 +50,11 @@
 
 	mutex    sync.Mutex
 	suspects map[string]*suspect
-	wake     chan struct{}
-	metrics  *metrics
+	// watched is the newest revision that the watch of the store has shown.
+	watched uint64
+	lease   lease
+	wake    chan struct{}
+	metrics *metrics
 }
 
 // Track returns the tracker of the copy of a request that has an ID. The identity must not change until the tracker is
@@ -64,7 +63,7 @@
 	return &Tracker{quarantine: q, id: id, identity: identity}
 }
 
-// ApplyChanges updates the suspects from changed store keys.
+// ApplyChanges updates the suspects from the changes that a watch of the store has shown, in their order.
 func (q *Quarantine) ApplyChanges(changes []platform.Value) {
 	q.lock()
 	defer q.mutex.Unlock()
@@ -72,6 +71,17 @@
 		if fingerprint, ok := strings.CutPrefix(change.Key, q.Prefix); ok {
 			q.apply(fingerprint, change)
 		}
+		q.watched = max(q.watched, change.Revision)
+	}
+}
+
+// applyOwn updates the suspects from the result of a call of this process. A result that the watch has overtaken is
+// ignored: the key may have been removed since, which the watch won't show again. The mutex is held.
+func (q *Quarantine) applyOwn(changes []platform.Value) {
+	for _, change := range changes {
+		if change.Revision > q.watched {
+			q.apply(strings.TrimPrefix(change.Key, q.Prefix), change)
+		}
 	}
 }
 
@@ -94,7 +104,6 @@
 		known = q.add(fingerprint)
 	}
 	wasQuarantined := known.isQuarantined()
-	known.isCleared = false
 	known.merge(state, change.Revision, change.Lease, q.now())
 	q.logQuarantine(fingerprint, known, wasQuarantined)
 	if known.needsWrite() {
@@ -108,8 +117,14 @@
 	if known == nil || known.revision == 0 {
 		return
 	}
-	klog.InfoS("poison: request is no longer suspected", "fingerprint", fingerprint, "crashed", known.servers, "trials", known.trials)
-	if known.forgetStored() {
+	klog.InfoS("poison: request is no longer suspected", "fingerprint", fingerprint, "crashed", known.stored, "trials", known.trials)
+	known.removeStored()
+	q.dropIfOver(fingerprint)
+}
+
+// dropIfOver forgets a suspect if nothing is left of it. The mutex is held.
+func (q *Quarantine) dropIfOver(fingerprint string) {
+	if known := q.suspects[fingerprint]; known != nil && known.isOver(q.now()) {
 		delete(q.suspects, fingerprint)
 	}
 }
@@ -143,8 +158,8 @@
 	}
 }
 
-// recordCrash records that a server crashed while it ran a copy of a request.
-func (q *Quarantine) recordCrash(id, fingerprint, server string) {
+// recordCrash records that a server crashed while it ran a copy of a request, which was sent at a time.
+func (q *Quarantine) recordCrash(id, fingerprint, server string, sentAt clock.Boot) {
 	q.lock()
 	defer q.mutex.Unlock()
 	known := q.suspects[fingerprint]
@@ -152,7 +167,7 @@
 		known = q.add(fingerprint)
 	}
 	wasQuarantined := known.isQuarantined()
-	if !known.recordCrash(server, q.now()) {
+	if !known.recordCrash(server, sentAt, q.now()) {
 		return
 	}
 	q.metrics.crashes.Inc()
@@ -170,15 +185,13 @@
 	}
 	fingerprint := identity()
 	known := q.suspects[fingerprint]
-	switch {
-	case known == nil:
-	case known.revision == 0:
-		delete(q.suspects, fingerprint)
-	default:
-		klog.InfoS("poison: a server has answered the suspected request", "fingerprint", fingerprint, "crashed", known.servers, "trials", known.trials)
-		known.isCleared = true
-		q.notify()
+	if known == nil || len(known.servers) == 0 {
+		return
 	}
+	klog.V(1).InfoS("poison: a server has answered the suspected request", "fingerprint", fingerprint, "crashed", known.servers, "trials", known.trials)
+	known.recordAnswer()
+	q.dropIfOver(fingerprint)
+	q.notify()
 }
 
 // recordUnanswered records that a copy under which servers crashed has ended without an answer.
@@ -205,30 +218,38 @@
 	return known.untilTrial(q.now())
 }
 
-// admit returns nil if a copy may be sent, else a *refusal.Error.
-func (q *Quarantine) admit(ctx context.Context, identity func() string) error {
+// admit returns nil if a copy may be sent, else a *refusal.Error. It reports whether the copy is sent on trial.
+func (q *Quarantine) admit(ctx context.Context, identity func() string) (isTrial bool, err error) {
 	q.lock()
 	if len(q.suspects) == 0 {
 		q.mutex.Unlock()
-		return nil
+		return false, nil
 	}
 	fingerprint := identity()
 	known := q.suspects[fingerprint]
 	if known == nil || !known.isQuarantined() {
 		q.mutex.Unlock()
-		return nil
+		return false, nil
 	}
 	if wait := known.untilTrial(q.now()); wait > 0 {
 		q.mutex.Unlock()
-		return q.refuse(fingerprint, wait)
+		return false, q.refuse(fingerprint, wait)
 	}
-	claim := trial{state: known.state(known.trials + 1), revision: known.revision, lease: known.lease}
+	claim := trialClaim{state: known.state(known.trials + 1), revision: known.revision, lease: known.lease}
+	known.isClaiming = true
 	q.mutex.Unlock()
-	if err := q.claimTrial(ctx, fingerprint, claim); err != nil {
-		klog.InfoS("poison: no trial of the quarantined request", "fingerprint", fingerprint, "err", err.Error())
-		return q.refuse(fingerprint, trialRetryDelay)
+	err = q.claimTrial(ctx, fingerprint, claim)
+	q.lock()
+	known.isClaiming = false
+	if err != nil {
+		known.claimFailedAt = q.now()
 	}
-	return nil
+	q.mutex.Unlock()
+	if err != nil {
+		klog.InfoS("poison: claiming a trial of the quarantined request failed", "fingerprint", fingerprint, "err", err.Error())
+		return false, q.refuse(fingerprint, trialRetryDelay)
+	}
+	return true, nil
 }
 
 func (q *Quarantine) refuse(fingerprint string, wait time.Duration) error {
@@ -239,8 +260,8 @@
 // errNotStored means that a trial can't be claimed because the suspect isn't in the store yet.
 var errNotStored = errors.New("poison: the suspect is not in the store yet")
 
-// trial is the claim of the next trial of a suspect.
-type trial struct {
+// trialClaim is the claim of the next trial of a suspect.
+type trialClaim struct {
 	state    *statepb.Suspect
 	revision uint64
 	lease    uint64
@@ -248,7 +269,7 @@
 
 // claimTrial makes this copy the one that is sent in the next trial. Of all gateways one succeeds, since each expects the
 // revision at which the trial was due.
-func (q *Quarantine) claimTrial(ctx context.Context, fingerprint string, claim trial) error {
+func (q *Quarantine) claimTrial(ctx context.Context, fingerprint string, claim trialClaim) error {
 	if claim.revision == 0 {
 		return errNotStored
 	}
@@ -257,16 +278,18 @@
 		return err
 	}
 	key := q.Prefix + fingerprint
-	revision, err := q.Store.Commit(ctx, platform.Commit{
+	commit := platform.Commit{
 		Expect: []platform.Expect{{Key: key, Revision: claim.revision}},
 		Writes: []platform.Write{{Key: key, Data: data, Lease: claim.lease}},
-	})
+	}
+	revision, err := q.Store.Commit(ctx, commit)
 	if err != nil {
+		q.applyError(commit, err)
 		return err
 	}
 	klog.InfoS("poison: sending a copy of the quarantined request on trial", "fingerprint", fingerprint, "trial", claim.state.GetTrials())
 	q.metrics.trials.Inc()
-	q.ApplyChanges([]platform.Value{{Key: key, Data: data, Revision: revision, Lease: claim.lease}})
+	q.applyCommit(commit, revision)
 	return nil
 }
 
@@ -284,6 +307,13 @@
 	q.metrics = newMetrics(q.Metrics, q.countQuarantined)
 }
 
+// time returns the present time of the quarantine's clock.
+func (q *Quarantine) time() clock.Boot {
+	q.lock()
+	defer q.mutex.Unlock()
+	return q.now()
+}
+
 // notify wakes up Run. The mutex is held.
 func (q *Quarantine) notify() {
 	select {
--- a/internal/poison/quarantine_test.go
+++ b/internal/poison/quarantine_test.go
@@ -14,6 +14,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/mirror"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform/platformtest"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
@@ -28,15 +29,28 @@
 // fleet is some gateways that share a store.
 type fleet struct {
 	t        *testing.T
-	store    *platformtest.Store
+	store    fleetStore
 	gateways []*Quarantine
 	// skipped is added to the time of all gateways.
 	skipped atomic.Int64
 }
 
+// fleetStore is a store that gateways write and watch.
+type fleetStore interface {
+	Store
+	mirror.Store
+	SetUnavailable(unavailable bool)
+	LoseAnswers(number int)
+}
+
 func newFleet(t *testing.T, gateways int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: &platformtest.Store{}}
+	return newFleetOf(t, &platformtest.Store{}, gateways)
+}
+
+func newFleetOf(t *testing.T, store fleetStore, gateways int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: store}
 	for range gateways {
 		q := &Quarantine{Store: f.store, Prefix: testPrefix, now: func() clock.Boot { return clock.Now().Add(time.Duration(f.skipped.Load())) }}
 		m := &mirror.Mirror{Store: f.store, Prefix: testPrefix, Wait: 100 * time.Millisecond, OnChanges: q.ApplyChanges}
@@ -131,7 +145,7 @@
 	f := newFleet(t, 1)
 	tracker := f.track(0, "innocent")
 	tracker.RecordFailure(t.Context(), "a", errCut)
-	tracker.RecordAnswer()
+	tracker.RecordAnswer(http.StatusOK)
 	tracker.Close()
 	f.crash(0, "poison", "b")
 	f.await("the unanswered request is stored", func() bool { return f.stored() == 1 })
@@ -143,7 +157,7 @@
 	f := newFleet(t, 2)
 	f.crash(0, "popular", "a", "b")
 	f.await("the suspect is known", func() bool { return len(f.suspects(1)) == 1 })
-	f.track(1, "popular").RecordAnswer()
+	f.track(1, "popular").RecordAnswer(http.StatusOK)
 	f.await("the suspect is removed", func() bool { return f.stored() == 0 && len(f.suspects(0)) == 0 })
 	f.crash(0, "popular", "c")
 	must.True(t, f.isAdmitted(0, "popular"))
@@ -194,7 +208,7 @@
 
 // knowCrashes reports whether all gateways know a number of crashes.
 func (f *fleet) knowCrashes(body string, crashes int) bool {
-	fingerprint := f.track(0, body).name()
+	fingerprint := f.track(0, body).fingerprint()
 	for _, q := range f.gateways {
 		q.lock()
 		known := q.suspects[fingerprint]
@@ -215,7 +229,7 @@
 	f.skip(trialDelays[0])
 	tracker := f.track(1, "innocent")
 	must.NoError(t, tracker.Admit(t.Context()))
-	tracker.RecordAnswer()
+	tracker.RecordAnswer(http.StatusOK)
 	tracker.Close()
 	f.await("nobody suspects it", func() bool { return f.stored() == 0 && len(f.suspects(0)) == 0 && len(f.suspects(1)) == 0 })
 	must.True(t, f.isAdmitted(0, "innocent"))
@@ -248,10 +262,10 @@
 func TestSuspectsAreBounded(t *testing.T) {
 	q := &Quarantine{Store: &platformtest.Store{}, Prefix: testPrefix}
 	for server := range maxCrashes {
-		q.recordCrash("id", "poison", fmt.Sprint(server))
+		q.recordCrash("id", "poison", fmt.Sprint(server), 0)
 	}
-	for i := range 2 * maxSuspects {
-		q.recordCrash("id", fmt.Sprint(i), "a")
+	for i := range maxSuspects + 100 {
+		q.recordCrash("id", fmt.Sprint(i), "a", 0)
 	}
 	must.MapLen(t, maxSuspects, q.suspects)
 	must.True(t, q.suspects["poison"].isQuarantined())
@@ -269,3 +283,159 @@
 	}
 	must.True(t, f.isAdmitted(0, "abandoned"))
 }
+
+// Guards against crashes before an answer that count again with a crash after it.
+func TestCrashAfterAnAnswerCountsAlone(t *testing.T) {
+	f := newFleet(t, 2)
+	f.crash(0, "popular", "a", "b")
+	f.await("both know the crashes", func() bool { return f.knowCrashes("popular", 2) })
+	f.track(1, "popular").RecordAnswer(http.StatusOK)
+	f.crash(1, "popular", "c")
+	f.await("both know one crash", func() bool { return f.knowCrashes("popular", 1) })
+	time.Sleep(3 * gatherDelay)
+	must.True(t, f.knowCrashes("popular", 1))
+}
+
+// Guards against an answer on trial that is lost because another gateway writes a crash of a copy that still ran.
+func TestAnswerOnTrialOutlastsACrashElsewhere(t *testing.T) {
+	f := newFleet(t, 2)
+	f.crash(0, "innocent", "a", "b", "c")
+	f.awaitQuarantine("innocent")
+	f.skip(trialDelays[0])
+	tracker := f.track(1, "innocent")
+	must.NoError(t, tracker.Admit(t.Context()))
+	f.crash(0, "innocent", "d")
+	tracker.RecordAnswer(http.StatusOK)
+	f.await("one crash counts", func() bool { return f.knowCrashes("innocent", 1) })
+	must.True(t, f.isAdmitted(0, "innocent"))
+	must.True(t, f.isAdmitted(1, "innocent"))
+}
+
+// Guards against a suspect that stays for good because the late answer of its write brings it back after its removal.
+func TestLateAnswerOfAWriteBringsNothingBack(t *testing.T) {
+	q := &Quarantine{Store: &platformtest.Store{}, Prefix: testPrefix}
+	for server := range maxCrashes {
+		q.recordCrash("id", "poison", fmt.Sprint(server), 0)
+	}
+	commit, err := q.commit()
+	must.NoError(t, err)
+	key := testPrefix + "poison"
+	q.ApplyChanges([]platform.Value{{Key: key, Data: commit.Writes[0].Data, Revision: 5}, {Key: key, Revision: 6, Deleted: true}})
+	q.applyCommit(commit, 5)
+	must.MapEmpty(t, q.suspects)
+}
+
+// Guards against a suspect that a write under way puts into the store after an answer, and that nobody removes.
+func TestAnswerDuringTheFirstWriteRemovesTheKey(t *testing.T) {
+	store := &slowStore{Store: &platformtest.Store{}, began: make(chan struct{}, 1), goOn: make(chan struct{})}
+	f := newFleetOf(t, store, 1)
+	f.crash(0, "innocent", "a", "b")
+	<-store.began
+	f.track(0, "innocent").RecordAnswer(http.StatusOK)
+	close(store.goOn)
+	f.await("the key is removed", func() bool { return f.stored() == 0 && len(f.suspects(0)) == 0 })
+}
+
+// slowStore holds each commit until it may go on.
+type slowStore struct {
+	*platformtest.Store
+
+	began chan struct{}
+	goOn  chan struct{}
+}
+
+func (s *slowStore) Commit(ctx context.Context, commit platform.Commit) (uint64, error) {
+	select {
+	case s.began <- struct{}{}:
+	default:
+	}
+	<-s.goOn
+	return s.Store.Commit(ctx, commit)
+}
+
+// Guards against copies that wait for the store, each with a server's slot, while another copy claims the trial.
+func TestOneClaimAtATime(t *testing.T) {
+	store := &slowStore{Store: &platformtest.Store{}, began: make(chan struct{}, 1), goOn: make(chan struct{}, 1)}
+	f := newFleetOf(t, store, 1)
+	store.goOn <- struct{}{}
+	f.crash(0, "poison", "a", "b", "c")
+	f.await("the suspect is stored", func() bool { return f.stored() == 1 })
+	<-store.began
+	f.skip(trialDelays[0])
+	claimed := make(chan error, 1)
+	go func() { claimed <- f.track(0, "poison").Admit(context.Background()) }()
+	<-store.began
+	must.Error(t, f.track(0, "poison").Admit(t.Context()))
+	must.Positive(t, f.track(0, "poison").HeldFor())
+	close(store.goOn)
+	must.NoError(t, <-claimed)
+}
+
+// Guards against trials that are used up by servers that were never reached.
+func TestTrialLastsUntilAServerIsReached(t *testing.T) {
+	f := newFleet(t, 1)
+	f.crash(0, "innocent", "a", "b", "c")
+	f.await("the suspect is stored", func() bool { return f.stored() == 1 })
+	f.skip(trialDelays[0])
+	tracker := f.track(0, "innocent")
+	must.NoError(t, tracker.Admit(t.Context()))
+	tracker.RecordFailure(t.Context(), "d", refusal.NotRun(http.StatusServiceUnavailable, backend.CodeUnreachable, "down"))
+	must.NoError(t, tracker.Admit(t.Context()))
+	tracker.RecordFailure(t.Context(), "e", refusal.NotRun(http.StatusServiceUnavailable, backend.CodeFull, "full"))
+	must.Error(t, tracker.Admit(t.Context()))
+}
+
+// Guards against a crashing request that is freed by the errors of whatever stands before its servers.
+func TestServerErrorEndsNoSuspicion(t *testing.T) {
+	f := newFleet(t, 1)
+	f.crash(0, "poison", "a", "b", "c")
+	f.track(0, "poison").RecordAnswer(http.StatusBadGateway)
+	must.False(t, f.isAdmitted(0, "poison"))
+}
+
+// Guards against suspects that stay in the store for good.
+func TestSuspectsHaveALease(t *testing.T) {
+	f := newFleet(t, 1)
+	f.crash(0, "poison", "a", "b", "c")
+	f.await("the suspect is stored", func() bool { return f.stored() == 1 })
+	f.mustHaveLease()
+	f.skip(trialDelays[0])
+	must.NoError(t, f.track(0, "poison").Admit(t.Context()))
+	f.mustHaveLease()
+}
+
+func (f *fleet) mustHaveLease() {
+	f.t.Helper()
+	list, err := f.store.List(context.Background(), testPrefix)
+	must.NoError(f.t, err)
+	for _, value := range list.Values {
+		must.Positive(f.t, value.Lease)
+	}
+}
+
+// Guards against writes of more keys at once than the store takes.
+func TestManySuspectsAreWrittenInParts(t *testing.T) {
+	store := &countingStore{Store: &platformtest.Store{}}
+	f := newFleetOf(t, store, 2)
+	const requests = 3 * maxKeysPerCommit
+	for i := range requests {
+		f.crash(0, fmt.Sprint("request ", i), "a")
+	}
+	f.await("all are stored and known", func() bool { return f.stored() == requests && len(f.suspects(1)) == requests })
+	must.Eq(t, maxKeysPerCommit, int(store.mostKeys.Load()))
+	must.Eq(t, requests/maxKeysPerCommit, int(store.commits.Load()))
+}
+
+// countingStore counts the commits and the keys of the largest one.
+type countingStore struct {
+	*platformtest.Store
+
+	commits  atomic.Int64
+	mostKeys atomic.Int64
+}
+
+func (c *countingStore) Commit(ctx context.Context, commit platform.Commit) (uint64, error) {
+	c.commits.Add(1)
+	c.mostKeys.Store(max(c.mostKeys.Load(), int64(len(commit.Expect))))
+	return c.Store.Commit(ctx, commit)
+}
--- a/internal/poison/suspect.go
+++ b/internal/poison/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
@@ -9,86 +10,143 @@
 )
 
 const (
-	// maxCrashes is the number of crashed servers after which a request is quarantined. A request that only happened
-	// to run on a server that crashed rarely meets a second crash before a server answers it.
+	// maxCrashes is the number of crashed servers after which a request is quarantined. A short request that only
+	// happened to run on a crashed server is answered by another one long before its third crash.
 	maxCrashes = 3
 	// minSharedCrashes is the number of crashes after which other gateways are told while the request still runs. Most
 	// requests are answered by another server after their first crash, and cost no write.
 	minSharedCrashes = 2
-	// retention is how long a suspect is remembered after its last crash.
+	// retention is how long a suspect is remembered after its last stored crash; trials don't extend it.
 	retention = 10 * time.Minute
+	// trialRetryDelay is the delay before a trial that could not be claimed is due again. It is the Retry-After of
+	// copies that are refused while another copy claims the trial.
+	trialRetryDelay = time.Second
 )
 
 // trialDelays are the delays before the trials of a quarantined request, each counted from the last change of the
 // suspect. In a trial one copy is sent to one server; an answer ends the quarantine. Without trials, a request that
 // crashed nothing but was running on three servers that did would stay refused.
-var trialDelays = [...]time.Duration{4 * time.Second, 2 * time.Minute}
+var trialDelays = [...]time.Duration{4 * time.Second, 30 * time.Second}
 
 // suspect is a request under which servers have crashed. It does no I/O.
 type suspect struct {
-	// servers are the servers that crashed, of which the store knows the first stored ones.
+	// servers are the crashed servers that count.
 	servers []string
-	stored  int
-	trials  uint32
+	// answered are the crashed servers that no longer count, because a server has answered a copy since.
+	answered []string
+	// learnedAt maps each server to the time when this process learned of its crash.
+	learnedAt map[string]clock.Boot
+	trials    uint32
 	// changedAt is when this process learned of the last crash or trial.
 	changedAt clock.Boot
-	// revision and lease are those of the suspect's key in the store; 0 if it has none.
+	// claimFailedAt is when this process last failed to claim a trial; isClaiming is true while it claims one.
+	claimFailedAt clock.Boot
+	isClaiming    bool
+	// isUnanswered is true once a copy under which a server crashed has ended here without an answer.
+	isUnanswered bool
+
+	// stored are the servers that the store holds. revision and lease are those of the suspect's key; 0 if it has none.
+	stored   []string
 	revision uint64
 	lease    uint64
-	// isUnanswered is true if a copy has ended here without an answer.
-	isUnanswered bool
-	// isCleared is true once a server has answered a copy.
-	isCleared bool
+	// isWriting is true from the first attempt to write the key until its result is known.
+	isWriting bool
 }
 
-// recordCrash adds a crashed server, and reports whether it is new.
-func (s *suspect) recordCrash(server string, now clock.Boot) bool {
-	if s.isCleared {
-		// What was known before the answer no longer counts, though the store still holds it.
-		s.servers, s.stored, s.trials, s.isCleared = nil, 0, 0, false
-	}
-	if slices.Contains(s.servers, server) {
-		return false
+// recordCrash adds a crashed server, unless its crash is known already. A copy that was sent to the server after that
+// crash has met a later start of it, which this process can't tell from the earlier one yet.
+func (s *suspect) recordCrash(server string, sentAt, now clock.Boot) bool {
+	name := server
+	for starts := 2; slices.Contains(s.servers, name); starts++ {
+		if sentAt <= s.learnedAt[name] {
+			return false
+		}
+		name = server + "#" + strconv.Itoa(starts)
 	}
-	s.servers = append(s.servers, server)
-	s.changedAt = now
+	s.answered = slices.DeleteFunc(s.answered, func(answered string) bool { return answered == name })
+	s.servers = append(s.servers, name)
+	s.learn(now)
 	return true
 }
 
-// merge adds what the store holds. The stored servers come first.
-func (s *suspect) merge(state *statepb.Suspect, revision, lease uint64, now clock.Boot) {
-	servers := slices.Clone(state.GetServers())
+// learn sets the times of servers that are new.
+func (s *suspect) learn(now clock.Boot) {
+	if s.learnedAt == nil {
+		s.learnedAt = map[string]clock.Boot{}
+	}
 	for _, server := range s.servers {
+		if _, isKnown := s.learnedAt[server]; !isKnown {
+			s.learnedAt[server] = now
+			s.changedAt = now
+		}
+	}
+}
+
+// recordAnswer records that a server has answered a copy: the crashes so far don't count any more.
+func (s *suspect) recordAnswer() {
+	s.answered = append(s.answered, s.servers...)
+	s.servers, s.trials = nil, 0
+}
+
+// merge sets what the store holds, and adds it to the crashes that count.
+func (s *suspect) merge(state *statepb.Suspect, revision, lease uint64, now clock.Boot) {
+	servers := difference(state.GetServers(), s.answered)
+	s.answered = intersection(s.answered, state.GetServers())
+	for _, server := range difference(s.servers, s.stored) {
 		if !slices.Contains(servers, server) {
 			servers = append(servers, server)
 		}
 	}
-	if len(servers) != len(s.servers) || state.GetTrials() != s.trials {
-		s.changedAt = now
+	if len(s.answered) == 0 && state.GetTrials() != s.trials {
+		s.trials, s.changedAt = state.GetTrials(), now
 	}
-	s.servers, s.stored = servers, len(state.GetServers())
-	s.trials = state.GetTrials()
-	s.revision, s.lease = revision, lease
+	s.servers, s.stored = servers, state.GetServers()
+	s.revision, s.lease, s.isWriting = revision, lease, false
+	s.learn(now)
+}
+
+// removeStored drops what the store held, after the key was removed.
+func (s *suspect) removeStored() {
+	s.servers = difference(s.servers, s.stored)
+	s.stored, s.answered, s.trials = nil, nil, 0
+	s.revision, s.lease, s.isWriting = 0, 0, false
+}
+
+// difference returns the names that are not among others.
+func difference(names, others []string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return slices.Contains(others, name) })
 }
 
-// forgetStored drops what the store held, after its key was removed. It reports whether nothing is left.
-func (s *suspect) forgetStored() bool {
-	s.servers = s.servers[s.stored:]
-	s.stored, s.trials, s.revision, s.lease = 0, 0, 0, 0
-	s.isCleared = false
-	return len(s.servers) == 0
+// intersection returns the names that are among others.
+func intersection(names, others []string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return !slices.Contains(others, name) })
 }
 
 // isQuarantined reports whether copies are refused.
-func (s *suspect) isQuarantined() bool { return !s.isCleared && len(s.servers) >= maxCrashes }
+func (s *suspect) isQuarantined() bool { return len(s.servers) >= maxCrashes }
+
+// isOver reports whether nothing is left to remember.
+func (s *suspect) isOver(now clock.Boot) bool {
+	if len(s.servers) == 0 && s.revision == 0 && !s.isWriting {
+		return true
+	}
+	return now.Sub(s.changedAt) > retention+time.Minute
+}
 
 // untilTrial returns the time until the next trial of a quarantined request; 0 means that it is due.
 func (s *suspect) untilTrial(now clock.Boot) time.Duration {
+	if s.isClaiming {
+		return trialRetryDelay
+	}
 	delay := retention
 	if int(s.trials) < len(trialDelays) {
 		delay = trialDelays[s.trials]
 	}
-	return max(0, s.changedAt.Add(delay).Sub(now))
+	due := s.changedAt.Add(delay)
+	if s.claimFailedAt != 0 {
+		due = max(due, s.claimFailedAt.Add(trialRetryDelay))
+	}
+	return max(0, due.Sub(now))
 }
 
 // isOlder reports whether this suspect is to be forgotten before another one.
@@ -99,13 +157,12 @@
 	return s.changedAt < other.changedAt
 }
 
-// needsWrite reports whether the store must learn of a crash or of the end of the suspicion.
+// needsWrite reports whether the store must learn of a crash or of an answer.
 func (s *suspect) needsWrite() bool {
-	if s.isCleared {
-		return s.revision != 0
+	if s.revision != 0 {
+		return !slices.Equal(s.servers, s.stored)
 	}
-	unstored := len(s.servers) - s.stored
-	return unstored > 0 && (s.revision != 0 || s.isUnanswered || unstored >= minSharedCrashes)
+	return len(s.servers) >= minSharedCrashes || len(s.servers) > 0 && s.isUnanswered
 }
 
 // state returns the stored form, with a number of trials.
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -63,7 +63,7 @@
 // Direct returns the client of the server.
 func (s *Server) Direct() *backend.Direct { return s.direct }
 
-// Instance returns a name of this start of the server: a server may start again under its ID.
+// Instance identifies this start of the server, which may start again under its ID.
 func (s *Server) Instance() string { return s.instance }
 
 // Entry returns the newest registration.
