soak: holders of the duty take turns no faster than a lease

The fake samplers and the fake platform record the orders and usage reports that they accept, with holder, fencing token and time. At the end of a run the soak checks that no holder acts on a subject again within a lease (2 s) although another one acted in between, and that no lower fencing token follows a higher one. So that the duty changes hands and its holder has orders to send, versions of the weights are announced during the load, and all gateways are stopped (SIGTERM) a few tenths of a second apart, beside the other faults.

Restarts of a gateway are serialized now, since planned stops and the other faults may ask for them at the same time, and a process that doesn't exit within 10 s after its signal fails the test instead of blocking it.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,20 +25,26 @@
 	samplerCount  = 3
 	plainCount    = 2
 	eventsPerText = 20
+	// exitTimeout limits how long a process takes to exit after a signal; its grace period is shorter.
+	exitTimeout = 10 * time.Second
+	// listenTimeout limits how long a gateway takes from its start until it listens.
+	listenTimeout = 5 * time.Second
 )
 
 // process is a gateway or keeper that runs as a child process.
 type process struct {
-	t        *testing.T
-	name     string
-	kind     string
-	file     string
-	folder   string
-	front    string
-	ready    string
-	log      *os.File
-	toStore  *link
-	command  *exec.Cmd
+	t       *testing.T
+	name    string
+	kind    string
+	file    string
+	folder  string
+	front   string
+	ready   string
+	log     *os.File
+	toStore *link
+	// restarts serializes the restarts of concurrent faults.
+	restarts sync.Mutex
+	command  atomic.Pointer[exec.Cmd]
 	finished chan struct{}
 }
 
@@ -107,11 +115,12 @@
 }
 
 func (p *process) start() {
-	p.command = exec.Command(os.Args[0], p.kind, "--settings", p.file) //nolint:gosec // runs the test binary itself
-	p.command.Env = append(os.Environ(), childEnv+"=1")
-	p.command.Stdout, p.command.Stderr = p.log, p.log
-	must.NoError(p.t, p.command.Start())
-	finished, command := make(chan struct{}), p.command
+	command := exec.Command(os.Args[0], p.kind, "--settings", p.file) //nolint:gosec // runs the test binary itself
+	command.Env = append(os.Environ(), childEnv+"=1")
+	command.Stdout, command.Stderr = p.log, p.log
+	must.NoError(p.t, command.Start())
+	finished := make(chan struct{})
+	p.command.Store(command)
 	p.finished = finished
 	go func() {
 		_ = command.Wait()
@@ -120,10 +129,13 @@
 }
 
 // signal sends a signal to the child process.
-func (p *process) signal(signal syscall.Signal) { _ = p.command.Process.Signal(signal) }
+func (p *process) signal(signal syscall.Signal) { _ = p.command.Load().Process.Signal(signal) }
 
-// restart terminates the process with a signal and starts it again after a pause.
+// restart terminates the process with a signal, once it listens, and starts it again after a pause.
 func (p *process) restart(signal syscall.Signal, pause time.Duration) {
+	p.restarts.Lock()
+	defer p.restarts.Unlock()
+	p.awaitListening()
 	p.terminate(signal)
 	time.Sleep(pause)
 	p.start()
@@ -134,7 +146,24 @@
 func (p *process) terminate(signal syscall.Signal) {
 	p.signal(syscall.SIGCONT)
 	p.signal(signal)
-	<-p.finished
+	select {
+	case <-p.finished:
+	case <-time.After(exitTimeout):
+		p.t.Errorf("%s has not exited %s after signal %q", p.name, exitTimeout, signal)
+		p.signal(syscall.SIGKILL)
+		<-p.finished
+	}
+}
+
+// awaitListening waits until the gateway listens; before that, it may not handle signals yet.
+func (p *process) awaitListening() {
+	for deadline := time.Now().Add(listenTimeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		conn, err := net.Dial("tcp", p.ready)
+		if err == nil {
+			_ = conn.Close()
+			return
+		}
+	}
 }
 
 // wipeData kills the process, removes its data folder and starts it again. A running process
--- a/test/soak/run_test.go
+++ b/test/soak/run_test.go
@@ -31,8 +31,9 @@
 )
 
 // runFaults starts a deployment under load, injects faults, ends them and checks the system's
-// guarantees. If drains isn't nil, a zone of servers is drained at random times.
-func runFaults(t *testing.T, random, drains *rand.Rand) {
+// guarantees. If drains isn't nil, a zone of servers is drained at random times. If turns isn't nil, all
+// gateways are stopped in turn at random times, while versions of the weights are announced.
+func runFaults(t *testing.T, random, drains, turns *rand.Rand) {
 	d := newDeployment(t)
 	g := &group{stopped: make(chan struct{})}
 	trainer := &trainer{d: d, t: t, random: rand.New(rand.NewPCG(random.Uint64(), 2)), seen: map[string][]result{}}
@@ -45,6 +46,9 @@
 		d.moveOthers(t)
 		g.Go(func() { d.drain(g, drains) })
 	}
+	if turns != nil {
+		d.startTurns(g, turns)
+	}
 	for range faultCount {
 		d.inject(t, random)
 		time.Sleep(faultInterval)
@@ -60,6 +64,9 @@
 	if drains != nil {
 		d.checkDrain(t)
 	}
+	if turns != nil {
+		d.checkTurns(t)
+	}
 }
 
 // inject starts a random fault; earlier ones may still be active.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -44,7 +44,7 @@
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			runFaults(t, rand.New(rand.NewPCG(seed, 1)), drainRandom(seed))
+			runFaults(t, rand.New(rand.NewPCG(seed, 1)), drainRandom(seed), turnRandom(seed))
 		})
 	}
 }
