--- a/test/soak/run_test.go
+++ b/test/soak/run_test.go
@@ -31,20 +31,27 @@
 )
 
 // runFaults starts a deployment under load, injects faults, ends them and checks the system's
-// guarantees. If drains isn't nil, a zone of servers is drained at random times.
-func runFaults(t *testing.T, random, drains *rand.Rand) {
+// guarantees. If drains isn't nil, a zone of servers is drained at random times. If turns isn't nil, all
+// gateways are stopped in turn at random times, while versions of the weights are announced.
+func runFaults(t *testing.T, random, drains, turns *rand.Rand) {
 	d := newDeployment(t)
 	trainer, callers := d.runLoad(t, random, func(g *group) {
 		if drains != nil {
 			d.moveOthers(t)
 			g.Go(func() { d.drain(g, drains) })
 		}
+		if turns != nil {
+			d.startTurns(g, turns)
+		}
 	})
 	trainer.check()
 	callers.check()
 	if drains != nil {
 		d.checkDrain(t)
 	}
+	if turns != nil {
+		d.checkTurns(t)
+	}
 }
 
 // runLoad runs a trainer, callers and other load, injects faults, and returns once all faults have
