poison: the revision of a write of several keys comes from the watch

A commit's answer has one revision, which is that of its last change. Taken for that of all its keys, each later write of the others expected a revision that they never had: it failed for good, and with it all that was to be written together. Other gateways learned of no crash, and a quarantined item got no trial until its batch gave it up. Only a commit of one key takes its revision from the answer now. TestManySuspectsAreWrittenInParts removes its suspects again.

--- a/internal/poison/publish.go
+++ b/internal/poison/publish.go
@@ -67,11 +67,11 @@
 func (q *Quarantine) writeAll(ctx context.Context) {
 	retryDelay := minRetryDelay
 	for pause.For(ctx, gatherDelay) {
-		commit, err := q.commit()
-		if err == nil && len(commit.Expect) == 0 {
+		commit, isDone, err := q.commit()
+		if isDone {
 			return
 		}
-		if err == nil {
+		if err == nil && len(commit.Expect) > 0 {
 			err = q.write(ctx, commit)
 		}
 		if err == nil {
@@ -84,22 +84,28 @@
 	}
 }
 
-// commit returns the change that writes some suspects, quarantined ones first, and removes those that were answered.
-func (q *Quarantine) commit() (platform.Commit, error) {
+// commit returns the change that writes some suspects, quarantined ones first, and removes those that were answered. It
+// reports whether nothing is left to write or to await.
+func (q *Quarantine) commit() (commit platform.Commit, isDone bool, err error) {
 	q.lock()
 	defer q.mutex.Unlock()
-	var commit platform.Commit
+	now := q.now()
+	isDone = true
 	for _, isQuarantined := range []bool{true, false} {
 		for fingerprint, each := range q.suspects {
-			if len(commit.Expect) == maxKeysPerCommit || !each.needsWrite() || each.isQuarantined() != isQuarantined {
+			if !each.needsWrite() || each.isQuarantined() != isQuarantined {
+				continue
+			}
+			isDone = false
+			if each.isAwaited(now) || len(commit.Expect) == maxKeysPerCommit {
 				continue
 			}
 			if err := q.addTo(&commit, fingerprint, each); err != nil {
-				return platform.Commit{}, err
+				return platform.Commit{}, false, err
 			}
 		}
 	}
-	return commit, nil
+	return commit, isDone, nil
 }
 
 // addTo adds a suspect to a commit. The mutex is held.
@@ -159,18 +165,31 @@
 	return id, nil
 }
 
-// applyCommit updates the suspects after a commit.
+// applyCommit updates the suspects after a commit, whose revision is that of its last change. The watch shows those of
+// the others.
 func (q *Quarantine) applyCommit(commit platform.Commit, revision uint64) {
-	var changes []platform.Value
-	for _, write := range commit.Writes {
-		changes = append(changes, platform.Value{Key: write.Key, Data: write.Data, Revision: revision, Lease: write.Lease})
-	}
-	for _, key := range commit.Remove {
-		changes = append(changes, platform.Value{Key: key, Revision: revision, Deleted: true})
-	}
 	q.lock()
 	defer q.mutex.Unlock()
-	q.applyOwn(changes)
+	if len(commit.Expect) == 1 {
+		q.applyOwn(changeOf(commit, revision))
+		return
+	}
+	now := q.now()
+	for _, expect := range commit.Expect {
+		known := q.suspects[strings.TrimPrefix(expect.Key, q.Prefix)]
+		if known != nil && known.isWriting {
+			known.writtenAt = now
+		}
+	}
+}
+
+// changeOf returns the change that a commit of one key has made.
+func changeOf(commit platform.Commit, revision uint64) platform.Value {
+	if len(commit.Remove) > 0 {
+		return platform.Value{Key: commit.Remove[0], Revision: revision, Deleted: true}
+	}
+	write := commit.Writes[0]
+	return platform.Value{Key: write.Key, Data: write.Data, Revision: revision, Lease: write.Lease}
 }
 
 // applyError updates the suspects after a failed commit. A conflict shows the present values of the store, which the next
@@ -197,7 +216,7 @@
 		known := q.suspects[fingerprint]
 		switch {
 		case exists:
-			q.applyOwn([]platform.Value{current})
+			q.applyOwn(current)
 		case known != nil && known.revision == expect.Revision:
 			q.applyRemoval(fingerprint)
 		}
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -75,13 +75,11 @@
 	}
 }
 
-// applyOwn updates the suspects from the result of a call of this process. A result that the watch has overtaken is
+// applyOwn updates a suspect from the result of a call of this process. A result that the watch has overtaken is
 // ignored: the key may have been removed since, which the watch won't show again. The mutex is held.
-func (q *Quarantine) applyOwn(changes []platform.Value) {
-	for _, change := range changes {
-		if change.Revision > q.watched {
-			q.apply(strings.TrimPrefix(change.Key, q.Prefix), change)
-		}
+func (q *Quarantine) applyOwn(change platform.Value) {
+	if change.Revision > q.watched {
+		q.apply(strings.TrimPrefix(change.Key, q.Prefix), change)
 	}
 }
 
--- a/internal/poison/quarantine_test.go
+++ b/internal/poison/quarantine_test.go
@@ -317,7 +317,7 @@
 	for server := range maxCrashes {
 		q.recordCrash("id", "poison", fmt.Sprint(server), 0)
 	}
-	commit, err := q.commit()
+	commit, _, err := q.commit()
 	must.NoError(t, err)
 	key := testPrefix + "poison"
 	q.ApplyChanges([]platform.Value{{Key: key, Data: commit.Writes[0].Data, Revision: 5}, {Key: key, Revision: 6, Deleted: true}})
@@ -424,6 +424,10 @@
 	f.await("all are stored and known", func() bool { return f.stored() == requests && len(f.suspects(1)) == requests })
 	must.Eq(t, maxKeysPerCommit, int(store.mostKeys.Load()))
 	must.Eq(t, requests/maxKeysPerCommit, int(store.commits.Load()))
+	for i := range requests {
+		f.track(1, fmt.Sprint("request ", i)).RecordAnswer(http.StatusOK)
+	}
+	f.await("all are removed", func() bool { return f.stored() == 0 && len(f.suspects(0)) == 0 && len(f.suspects(1)) == 0 })
 }
 
 // countingStore counts the commits and the keys of the largest one.
--- a/internal/poison/suspect.go
+++ b/internal/poison/suspect.go
@@ -18,6 +18,8 @@
 	minSharedCrashes = 2
 	// retention is how long a suspect is remembered after its last stored crash; trials don't extend it.
 	retention = 10 * time.Minute
+	// watchTimeout is how long the watch may take to show a write: many times its usual delay.
+	watchTimeout = time.Second
 	// trialRetryDelay is the delay before a trial that could not be claimed is due again. It is the Retry-After of
 	// copies that are refused while another copy claims the trial.
 	trialRetryDelay = time.Second
@@ -49,8 +51,10 @@
 	stored   []string
 	revision uint64
 	lease    uint64
-	// isWriting is true from the first attempt to write the key until its result is known.
+	// isWriting is true from the first attempt to write the key until its revision is known. writtenAt is when the store
+	// confirmed the write, and 0 before.
 	isWriting bool
+	writtenAt clock.Boot
 }
 
 // recordCrash adds a crashed server, unless its crash is known already. A copy that was sent to the server after that
@@ -101,7 +105,8 @@
 		s.trials, s.changedAt = state.GetTrials(), now
 	}
 	s.servers, s.stored = servers, state.GetServers()
-	s.revision, s.lease, s.isWriting = revision, lease, false
+	s.revision, s.lease = revision, lease
+	s.isWriting, s.writtenAt = false, 0
 	s.learn(now)
 }
 
@@ -109,7 +114,8 @@
 func (s *suspect) removeStored() {
 	s.servers = difference(s.servers, s.stored)
 	s.stored, s.answered, s.trials = nil, nil, 0
-	s.revision, s.lease, s.isWriting = 0, 0, false
+	s.revision, s.lease = 0, 0
+	s.isWriting, s.writtenAt = false, 0
 }
 
 // difference returns the names that are not among others.
@@ -157,6 +163,11 @@
 	return s.changedAt < other.changedAt
 }
 
+// isAwaited reports whether the watch is about to show the result of a write.
+func (s *suspect) isAwaited(now clock.Boot) bool {
+	return s.writtenAt != 0 && now.Sub(s.writtenAt) < watchTimeout
+}
+
 // needsWrite reports whether the store must learn of a crash or of an answer.
 func (s *suspect) needsWrite() bool {
 	if s.revision != 0 {
