poison: crashes count against the likelier cause only

A crash no longer counts against a request if it also stands with one that has more crashes, and had three of them no later. The second trial comes 15 s after the first.

The clock isn't read for each request while nothing is suspected.

--- a/internal/poison/publish.go
+++ b/internal/poison/publish.go
@@ -153,7 +153,7 @@
 
 // currentLease returns the lease of new writes.
 func (q *Quarantine) currentLease(ctx context.Context) (uint64, error) {
-	now := q.time()
+	now := q.readClock()
 	if q.lease.id != 0 && now.Sub(q.lease.grantedAt) < maxLeaseAge {
 		return q.lease.id, nil
 	}
@@ -165,6 +165,12 @@
 	return id, nil
 }
 
+func (q *Quarantine) readClock() clock.Boot {
+	q.lock()
+	defer q.mutex.Unlock()
+	return q.now()
+}
+
 // applyCommit updates the suspects after a commit, whose revision is that of its last change. The watch shows those of
 // the others.
 func (q *Quarantine) applyCommit(commit platform.Commit, revision uint64) {
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -103,6 +103,7 @@
 	}
 	wasQuarantined := known.isQuarantined()
 	known.merge(state, change.Revision, change.Lease, q.now())
+	explain(q.suspects)
 	q.logQuarantine(fingerprint, known, wasQuarantined)
 	if known.needsWrite() {
 		q.notify()
@@ -118,6 +119,7 @@
 	klog.InfoS("poison: request is no longer suspected", "fingerprint", fingerprint, "crashed", known.stored, "trials", known.trials)
 	known.removeStored()
 	q.dropIfOver(fingerprint)
+	explain(q.suspects)
 }
 
 // dropIfOver forgets a suspect if nothing is left of it. The mutex is held.
@@ -168,6 +170,7 @@
 	if !known.recordCrash(server, sentAt, q.now()) {
 		return
 	}
+	explain(q.suspects)
 	q.metrics.crashes.Inc()
 	klog.InfoS("poison: server crashed while it ran the request", "id", id, "fingerprint", fingerprint, "server", server, "crashed", len(known.servers))
 	q.logQuarantine(fingerprint, known, wasQuarantined)
@@ -189,6 +192,7 @@
 	klog.V(1).InfoS("poison: a server has answered the suspected request", "fingerprint", fingerprint, "crashed", known.servers, "trials", known.trials)
 	known.recordAnswer()
 	q.dropIfOver(fingerprint)
+	explain(q.suspects)
 	q.notify()
 }
 
@@ -305,10 +309,14 @@
 	q.metrics = newMetrics(q.Metrics, q.countQuarantined)
 }
 
-// time returns the present time of the quarantine's clock.
-func (q *Quarantine) time() clock.Boot {
+// suspicionTime returns the present time, or 0 while there is no suspect: all crashes are learned later then, and the
+// clock isn't read for each request.
+func (q *Quarantine) suspicionTime() clock.Boot {
 	q.lock()
 	defer q.mutex.Unlock()
+	if len(q.suspects) == 0 {
+		return 0
+	}
 	return q.now()
 }
 
--- a/internal/poison/suspect.go
+++ b/internal/poison/suspect.go
@@ -18,6 +18,8 @@
 	minSharedCrashes = 2
 	// retention is how long a suspect is remembered after its last stored crash; trials don't extend it.
 	retention = 10 * time.Minute
+	// reportDelay is how much later than its own crashes a process may learn of those that another one has seen.
+	reportDelay = time.Second
 	// watchTimeout is how long the watch may take to show a write: many times its usual delay.
 	watchTimeout = time.Second
 	// trialRetryDelay is the delay before a trial that could not be claimed is due again. It is the Retry-After of
@@ -28,7 +30,7 @@
 // trialDelays are the delays before the trials of a quarantined request, each counted from the last change of the
 // suspect. In a trial one copy is sent to one server; an answer ends the quarantine. Without trials, a request that
 // crashed nothing but was running on three servers that did would stay refused.
-var trialDelays = [...]time.Duration{4 * time.Second, 30 * time.Second}
+var trialDelays = [...]time.Duration{4 * time.Second, 15 * time.Second}
 
 // suspect is a request under which servers have crashed. It does no I/O.
 type suspect struct {
@@ -36,6 +38,8 @@
 	servers []string
 	// answered are the crashed servers that no longer count, because a server has answered a copy since.
 	answered []string
+	// explained is the number of servers whose crash another suspect explains.
+	explained int
 	// learnedAt maps each server to the time when this process learned of its crash.
 	learnedAt map[string]clock.Boot
 	trials    uint32
@@ -129,7 +133,50 @@
 }
 
 // isQuarantined reports whether copies are refused.
-func (s *suspect) isQuarantined() bool { return len(s.servers) >= maxCrashes }
+func (s *suspect) isQuarantined() bool { return len(s.servers)-s.explained >= maxCrashes }
+
+// explain sets how many of the crashes other suspects explain: those of servers that also crashed under a likelier cause.
+//
+// A request that crashes its servers takes down all others that run there. Those with long runs, such as items of a
+// batch, would be quarantined with it.
+func explain(suspects map[string]*suspect) {
+	causes := map[string][]*suspect{}
+	for _, each := range suspects {
+		if len(each.servers) < maxCrashes {
+			continue
+		}
+		for _, server := range each.servers {
+			causes[server] = append(causes[server], each)
+		}
+	}
+	for _, each := range suspects {
+		each.explained = 0
+		for _, server := range each.servers {
+			if slices.ContainsFunc(causes[server], each.isLessLikelyThan) {
+				each.explained++
+			}
+		}
+	}
+}
+
+// isLessLikelyThan reports whether another suspect is a likelier cause of the crashes that both have: it has more crashes,
+// and had maxCrashes of them no later. A quarantined request isn't freed by one that collects crashes afterwards.
+func (s *suspect) isLessLikelyThan(other *suspect) bool {
+	if len(other.servers) <= len(s.servers) {
+		return false
+	}
+	return len(s.servers) < maxCrashes || other.limitReachedAt() <= s.limitReachedAt().Add(reportDelay)
+}
+
+// limitReachedAt returns when this process learned of the last of the first maxCrashes crashes.
+func (s *suspect) limitReachedAt() clock.Boot {
+	times := make([]clock.Boot, 0, len(s.servers))
+	for _, server := range s.servers {
+		times = append(times, s.learnedAt[server])
+	}
+	slices.Sort(times)
+	return times[maxCrashes-1]
+}
 
 // isOver reports whether nothing is left to remember.
 func (s *suspect) isOver(now clock.Boot) bool {
--- a/internal/poison/suspect_test.go
+++ b/internal/poison/suspect_test.go
@@ -129,3 +129,37 @@
 		must.NotEq(t, base.fingerprint(), other.fingerprint())
 	}
 }
+
+// newSuspect returns a suspect whose crashes were learned one after the other, a second apart.
+func newSuspect(first clock.Boot, servers ...string) *suspect {
+	var s suspect
+	for i, server := range servers {
+		s.recordCrash(server, 0, first.Add(time.Duration(i)*time.Second))
+	}
+	return &s
+}
+
+// Guards against requests that are quarantined with the one that crashed the servers on which they ran.
+func TestCrashesAreExplainedByTheLikelierCause(t *testing.T) {
+	poison := newSuspect(1, "a", "b", "c", "d")
+	bystander := newSuspect(1, "a", "b", "e")
+	equal := newSuspect(1, "a", "b", "c", "f")
+	suspects := map[string]*suspect{"poison": poison, "bystander": bystander, "equal": equal}
+	explain(suspects)
+	must.True(t, poison.isQuarantined())
+	must.False(t, bystander.isQuarantined())
+	must.True(t, equal.isQuarantined())
+	delete(suspects, "poison")
+	delete(suspects, "equal")
+	explain(suspects)
+	must.True(t, bystander.isQuarantined(), must.Sprint("nothing explains its crashes any more"))
+}
+
+// Guards against a quarantined request that is freed by another one that collects more crashes later.
+func TestLaterSuspectExplainsNothing(t *testing.T) {
+	poison := newSuspect(1, "a", "b", "c")
+	later := newSuspect(clock.Boot(time.Minute), "a", "b", "d", "e")
+	explain(map[string]*suspect{"poison": poison, "later": later})
+	must.True(t, poison.isQuarantined())
+	must.True(t, later.isQuarantined())
+}
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -17,7 +17,7 @@
 	identity   Identity
 	// hash is the identity's fingerprint; "" until it is needed.
 	hash string
-	// admittedAt is when the present attempt was admitted.
+	// admittedAt is when the present attempt was admitted; 0 if no request was suspected then.
 	admittedAt clock.Boot
 	hasCrashed bool
 	// isTrial is true while this copy may be sent on trial.
@@ -37,7 +37,7 @@
 		}
 		t.isTrial = isTrial
 	}
-	t.admittedAt = t.quarantine.time()
+	t.admittedAt = t.quarantine.suspicionTime()
 	return nil
 }
 
