--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -33,7 +33,10 @@
 
 // Refusal codes after which a generation may be resumed.
 const (
-	codeInterrupted = "backend_cut"
+	// CodeInterrupted means that the connection ended before the answer was whole, as it does when a server crashes.
+	CodeInterrupted = "backend_cut"
+	// CodeUnreachable means that no connection to the server was obtained.
+	CodeUnreachable = "backend_unreachable"
 	codeReadTimeout = "backend_silent"
 )
 
@@ -178,7 +181,7 @@
 // which report no error: a resumed generation would use one of these and time out again.
 func (s *Server) refuse(err error, connected bool) *refusal.Error {
 	if !connected {
-		return refusal.NotRun(http.StatusServiceUnavailable, "backend_unreachable", "%s can't be reached", s.Name).WithRetryAfter(retryAfter)
+		return refusal.NotRun(http.StatusServiceUnavailable, CodeUnreachable, "%s can't be reached", s.Name).WithRetryAfter(retryAfter)
 	}
 	var timeout *ReadTimeoutError
 	switch {
@@ -190,7 +193,7 @@
 	case errors.Is(err, context.Canceled):
 		return refusal.Unknown(statusCancelled, "cancelled", "the request was cancelled while %s ran it", s.Name)
 	default:
-		return refusal.Unknown(http.StatusBadGateway, codeInterrupted, "%s ended the connection before its answer was whole", s.Name)
+		return refusal.Unknown(http.StatusBadGateway, CodeInterrupted, "%s ended the connection before its answer was whole", s.Name)
 	}
 }
 
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -12,15 +12,24 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/forward"
+	"github.com/bramleyhatch/bramleyhatch/internal/poison"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
 )
 
 // generate runs an item on a server and records the result.
-func (o *owner) generate(ctx context.Context, job Job, server *roster.Server) {
+func (o *owner) generate(ctx context.Context, job Job, server *roster.Server, tracker *poison.Tracker) {
 	began := clock.Now()
-	err := o.stream(ctx, job, server)
+	err := tracker.Admit(ctx)
+	if err == nil {
+		err = o.stream(ctx, job, server, tracker)
+	}
 	o.roster.Finish(server)
+	if err != nil {
+		tracker.RecordFailure(ctx, server.Instance(), err)
+		// The item may wait long for its next run, and other owners may have copies of it.
+		tracker.Close()
+	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	defer o.notify()
@@ -50,6 +59,10 @@
 	case ctx.Err() != nil:
 		o.plan.Interrupted(job, 0, now)
 		return endStopped
+	case refused.Code == poison.CodeQuarantined:
+		o.plan.Interrupted(job, 0, now)
+		o.plan.Hold(job, min(refused.RetryAfter, maxHoldTime), now)
+		return endRefused
 	case refused.Code == backend.CodeFailed && isItemFailure(refused.Status):
 		o.plan.Failed(job, refused.Status == http.StatusUnprocessableEntity, now)
 		return endFailed
@@ -74,7 +87,7 @@
 var errVersionMismatch = refusal.Unknown(http.StatusConflict, "unfit", "the sampler's weight version doesn't fit the batch")
 
 // stream sends an item and reads the events of the answer.
-func (o *owner) stream(ctx context.Context, job Job, server *roster.Server) error {
+func (o *owner) stream(ctx context.Context, job Job, server *roster.Server, tracker *poison.Tracker) error {
 	ctx, cancel := context.WithTimeout(ctx, runTimeout)
 	defer cancel()
 	answer, err := server.Direct().Do(ctx, backend.Request{
@@ -94,10 +107,15 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode != http.StatusOK {
+		tracker.RecordAnswer(answer.StatusCode)
 		return refusal.Unknown(answer.StatusCode, backend.CodeFailed, "%s answered %d", server.Name(), answer.StatusCode)
 	}
 	o.roster.RecordAnswer(server)
-	return o.readEvents(job, server, answer)
+	err = o.readEvents(job, server, answer)
+	if err == nil && answer.IsFramed() {
+		tracker.RecordAnswer(answer.StatusCode)
+	}
+	return err
 }
 
 // readEvents records the events of an answer up to its end.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -39,7 +39,7 @@
 
 func TestSoak(t *testing.T) {
 	runSeeds(t, func(t *testing.T, seed uint64) {
-		runFaults(t, rand.New(rand.NewPCG(seed, 1)), drainRandom(seed))
+		runFaults(t, rand.New(rand.NewPCG(seed, 1)), drainRandom(seed), turnRandom(seed))
 	})
 }
 
