stop: a signal ends a process at any time after its start

A process that got SIGTERM in the first milliseconds after its start went on serving. go-zero's package core/proc asks for SIGTERM and SIGINT when it is initialized, which disables their default action, and then only sleeps, since internal/listen moves its times out of the way. The program asked for the signals later, so a signal in between was lost. cmd/standin had the same fault. A command such as status, which has no context of its own for the signals, could not be stopped by them at all once it had a client.

internal/stop asks for the signals in its own initialization. It imports only the standard library, so that Go initializes it before github.com/zeromicro. Until Context is called, a signal has its default action; after that, it ends the context. internal/listen imports the package too, since it is what disables go-zero's exit.

internal/listen sets go-zero's times in its initialization: the race detector reported proc.Setup against the handler's read of a signal that came before the servers started.

The soak restarts a gateway again that may not listen yet.

--- a/cmd/standin/cmd/cmd.go
+++ b/cmd/standin/cmd/cmd.go
@@ -2,19 +2,17 @@
 package cmd
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/stop"
 )
 
 const stopGrace = time.Second
@@ -83,8 +81,8 @@
 
 // serve serves the routes until SIGTERM or SIGINT.
 func (s *serverFlags) serve(routes []rest.Route) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, end := stop.Context()
+	defer end()
 	server := &listen.HTTP{Address: s.Listen, Routes: routes, OnListening: s.writeReady}
 	return server.Run(ctx, stopGrace)
 }
--- a/internal/cmd/process.go
+++ b/internal/cmd/process.go
@@ -9,6 +9,7 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/logging"
 	"github.com/bramleyhatch/bramleyhatch/internal/settings"
+	"github.com/bramleyhatch/bramleyhatch/internal/stop"
 )
 
 // runProcess loads the settings from a file, directs the log to standard output and
@@ -23,7 +24,7 @@
 	}
 	defer stopLog()
 	setGCPercent()
-	ctx, end := stopContext()
+	ctx, end := stop.Context()
 	defer end()
 	go watchSettings(ctx, file, loaded)
 	return run(ctx)
--- a/internal/listen/client.go
+++ b/internal/listen/client.go
@@ -39,7 +39,6 @@
 
 // ClientWithOptions returns a Client with options.
 func ClientWithOptions(name string, options ClientOptions) httpc.Service {
-	setupOnce.Do(setup)
 	logx.SetWriter(klogWriter{})
 	breaker.NoBreakerFor(name)
 	if options.IdleTimeout == 0 {
--- a/internal/listen/http.go
+++ b/internal/listen/http.go
@@ -20,6 +20,8 @@
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/rest"
 	"k8s.io/klog/v2"
+
+	_ "github.com/bramleyhatch/bramleyhatch/internal/stop" // handles SIGTERM and SIGINT in place of go-zero
 )
 
 const (
@@ -32,7 +34,12 @@
 	maxProcessTime = 1000 * time.Hour
 )
 
-var setupOnce sync.Once
+func init() {
+	// go-zero's handler of signals reads these times without a lock.
+	proc.Setup(proc.ShutdownConf{WrapUpTime: maxProcessTime, WaitTime: 2 * maxProcessTime})
+	logx.DisableStat()
+	logx.SetWriter(klogWriter{})
+}
 
 // Error means that listening on an address failed.
 type Error struct {
@@ -85,7 +92,6 @@
 }
 
 func (h *HTTP) build() (*rest.Server, error) {
-	setupOnce.Do(setup)
 	host, portText, err := net.SplitHostPort(h.Address)
 	if err != nil {
 		return nil, &Error{Address: h.Address, Problem: err.Error()}
@@ -155,11 +161,6 @@
 	return eris.Wrapf(server.Shutdown(ctx), "shut down %s", h.Address)
 }
 
-func setup() {
-	proc.Setup(proc.ShutdownConf{WrapUpTime: maxProcessTime, WaitTime: 2 * maxProcessTime})
-	logx.DisableStat()
-}
-
 // klogWriter writes go-zero's log lines to klog.
 type klogWriter struct{}
 
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -27,8 +26,6 @@
 	eventsPerText = 20
 	// exitTimeout limits how long a process takes to exit after a signal; its grace period is shorter.
 	exitTimeout = 10 * time.Second
-	// listenTimeout limits how long a gateway takes from its start until it listens.
-	listenTimeout = 5 * time.Second
 )
 
 // process is a gateway or keeper that runs as a child process.
@@ -137,11 +134,10 @@
 // signal sends a signal to the child process.
 func (p *process) signal(signal syscall.Signal) { _ = p.command.Load().Process.Signal(signal) }
 
-// restart terminates the process with a signal, once it listens, and starts it again after a pause.
+// restart terminates the process with a signal and starts it again after a pause.
 func (p *process) restart(signal syscall.Signal, pause time.Duration) {
 	p.restarts.Lock()
 	defer p.restarts.Unlock()
-	p.awaitListening()
 	p.terminate(signal)
 	time.Sleep(pause)
 	p.start()
@@ -161,17 +157,6 @@
 	}
 }
 
-// awaitListening waits until the gateway listens; before that, it may not handle signals yet.
-func (p *process) awaitListening() {
-	for deadline := time.Now().Add(listenTimeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		conn, err := net.Dial("tcp", p.ready)
-		if err == nil {
-			_ = conn.Close()
-			return
-		}
-	}
-}
-
 // wipeData kills the process, removes its data folder and starts it again. A running process
 // could write to the folder during the removal.
 func (p *process) wipeData() {
