--- a/internal/batch/quarantine_test.go
+++ b/internal/batch/quarantine_test.go
@@ -194,14 +194,16 @@
 	}
 }
 
-// unframed sends a text without a length or chunks, which ends with its connection.
-func unframed(w http.ResponseWriter, _ *http.Request) {
-	connection, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
+// unframed sends a body without a length or chunks, which ends with its connection.
+func unframed(status string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		connection, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(connection, "HTTP/1.1 "+status+"\r\nConnection: close\r\n\r\n"+firstEvent)
+		_ = connection.Close()
 	}
-	_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+firstEvent)
-	_ = connection.Close()
 }
 
 // Guards against items that are refused although a sampler has run them, and against crashes of samplers under an item
@@ -217,7 +219,8 @@
 		"a failed run is neither":          {reply(http.StatusInternalServerError, ""), 2},
 		"an unavailable server is neither": {reply(http.StatusServiceUnavailable, ""), 2},
 		"a text with a gap is neither":     {reply(http.StatusOK, "id: 2\ndata: x\n\n"), 2},
-		"an unframed text is neither":      {unframed, 2},
+		"an unframed text is neither":      {unframed("200 OK"), 2},
+		"an unframed rejection is neither": {unframed("422 Unprocessable Entity"), 2},
 		"a cut text is a crash":            {sendEvent(crash), 3},
 		"no answer is a crash":             {crash, 3},
 	} {
@@ -240,6 +243,13 @@
 		s.generateFirst(ctx)
 		s.mustCountCrashes(2)
 	})
+	t.Run("a run at its timeout is neither", func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 0)
+		defer cancel()
+		errCut := refusal.Unknown(http.StatusBadGateway, backend.CodeInterrupted, "cut")
+		must.NotEq(t, backend.CodeInterrupted, refusal.Of(runError(ctx, "s1", errCut)).Code)
+		must.Eq(t, backend.CodeInterrupted, refusal.Of(runError(t.Context(), "s1", errCut)).Code)
+	})
 }
 
 // Guards against owners of copies of an item that each count the crashes of their own copy only.
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -107,7 +107,9 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode != http.StatusOK {
-		tracker.RecordAnswer(answer.StatusCode)
+		if answer.IsFramed() {
+			tracker.RecordAnswer(answer.StatusCode)
+		}
 		return refusal.Unknown(answer.StatusCode, backend.CodeFailed, "%s answered %d", server.Name(), answer.StatusCode)
 	}
 	o.roster.RecordAnswer(server)
@@ -115,7 +117,16 @@
 	if err == nil && answer.IsFramed() {
 		tracker.RecordAnswer(answer.StatusCode)
 	}
-	return err
+	return runError(ctx, server.Name(), err)
+}
+
+// runError returns the error of a run. A run that this process ends at its timeout looks like one whose server has closed
+// the connection.
+func runError(ctx context.Context, server string, err error) error {
+	if err == nil || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return err
+	}
+	return refusal.Unknown(http.StatusGatewayTimeout, "timeout", "%s had not finished the text after %s", server, runTimeout)
 }
 
 // readEvents records the events of an answer up to its end.
