poison: trials of requests that were quarantined together are spread

Requests that ran beside the one that crashes its servers can be quarantined by the same crashes, with as many of them. Each request has a delay of its own now, 2 to 4 s and 12 to 18 s. The first trial is the sooner, since all gateways know of the third crash by then.

TestTrialsOfDifferentRequestsAreSpread is new.

--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -134,7 +134,7 @@
 	if len(q.suspects) >= maxSuspects {
 		q.evict()
 	}
-	added := &suspect{}
+	added := &suspect{fingerprint: fingerprint}
 	q.suspects[fingerprint] = added
 	return added
 }
--- a/internal/poison/quarantine_test.go
+++ b/internal/poison/quarantine_test.go
@@ -182,7 +182,7 @@
 	f.awaitQuarantine("poison")
 	for trial, delay := range trialDelays {
 		must.Eq(t, 0, f.admitEverywhere("poison"))
-		f.skip(delay)
+		f.skip(delay.max())
 		must.Eq(t, 1, f.admitEverywhere("poison"))
 		f.crash(1, "poison", fmt.Sprint("on trial ", trial))
 		f.await("all know the crash", func() bool { return f.knowCrashes("poison", 4+trial) })
@@ -226,7 +226,7 @@
 	f := newFleet(t, 2)
 	f.crash(0, "innocent", "a", "b", "c")
 	f.awaitQuarantine("innocent")
-	f.skip(trialDelays[0])
+	f.skip(trialDelays[0].max())
 	tracker := f.track(1, "innocent")
 	must.NoError(t, tracker.Admit(t.Context()))
 	tracker.RecordAnswer(http.StatusOK)
@@ -301,7 +301,7 @@
 	f := newFleet(t, 2)
 	f.crash(0, "innocent", "a", "b", "c")
 	f.awaitQuarantine("innocent")
-	f.skip(trialDelays[0])
+	f.skip(trialDelays[0].max())
 	tracker := f.track(1, "innocent")
 	must.NoError(t, tracker.Admit(t.Context()))
 	f.crash(0, "innocent", "d")
@@ -361,7 +361,7 @@
 	f.crash(0, "poison", "a", "b", "c")
 	f.await("the suspect is stored", func() bool { return f.stored() == 1 })
 	<-store.began
-	f.skip(trialDelays[0])
+	f.skip(trialDelays[0].max())
 	claimed := make(chan error, 1)
 	go func() { claimed <- f.track(0, "poison").Admit(context.Background()) }()
 	<-store.began
@@ -376,7 +376,7 @@
 	f := newFleet(t, 1)
 	f.crash(0, "innocent", "a", "b", "c")
 	f.await("the suspect is stored", func() bool { return f.stored() == 1 })
-	f.skip(trialDelays[0])
+	f.skip(trialDelays[0].max())
 	tracker := f.track(0, "innocent")
 	must.NoError(t, tracker.Admit(t.Context()))
 	tracker.RecordFailure(t.Context(), "d", refusal.NotRun(http.StatusServiceUnavailable, backend.CodeUnreachable, "down"))
@@ -399,7 +399,7 @@
 	f.crash(0, "poison", "a", "b", "c")
 	f.await("the suspect is stored", func() bool { return f.stored() == 1 })
 	f.mustHaveLease()
-	f.skip(trialDelays[0])
+	f.skip(trialDelays[0].max())
 	must.NoError(t, f.track(0, "poison").Admit(t.Context()))
 	f.mustHaveLease()
 }
@@ -443,3 +443,6 @@
 	c.mostKeys.Store(max(c.mostKeys.Load(), int64(len(commit.Expect))))
 	return c.Store.Commit(ctx, commit)
 }
+
+// max returns the longest delay of a trial.
+func (d trialDelay) max() time.Duration { return d.min + d.spread }
--- a/internal/poison/suspect.go
+++ b/internal/poison/suspect.go
@@ -27,13 +27,35 @@
 	trialRetryDelay = time.Second
 )
 
-// trialDelays are the delays before the trials of a quarantined request, each counted from the last change of the
-// suspect. In a trial one copy is sent to one server; an answer ends the quarantine. Without trials, a request that
-// crashed nothing but was running on three servers that did would stay refused.
-var trialDelays = [...]time.Duration{4 * time.Second, 15 * time.Second}
+// trialDelay is the delay before a trial, counted from the last change of the suspect.
+type trialDelay struct {
+	min time.Duration
+	// spread is the range from which each request has its own part. Requests that are quarantined by the same crashes
+	// would be on trial at the same time otherwise, and the one that crashes its server would take down the others again.
+	spread time.Duration
+}
+
+// trialDelays are the delays before the trials of a quarantined request. In a trial one copy is sent to one server; an
+// answer ends the quarantine. Without trials, a request that crashed nothing but was running on three servers that did
+// would stay refused.
+var trialDelays = [...]trialDelay{
+	{min: 2 * time.Second, spread: 2 * time.Second},
+	{min: 12 * time.Second, spread: 6 * time.Second},
+}
+
+// of returns the delay of the request with a fingerprint, which is the same at all gateways.
+func (d trialDelay) of(fingerprint string) time.Duration {
+	const digits, base = 4, 16
+	part, err := strconv.ParseUint(fingerprint[:min(digits, len(fingerprint))], base, digits*4)
+	if err != nil {
+		return d.min
+	}
+	return d.min + d.spread*time.Duration(part)/(1<<(digits*4))
+}
 
 // suspect is a request under which servers have crashed. It does no I/O.
 type suspect struct {
+	fingerprint string
 	// servers are the crashed servers that count.
 	servers []string
 	// answered are the crashed servers that no longer count, because a server has answered a copy since.
@@ -193,7 +215,7 @@
 	}
 	delay := retention
 	if int(s.trials) < len(trialDelays) {
-		delay = trialDelays[s.trials]
+		delay = trialDelays[s.trials].of(s.fingerprint)
 	}
 	due := s.changedAt.Add(delay)
 	if s.claimFailedAt != 0 {
--- a/internal/poison/suspect_test.go
+++ b/internal/poison/suspect_test.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -97,19 +98,33 @@
 }
 
 func TestUntilTrial(t *testing.T) {
-	s := suspect{servers: []string{"a", "b", "c"}}
-	must.Eq(t, trialDelays[0]-time.Second, s.untilTrial(clock.Boot(time.Second)))
-	must.Eq(t, 0, s.untilTrial(clock.Boot(trialDelays[0])))
-	s.claimFailedAt = clock.Boot(trialDelays[0])
-	must.Eq(t, trialRetryDelay, s.untilTrial(clock.Boot(trialDelays[0])))
+	s := suspect{servers: []string{"a", "b", "c"}, fingerprint: "8000"}
+	delay := trialDelays[0].min + trialDelays[0].spread/2
+	must.Eq(t, delay-time.Second, s.untilTrial(clock.Boot(time.Second)))
+	must.Eq(t, 0, s.untilTrial(clock.Boot(delay)))
+	s.claimFailedAt = clock.Boot(delay)
+	must.Eq(t, trialRetryDelay, s.untilTrial(clock.Boot(delay)))
 	s.isClaiming = true
 	must.Eq(t, trialRetryDelay, s.untilTrial(clock.Boot(time.Hour)))
-	s = suspect{trials: 1}
-	must.Eq(t, trialDelays[1]-time.Second, s.untilTrial(clock.Boot(time.Second)))
+	s = suspect{trials: 1, fingerprint: "0000"}
+	must.Eq(t, trialDelays[1].min-time.Second, s.untilTrial(clock.Boot(time.Second)))
 	s.trials = uint32(len(trialDelays))
 	must.Eq(t, retention-time.Minute, s.untilTrial(clock.Boot(time.Minute)))
 }
 
+// Guards against requests that are on trial at the same time, on the same servers, because the same crashes have
+// quarantined them.
+func TestTrialsOfDifferentRequestsAreSpread(t *testing.T) {
+	delays := map[time.Duration]bool{}
+	for i := range 20 {
+		identity := Identity{Target: strconv.Itoa(i)}
+		delay := trialDelays[0].of(identity.fingerprint())
+		must.Between(t, trialDelays[0].min, delay, trialDelays[0].min+trialDelays[0].spread)
+		delays[delay] = true
+	}
+	must.MapLen(t, 20, delays)
+}
+
 // Guards against a suspect that a process remembers for ever because it missed the end of its key.
 func TestSuspectIsOverAfterItsRetention(t *testing.T) {
 	var s suspect
