occupancy: steps get the slots that they need to be in time, then max-min fairness

Cause: slots of a shared pool were divided by max-min fairness of runs, so a trainer with 80 long texts got as many slots as one with 32 short ones, and its steps became late while the others finished early.

Change: an owner computes for each step on how many slots its remaining texts, the longest first, end in time, and reports that number. Each model gets its floor, then what its steps require (if not all fits: models late twice in a row first, then the smallest requirement), and the rest as before. A report without steps, from an older process, counts as before. Slots of servers that lack a model's version don't count as its demand.

--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -13,6 +13,7 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/admission"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/occupancy"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/poison"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
@@ -90,9 +91,12 @@
 	sharing Sharing
 	demands *demands
 	// waiting is the number of items that wait for a slot; weightBits is the weight of the batch, as
-	// the bits of a float64.
+	// the bits of a float64; steps is its work; reach is the number of slots of the servers that may
+	// run its items.
 	waiting    atomic.Int32
 	weightBits atomic.Uint64
+	steps      atomic.Pointer[[]occupancy.Step]
+	reach      atomic.Int32
 
 	mutex sync.Mutex
 	// older are the owners of batches of the same model that take free slots before this one.
@@ -150,6 +154,7 @@
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	o.recordStepEnd(clock.Now())
 	if o.plan.IsEnded() {
 		o.keepLeftovers(o.plan.Leftovers())
 	}
--- a/internal/batch/sharing.go
+++ b/internal/batch/sharing.go
@@ -16,8 +16,8 @@
 // times a round trip, and less than the time between two events of a sampler.
 const announceTimeout = 30 * time.Millisecond
 
-// weightInterval is the minimum time between two computations of a batch's weight, which the other
-// owners learn no more often.
+// weightInterval is the minimum time between two computations of a batch's work and weight, which the
+// other owners learn no more often.
 const weightInterval = 100 * time.Millisecond
 
 // Sharing divides the slots of pools that several models use among the owners of their batches.
@@ -51,7 +51,7 @@
 	// isShared is false if no other model uses the pool.
 	isShared bool
 	share    Share
-	// weighedAt is when the weight was last computed.
+	// weighedAt is when the work and the weight were last computed.
 	weighedAt clock.Boot
 	// isAnnouncing is true once the other owners have been called, isAnnounced once they have
 	// answered or their time is over.
@@ -70,7 +70,7 @@
 		return true
 	}
 	o.waiting.Store(int32(o.plan.Waiting()))
-	o.updateWeight(pool, now)
+	o.updateWork(pool, now)
 	startedAt := o.demands.add(o, pool, now)
 	if !o.shared.isAnnounced {
 		o.announce(ctx)
@@ -97,14 +97,18 @@
 	})
 }
 
-// updateWeight recomputes the weight of the batch in the division of its pool's slots. The mutex is
-// held.
-func (o *owner) updateWeight(pool string, now clock.Boot) {
+// updateWork recomputes the work of the batch and its weight in the division of its pool's slots. The
+// mutex is held.
+func (o *owner) updateWork(pool string, now clock.Boot) {
 	if o.shared.weighedAt != 0 && now.Sub(o.shared.weighedAt) < weightInterval {
 		return
 	}
 	o.shared.weighedAt = now
-	o.weightBits.Store(math.Float64bits(Weight(o.plan.Slack(now, o.roster.FastGap(pool)))))
+	gap := o.roster.FastGap(pool)
+	o.weightBits.Store(math.Float64bits(Weight(o.plan.Slack(now, gap))))
+	steps := o.plan.steps(now, gap, o.demands.lateSteps(o.batch.GetModel()))
+	o.steps.Store(&steps)
+	o.reach.Store(int32(o.roster.SlotsOf(pool, o.batch.GetModel(), o.batch.GetOldest())))
 }
 
 // reserve counts a run of the batch's model, unless the model is at its cap. The mutex is held.
@@ -162,3 +166,12 @@
 	}
 	klog.InfoS("batch: placed", values...)
 }
+
+// recordStepEnd records whether the step that ends was complete in time, for the division of the pool's
+// slots among the next ones. Only a step that its trainer has ended counts. The mutex is held.
+func (o *owner) recordStepEnd(now clock.Boot) {
+	if o.sharing == nil || !o.plan.IsEnded() || !o.plan.IsDue() {
+		return
+	}
+	o.demands.recordEnd(o.batch.GetModel(), o.plan.IsPastDue(now))
+}
--- a/internal/batch/slack.go
+++ b/internal/batch/slack.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
+	"github.com/bramleyhatch/bramleyhatch/internal/occupancy"
 )
 
 const (
@@ -26,11 +27,20 @@
 // Slack returns the time until the batch is due less the expected remaining time of its longest needed item, which generates
 // an event in each gap. A batch that is never due has the largest possible slack.
 func (p *Plan) Slack(now clock.Boot, gap time.Duration) time.Duration {
-	if p.rules.DueAfter == 0 {
+	if !p.IsDue() {
 		return noSlackLimit
 	}
-	p.classify()
 	var longest time.Duration
+	for _, remaining := range p.remainingTimes(gap) {
+		longest = max(longest, remaining)
+	}
+	return p.dueAt().Sub(now) - longest
+}
+
+// remainingTimes returns the expected remaining times of the needed items that are not settled.
+func (p *Plan) remainingTimes(gap time.Duration) []time.Duration {
+	p.classify()
+	var times []time.Duration
 	for _, item := range p.items {
 		if item.isSpare || item.phase == settled {
 			continue
@@ -42,11 +52,32 @@
 		if item.spec.GetScorer() != nil {
 			remaining += expectedScoreTime
 		}
-		longest = max(longest, remaining)
+		times = append(times, remaining)
 	}
-	return p.accepted.Add(p.rules.DueAfter).Sub(now) - longest
+	return times
 }
 
+// steps returns what the batch needs of its pool's slots, given the number of late steps before it; none if it is never due or
+// the gap is unknown.
+func (p *Plan) steps(now clock.Boot, gap time.Duration, late int) []occupancy.Step {
+	if !p.IsDue() || gap == 0 {
+		return nil
+	}
+	required := occupancy.RequiredSlots(p.remainingTimes(gap), p.dueAt().Sub(now), -hopelessSlack)
+	if required == 0 {
+		return nil
+	}
+	return []occupancy.Step{{Required: required, Late: late}}
+}
+
+// IsDue reports whether the results of the batch are due at some time.
+func (p *Plan) IsDue() bool { return p.rules.DueAfter > 0 }
+
+func (p *Plan) dueAt() clock.Boot { return p.accepted.Add(p.rules.DueAfter) }
+
+// IsPastDue reports whether the results of the batch were due before now.
+func (p *Plan) IsPastDue(now clock.Boot) bool { return p.IsDue() && now > p.dueAt() }
+
 // Weight returns the weight of a step in the division of a pool's slots: 1 with ample slack, up to maxWeight without slack.
 func Weight(slack time.Duration) float64 {
 	switch {
--- a/internal/occupancy/divide.go
+++ b/internal/occupancy/divide.go
@@ -14,14 +14,15 @@
 // precision of a float64.
 const levelSteps = 64
 
-// divide divides the slots among the models by weighted max-min fairness: no model gets more than
-// its demand, and models that get less than their demand get slots in proportion to their weights,
-// but at least the floor. The result is in the order of the demands.
+// divide divides the slots among the models. No model gets more than its demand. Each model gets its
+// floor; then the models whose steps are due get the slots that their steps need to be complete in
+// time, see guarantees; the rest is divided by weighted max-min fairness. The result is in the order
+// of the demands.
 //
 // Every owner computes the division for itself: ties are broken by the model's name, so that equal
 // demands give equal results.
 func divide(demands []ModelDemand, slots int) []int {
-	floors, total := floorsOf(demands, slots), 0
+	total := 0
 	for _, demand := range demands {
 		total += demand.total()
 	}
@@ -32,10 +33,11 @@
 		}
 		return caps
 	}
-	level := fairLevel(demands, floors, slots)
+	least := guarantees(demands, slots)
+	level := fairLevel(demands, least, slots)
 	left := slots
 	for i, demand := range demands {
-		caps[i] = int(demand.shareAt(level, floors[i]))
+		caps[i] = int(demand.shareAt(level, least[i]))
 		left -= caps[i]
 	}
 	order := make([]int, len(demands))
@@ -67,9 +69,37 @@
 	return floors
 }
 
+// guarantees returns the slots that each model gets before the rest is divided: its floor, and what
+// its steps need to be complete in time.
+//
+// If not all of that fits, models whose last steps were late come first, since a trainer that is
+// always last never finishes a step in time; then those that need the fewest slots, so that most
+// steps are complete in time.
+func guarantees(demands []ModelDemand, slots int) []int {
+	least := floorsOf(demands, slots)
+	left := slots - sumOf(least)
+	order := make([]int, len(demands))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(
+			cmp.Compare(demands[b].lateSteps(), demands[a].lateSteps()),
+			cmp.Compare(demands[a].required(), demands[b].required()),
+			cmp.Compare(demands[a].Model, demands[b].Model),
+		)
+	})
+	for _, i := range order {
+		more := min(max(0, demands[i].required()-least[i]), left)
+		least[i] += more
+		left -= more
+	}
+	return least
+}
+
 // fairLevel returns the largest number of slots for each unit of weight at which the shares of all
 // models together don't exceed the slots.
-func fairLevel(demands []ModelDemand, floors []int, slots int) float64 {
+func fairLevel(demands []ModelDemand, least []int, slots int) float64 {
 	low, high := 0.0, 0.0
 	for _, demand := range demands {
 		high = max(high, float64(demand.total())/demand.weight())
@@ -78,7 +108,7 @@
 		middle := (low + high) / 2
 		sum := 0.0
 		for i, demand := range demands {
-			sum += demand.shareAt(middle, floors[i])
+			sum += demand.shareAt(middle, least[i])
 		}
 		if sum <= float64(slots) {
 			low = middle
@@ -90,8 +120,8 @@
 }
 
 // shareAt returns the slots of a model at a number of slots for each unit of weight.
-func (d ModelDemand) shareAt(level float64, floor int) float64 {
-	return min(max(level*d.weight(), float64(floor)), float64(d.total()))
+func (d ModelDemand) shareAt(level float64, least int) float64 {
+	return min(max(level*d.weight(), float64(least)), float64(d.total()))
 }
 
 func (d ModelDemand) total() int { return d.Waiting + d.Running }
--- a/internal/roster/sharing.go
+++ b/internal/roster/sharing.go
@@ -84,6 +84,24 @@
 	return suspect
 }
 
+// SlotsOf returns the number of slots of a pool's servers that may run a model's generations of at least
+// a version now.
+func (r *Roster) SlotsOf(pool, model string, minVersion uint64) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.initMaps()
+	now, slots := clock.Now(), 0
+	for _, routed := range r.pools[pool] {
+		server := r.servers[routed.Name()]
+		r.updateEligibility(server, now)
+		if now < server.backoffUntil || server.Eligibility() == route.Closed || server.version(model) < minVersion {
+			continue
+		}
+		slots += int(server.Slots())
+	}
+	return slots
+}
+
 // RunningByServer returns the number of this process's requests that run at each server of a pool;
 // servers without any are left out.
 func (r *Roster) RunningByServer(pool string) map[string]int {
