measure: eight trainers whose steps are due share a pool

Replays the mix of texts of eight trainers on 12 samplers and compares the division by required slots with max-min fairness of runs and of work, least slack and earliest due first.

--- a/internal/measure/experiments.go
+++ b/internal/measure/experiments.go
@@ -14,6 +14,8 @@
 		Fleet(),
 		Sharing(),
 		SharingLoss(),
+		SharingDue(),
+		SharingDueLoss(),
 	}
 	for _, offered := range []float64{2, 5, 10} {
 		all = append(all, Overload(offered))
--- a/internal/measure/sharing.go
+++ b/internal/measure/sharing.go
@@ -13,20 +13,17 @@
 
 // Parameters of the experiments on a pool that several trainers share.
 const (
-	sharingTick     = 5 * time.Millisecond
-	sharingSamplers = 41
-	sharingSlots    = 6
-	sharingSteps    = 10
+	sharingTick  = 5 * time.Millisecond
+	sharingSlots = 6
+	sharingSteps = 10
 	// Each trainer submits a step every sharingStepInterval, all at the same moment.
 	sharingStepInterval = 4 * time.Second
-	sharingEventTime    = 40 * time.Millisecond
 	// Lengths in events are log-normal; sharingLongShare of the runs are sharingLongFactor times as
-	// long. The mean is 15 to 18 events.
-	sharingMedianEvents = 8.7
-	sharingLengthSigma  = 0.9
-	sharingLongShare    = 0.08
-	sharingLongFactor   = 5
-	sharingMaxEvents    = 132
+	// long.
+	sharingLengthSigma = 0.9
+	sharingLongShare   = 0.08
+	sharingLongFactor  = 5
+	sharingMaxEvents   = 132
 	// sharingHintShare is the share of runs whose expected length is right.
 	sharingHintShare = 0.5
 	// sharingReportInterval is the time between reports; they arrive after sharingReportDelay.
@@ -49,8 +46,27 @@
 	sharingBoot = clock.Boot(time.Hour)
 )
 
-// sharingStepSizes are the runs in a step of each trainer.
-var sharingStepSizes = []int{96, 160, 168}
+// sharingLoad is the load of an experiment.
+type sharingLoad struct {
+	trainers  []sharingTrainer
+	samplers  int
+	eventTime time.Duration
+	maxEvents float64
+	// due is the time in which a step is due. If it is set, a trainer ends a step once it is
+	// complete, and has two steps in progress at most.
+	due time.Duration
+}
+
+// sharingTrainer is a trainer: the runs of its steps and their median length in events.
+type sharingTrainer struct {
+	items  int
+	events float64
+}
+
+// sharingThreeTrainers is the load of three trainers whose runs have 15 to 18 events in the mean.
+var sharingThreeTrainers = sharingLoad{
+	trainers: []sharingTrainer{{96, 8.7}, {160, 8.7}, {168, 8.7}}, samplers: 41, eventTime: 40 * time.Millisecond, maxEvents: 132,
+}
 
 // Sharing compares ways to divide a pool of samplers among three owners of batches, with all
 // samplers.
@@ -65,7 +81,7 @@
 	return Experiment{Name: name, Run: func(seed uint64) []Result {
 		var results []Result
 		for _, policy := range sharingPolicies() {
-			results = append(results, newSharingRun(policy, hasLoss, seed).run())
+			results = append(results, newSharingRun(sharingThreeTrainers, policy, hasLoss, seed).run().result())
 		}
 		return results
 	}}
@@ -87,6 +103,9 @@
 	size     int
 	done     int
 	times    []float64
+	// isEnded is true once the trainer has ended the step; late counts its late steps before it.
+	isEnded bool
+	late    int
 }
 
 // sharingSampler is a sampler that runs the first sharingSlots of its generations; the others queue.
@@ -117,6 +136,7 @@
 
 // sharingRun simulates one policy with one seed.
 type sharingRun struct {
+	load    sharingLoad
 	policy  sharingPolicy
 	hasLoss bool
 	// lengths draws what is the same for all policies, random what policies draw.
@@ -140,20 +160,20 @@
 	apply     func()
 }
 
-func newSharingRun(policy sharingPolicy, hasLoss bool, seed uint64) *sharingRun {
-	run := &sharingRun{policy: policy, hasLoss: hasLoss, lengths: rand.New(rand.NewPCG(seed, 5)), random: rand.New(rand.NewPCG(seed, 6)), now: sharingBoot}
-	for i := range sharingSamplers {
+func newSharingRun(load sharingLoad, policy sharingPolicy, hasLoss bool, seed uint64) *sharingRun {
+	run := &sharingRun{load: load, policy: policy, hasLoss: hasLoss, lengths: rand.New(rand.NewPCG(seed, 5)), random: rand.New(rand.NewPCG(seed, 6)), now: sharingBoot}
+	for i := range load.samplers {
 		run.samplers = append(run.samplers, &sharingSampler{index: i})
 	}
-	for i := range sharingStepSizes {
-		owner := &sharingOwner{index: i, model: fmt.Sprintf("m%d", i), running: make([]int, sharingSamplers)}
-		owner.state = newSharingState()
+	for i := range load.trainers {
+		owner := &sharingOwner{index: i, model: fmt.Sprintf("m%d", i), running: make([]int, load.samplers)}
+		owner.state = newSharingState(load.samplers)
 		run.owners = append(run.owners, owner)
 	}
 	return run
 }
 
-func (r *sharingRun) run() Result {
+func (r *sharingRun) run() *sharingRun {
 	for !r.isDone() {
 		r.openSteps()
 		r.loseSamplers()
@@ -165,7 +185,7 @@
 		r.measure()
 		r.now = r.now.Add(sharingTick)
 	}
-	return r.result()
+	return r
 }
 
 func (r *sharingRun) isDone() bool {
@@ -179,14 +199,17 @@
 	}
 	r.opened++
 	for i, owner := range r.owners {
-		step := &sharingStep{owner: owner, openedAt: r.now, size: sharingStepSizes[i]}
+		if r.load.due > 0 && owner.openSteps() >= 2 {
+			continue
+		}
+		step := &sharingStep{owner: owner, openedAt: r.now, size: r.load.trainers[i].items, late: r.lateSteps(owner)}
 		owner.steps = append(owner.steps, step)
 		owner.startedAt, owner.hasEnded = r.now, true
 		started := make([]*sharingGeneration, 0, step.size)
 		for range step.size {
-			events := r.drawEvents()
-			generation := &sharingGeneration{step: step, expected: events, remaining: time.Duration(events) * sharingEventTime}
-			if other := r.drawEvents(); r.lengths.Float64() > sharingHintShare {
+			events := r.drawEvents(r.load.trainers[i].events)
+			generation := &sharingGeneration{step: step, expected: events, remaining: time.Duration(events) * r.load.eventTime}
+			if other := r.drawEvents(r.load.trainers[i].events); r.lengths.Float64() > sharingHintShare {
 				generation.expected = other
 			}
 			started = append(started, generation)
@@ -197,12 +220,12 @@
 	r.policy.announce(r)
 }
 
-func (r *sharingRun) drawEvents() float64 {
-	events := sharingMedianEvents * math.Exp(sharingLengthSigma*r.lengths.NormFloat64())
+func (r *sharingRun) drawEvents(median float64) float64 {
+	events := median * math.Exp(sharingLengthSigma*r.lengths.NormFloat64())
 	if r.lengths.Float64() < sharingLongShare {
 		events *= sharingLongFactor
 	}
-	return min(sharingMaxEvents, math.Ceil(events))
+	return min(r.load.maxEvents, math.Ceil(events))
 }
 
 // loseSamplers starts and ends the loss, and returns generations of lost samplers to their owners
@@ -270,6 +293,7 @@
 			return true
 		})
 	}
+	r.endSteps()
 }
 
 // exchange sends the reports of this tick and applies those that arrive.
--- a/internal/measure/sharingpolicy.go
+++ b/internal/measure/sharingpolicy.go
@@ -34,9 +34,9 @@
 	loads []int
 }
 
-func newSharingState() sharingState {
-	state := sharingState{view: &occupancy.View{}, loads: make([]int, sharingSamplers)}
-	for i := range sharingSamplers {
+func newSharingState(samplers int) sharingState {
+	state := sharingState{view: &occupancy.View{}, loads: make([]int, samplers)}
+	for i := range samplers {
 		server := route.NewServer(fmt.Sprintf("s%02d", i), "", "")
 		server.SetSlots(sharingSlots)
 		state.servers = append(state.servers, server)
