gateway, mirror: gateways follow each other in a tree; lists and outages come from there too

Change: duty.Parent orders the gateways in a tree with 20 children each. A gateway sends its values in place of the changes to a child that starts or has fallen behind, tells how old the store's confirmation is and over how many hops (a cycle counts itself out), and that the store is lost. A child whose parent fails takes the next one; only the root calls the store. A gateway that finds nobody to follow for a second calls the store for two. Store requests of a gateway that the store rejects go through the gateways next to the root first. The order is computed when gateways change, not with each change of a shared key, and processes that are heard of are logged in one bounded line.

--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -99,7 +99,7 @@
 // addStore adds the client of the store and this process's lease.
 func (g *Gateway) addStore() {
 	settings := g.Settings.GetStore()
-	g.hosts = &gateway.Hosts{Name: g.Process.Settings.GetName()}
+	g.hosts = &gateway.Hosts{Name: g.Process.Settings.GetName(), Cores: g.Process.Settings.GetShare() * g.Process.Settings.GetCores()}
 	direct := &detour.Direct{Address: settings.GetAddress()}
 	g.transport = &detour.Transport{Direct: direct, Peers: g.hosts, Metrics: g.Metrics}
 	g.store = &platform.Store{Transport: g.transport, Timeout: settings.GetTimeout().AsDuration()}
@@ -203,7 +203,7 @@
 		Store: g.store, Prefix: platform.PrefixServer, Wait: wait, OnChanges: g.applyServers, Pause: registrationWatchDelay,
 		OnListed: g.roster.MarkListed, OnLost: g.roster.RecordStoreLost, OnRegained: g.roster.RecordStoreRegained,
 	}
-	shared := &mirror.Mirror{Store: g.store, Prefix: batch.Prefix, Wait: wait, OnChanges: g.applySharedKeys, Pause: sharedKeysWatchDelay, OnUpToDate: g.cold.markCurrent}
+	shared := &mirror.Mirror{Store: g.store, Prefix: batch.Prefix, Wait: wait, OnChanges: g.applySharedKeys, Pause: sharedKeysWatchDelay, OnListed: g.hosts.MarkListed, OnUpToDate: g.cold.markCurrent}
 	for name, m := range map[string]*mirror.Mirror{"operator": operator, "servers": servers, "live": shared} {
 		m.Follow, m.IsWatcher = g.hosts.Follow, g.hosts.IsWatcher
 		g.peerServer.Mirrors[m.Prefix] = m
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -86,11 +86,12 @@
 }
 
 // detourOrder returns the other gateways in the order in which they are tried: the
-// gateway that last succeeded first, recently rejected gateways last.
+// gateway that last succeeded first, recently rejected gateways last, else those that watch
+// the store or would be the next to do so.
 func (h *Hosts) detourOrder() []string {
-	names := h.Names()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	names := slices.Clone(h.order)
 	now := clock.Now()
 	rejectedRank := func(name string) int {
 		at := h.rejectedAt[name]
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -13,10 +13,12 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/batch"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/detour"
 	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/mirror"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
@@ -27,20 +29,23 @@
 	PrefixHost = "live/host/"
 	// PrefixKeeper is the prefix of the store keys of live keepers.
 	PrefixKeeper = "live/keeper/"
-	// followWait is how long a call to a watcher waits for changes; followMargin is
-	// added for the answer. An unresponsive watcher is detected within their sum, well
+	// followWait is how long a call to the followed gateway waits for changes; followMargin
+	// is added for the answer. An unresponsive gateway is detected within their sum, well
 	// within the time in which a change must take effect.
 	followWait   = 500 * time.Millisecond
 	followMargin = 250 * time.Millisecond
-	// watcherCooldown is how long a watcher that did not answer is skipped.
-	watcherCooldown = 3 * time.Second
+	// followCooldown is how long a gateway that did not answer is skipped.
+	followCooldown = 3 * time.Second
+	// maxLoggedHosts is the number of processes that a line on changed processes names.
+	maxLoggedHosts = 5
 )
 
 // Hosts tracks the live gateways and keepers and connects to them. Exported fields are
 // set before the first call. It is safe for concurrent use.
 type Hosts struct {
-	// Name is the name of this process.
-	Name string
+	// Name is the name of this process, Cores the number of CPU cores that it may use.
+	Name  string
+	Cores float64
 
 	mutex       sync.Mutex
 	hosts       map[string]*statepb.Host
@@ -48,10 +53,13 @@
 	connections map[string]*grpc.ClientConn
 	// detourHost is the peer that last relayed a store request for this process.
 	detourHost string
-	// watchers are the names of all gateways, ordered by rank as watchers of the store.
-	watchers []string
-	// watchFailedAt maps a watcher to the time of the last failed call to it.
-	watchFailedAt map[string]clock.Boot
+	// order holds the names of all gateways, this one included, by rank in the tree in which
+	// gateways follow each other's changes of the store; the first one watches the store.
+	order []string
+	// isListed is true once the live gateways are known.
+	isListed bool
+	// followFailedAt maps a gateway to the time of the last failed attempt to follow it.
+	followFailedAt map[string]clock.Boot
 	// rejectedAt maps a gateway to the time when the store last rejected a request that it
 	// relayed for this process.
 	rejectedAt map[string]clock.Boot
@@ -66,24 +74,55 @@
 	if h.hosts == nil {
 		h.hosts = map[string]*statepb.Host{}
 		h.keepers = map[string]*statepb.Host{}
-		h.watchFailedAt = map[string]clock.Boot{}
+		h.followFailedAt = map[string]clock.Boot{}
 		h.rejectedAt = map[string]clock.Boot{}
 		h.connections = map[string]*grpc.ClientConn{}
 	}
+	var live, removed []string
 	for _, change := range changes {
-		if name, ok := strings.CutPrefix(change.Key, PrefixHost); ok {
-			applyHostChange(h.hosts, name, change)
+		hosts, name := h.hosts, ""
+		if gateway, ok := strings.CutPrefix(change.Key, PrefixHost); ok {
+			name = gateway
+		} else if keeper, ok := strings.CutPrefix(change.Key, PrefixKeeper); ok {
+			hosts, name = h.keepers, keeper
+		} else {
+			continue
 		}
-		if name, ok := strings.CutPrefix(change.Key, PrefixKeeper); ok {
-			applyHostChange(h.keepers, name, change)
+		if applyHostChange(hosts, name, change) {
+			live = append(live, name)
+		} else {
+			removed = append(removed, name)
 		}
 	}
-	h.rankWatchers()
+	if len(live)+len(removed) > 0 {
+		logHosts("live", live)
+		logHosts("removed", removed)
+		h.rank()
+	}
+}
+
+// logHosts logs which processes changed. The line is bounded: when the whole fleet starts, each process
+// hears of all others at once.
+func logHosts(state string, names []string) {
+	if len(names) > 0 {
+		klog.InfoS("hosts: processes changed", "state", state, "count", len(names), "hosts", names[:min(len(names), maxLoggedHosts)])
+	}
+}
+
+// MarkListed records that all live gateways are known.
+func (h *Hosts) MarkListed() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.isListed = true
 }
 
-// rankWatchers recomputes watchers from the live gateways. The mutex is held.
-func (h *Hosts) rankWatchers() {
-	h.watchers = duty.OrderBySize("watch", h.candidates(func(*statepb.Host) bool { return true }))
+// rank recomputes the order of the gateways. The mutex is held.
+func (h *Hosts) rank() {
+	candidates := h.candidates(func(*statepb.Host) bool { return true })
+	if h.hosts[h.Name] == nil {
+		candidates = append(candidates, duty.Candidate{Name: h.Name, Cores: h.Cores})
+	}
+	h.order = duty.OrderBySize("watch", candidates)
 }
 
 // candidates returns the gateways that isWanted accepts, in any order. The mutex is
@@ -98,19 +137,19 @@
 	return candidates
 }
 
-func applyHostChange(hosts map[string]*statepb.Host, name string, change platform.Value) {
+// applyHostChange applies a change and reports whether the process is live.
+func applyHostChange(hosts map[string]*statepb.Host, name string, change platform.Value) bool {
 	if change.Deleted {
-		klog.InfoS("hosts: process was removed", "host", name)
 		delete(hosts, name)
-		return
+		return false
 	}
 	host := &statepb.Host{}
 	if err := proto.Unmarshal(change.Data, host); err != nil {
 		klog.ErrorS(err, "hosts: decoding a registration failed", "key", change.Key)
-		return
+		return hosts[name] != nil
 	}
-	klog.InfoS("hosts: process is live", "host", name, "address", host.GetAddress(), "zone", host.GetZone())
 	hosts[name] = host
+	return true
 }
 
 // Names returns the names of the live gateways, sorted.
@@ -222,63 +261,69 @@
 	return clients
 }
 
-// Follow waits for store changes that the followed watcher has received. It reports
-// false if this gateway must watch the store itself, because it is a watcher or no
-// watcher answers.
-func (h *Hosts) Follow(ctx context.Context, prefix string, after uint64) (platform.ListReply, bool) {
-	name := h.watcher()
+// Follow waits for store changes that the followed gateway knows.
+//
+// Gateways follow each other in a tree, see duty.Parent: the first one watches the store, and the
+// work of each is bounded. When a gateway fails, only its children choose another parent.
+func (h *Hosts) Follow(ctx context.Context, prefix string, after uint64) (mirror.Update, mirror.FollowResult) {
+	if !h.knowsHosts() {
+		if prefix == batch.Prefix {
+			return mirror.Update{}, mirror.NotFollowing
+		}
+		return mirror.Update{}, mirror.Unavailable
+	}
+	name := h.parent()
 	client := h.Client(name)
 	if client == nil {
-		return platform.ListReply{}, false
+		return mirror.Update{}, mirror.NotFollowing
 	}
 	callCtx, cancel := context.WithTimeout(ctx, followWait+followMargin)
 	defer cancel()
 	reply, err := client.Watch(callCtx, peerpb.WatchRequest_builder{
-		Prefix: prefix, After: after, Wait: followWait.Milliseconds(),
+		Prefix: prefix, After: after, Wait: followWait.Milliseconds(), Complete: true,
 	}.Build())
-	if err != nil {
-		klog.V(1).InfoS("hosts: following a watcher failed", "host", name, "prefix", prefix, "err", err)
+	// A gateway that has just started may know no values yet. One that knew them and isn't up to date
+	// any more is cut off.
+	if err != nil || !reply.GetKnown() && after > 0 {
+		klog.V(1).InfoS("hosts: following a gateway failed", "host", name, "prefix", prefix, "err", err)
 		h.mutex.Lock()
-		h.watchFailedAt[name] = clock.Now()
+		h.followFailedAt[name] = clock.Now()
 		h.mutex.Unlock()
-		return platform.ListReply{}, false
+		return mirror.Update{}, mirror.Unavailable
 	}
 	if !reply.GetKnown() {
-		return platform.ListReply{}, false
+		return mirror.Update{}, mirror.Unavailable
+	}
+	update := mirror.Update{
+		ListReply:  platform.ListReply{Revision: reply.GetRevision()},
+		IsComplete: reply.GetComplete(), Age: time.Duration(reply.GetAge()) * time.Microsecond, Hops: int(reply.GetHops()), IsStoreLost: reply.GetLost(),
 	}
-	list := platform.ListReply{Revision: reply.GetRevision()}
 	for _, change := range reply.GetChanges() {
-		list.Values = append(list.Values, platform.Value{
+		update.Values = append(update.Values, platform.Value{
 			Key: change.GetKey(), Data: change.GetData(), Revision: change.GetRevision(), Lease: change.GetLease(), Deleted: change.GetDeleted(),
 		})
 	}
-	return list, true
+	return update, mirror.Followed
+}
+
+func (h *Hosts) knowsHosts() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.isListed
 }
 
 // IsWatcher reports whether this gateway must watch the store itself.
-func (h *Hosts) IsWatcher() bool { return h.watcher() == "" }
+func (h *Hosts) IsWatcher() bool { return !h.knowsHosts() || h.parent() == "" }
 
-// watcher returns the name of the gateway to follow, or "" if this gateway must watch
-// the store itself.
-//
-// All gateways use the same ranking and follow the first gateway that answers. When the
-// watcher dies, the next gateway in rank gets no answer either, starts to watch the
-// store, and is followed by the others. Otherwise all gateways would query the store
-// until the lease of the dead watcher expires, with a load that grows with the number
-// of gateways.
-func (h *Hosts) watcher() string {
+// parent returns the name of the gateway to follow, or "" if this gateway must watch the store itself.
+func (h *Hosts) parent() string {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	now := clock.Now()
-	for _, name := range h.watchers {
-		if name == h.Name {
-			return ""
-		}
-		if at := h.watchFailedAt[name]; at == 0 || now.Sub(at) >= watcherCooldown {
-			return name
-		}
-	}
-	return ""
+	return duty.Parent(h.Name, h.order, func(name string) bool {
+		at := h.followFailedAt[name]
+		return at != 0 && now.Sub(at) < followCooldown
+	})
 }
 
 func boolToInt(value bool) int {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -189,17 +189,22 @@
 	return peerpb.ReadReply_builder{Owned: isOwn && !page.MayBeIncomplete, Allowed: err == nil, Total: page.Total, Outcomes: page.Outcomes}.Build(), nil
 }
 
-// Watch waits for and returns store changes that this gateway receives by its own
-// watches.
+// Watch waits for and returns store changes that this gateway knows.
 func (s *Server) Watch(ctx context.Context, request *peerpb.WatchRequest) (*peerpb.WatchReply, error) {
 	source := s.Mirrors[request.GetPrefix()]
 	if source == nil {
 		return &peerpb.WatchReply{}, nil
 	}
 	wait := min(time.Duration(request.GetWait())*time.Millisecond, maxWait)
-	list, ok := source.Changes(ctx, request.GetAfter(), wait)
-	reply := peerpb.WatchReply_builder{Known: ok, Revision: list.Revision}
-	for _, value := range list.Values {
+	update, ok := source.Changes(ctx, request.GetAfter(), wait)
+	if !ok || !request.GetComplete() && (update.IsComplete || update.IsStoreLost) {
+		return &peerpb.WatchReply{}, nil
+	}
+	reply := peerpb.WatchReply_builder{
+		Known: true, Revision: update.Revision, Complete: update.IsComplete, Age: update.Age.Microseconds(), Lost: update.IsStoreLost, Hops: uint32(update.Hops),
+		Changes: make([]*peerpb.Change, 0, len(update.Values)),
+	}
+	for _, value := range update.Values {
 		reply.Changes = append(reply.Changes, peerpb.Change_builder{
 			Key: value.Key, Data: value.Data, Revision: value.Revision, Lease: value.Lease, Deleted: value.Deleted,
 		}.Build())
--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,37 +11,111 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
 
-// maxHistory is the number of changes kept for followers. A follower is rarely more
-// than a second behind, which is some dozens of changes.
-const maxHistory = 512
+const (
+	// maxHistory is the number of changes kept for followers. A follower is rarely more
+	// than a second behind, which is some dozens of changes.
+	maxHistory = 512
+	// maxCompleteBytes bounds the values of a complete update, which is sent as one message.
+	// A follower that needs a larger one lists the values in the store.
+	maxCompleteBytes = 8 << 20
+)
+
+// Update is what a process reports to those that follow it.
+type Update struct {
+	platform.ListReply
+	// IsComplete is true if Values are all values under the prefix and not the changes since
+	// a revision.
+	IsComplete bool
+	// Age is the time since the store confirmed that there are no further changes.
+	Age time.Duration
+	// Hops is the number of processes between the reporting one and the store.
+	Hops int
+	// IsStoreLost is true if the store doesn't answer the process that watches it.
+	IsStoreLost bool
+}
 
-// history buffers the newest changes for processes that follow this one.
+// history holds the values under a prefix and the newest changes for processes that follow
+// this one.
 type history struct {
-	mutex   sync.Mutex
+	mutex  sync.Mutex
+	values map[string]platform.Value
+	// bytes is the size of the values.
+	bytes   int
 	changes []platform.Value
 	// changes holds all changes after startRevision up to endRevision.
 	startRevision uint64
 	endRevision   uint64
-	// lastDirect is the time of the last answer to this process's own watch of the
-	// store.
-	lastDirect clock.Boot
-	changed    chan struct{}
+	// confirmedAt is when the store last confirmed, to this process or to the one that it
+	// follows, that there are no further changes; zero if never.
+	confirmedAt clock.Boot
+	// hops is the number of processes between this one and the store.
+	hops        int
+	isStoreLost bool
+	changed     chan struct{}
+}
+
+// confirmation is the store's answer that there are no further changes.
+type confirmation struct {
+	at   clock.Boot
+	hops int
+}
+
+// known returns the value of a key.
+func (h *history) known(key string) (platform.Value, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	value, ok := h.values[key]
+	return value, ok
 }
 
-// reset drops all changes and restarts at the revision of a list, which does not
+// missing returns the known keys that are not in a complete list, as deleted at its revision.
+func (h *history) missing(list platform.ListReply) []platform.Value {
+	present := map[string]bool{}
+	for _, value := range list.Values {
+		present[value.Key] = true
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	var missing []platform.Value
+	for key := range h.values {
+		if !present[key] {
+			missing = append(missing, platform.Value{Key: key, Revision: list.Revision, Deleted: true})
+		}
+	}
+	return missing
+}
+
+// set stores a value, or removes it if it is deleted.
+func (h *history) set(value platform.Value) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.values == nil {
+		h.values = map[string]platform.Value{}
+	}
+	h.bytes -= sizeOf(h.values[value.Key])
+	if value.Deleted {
+		delete(h.values, value.Key)
+		return
+	}
+	h.values[value.Key] = value
+	h.bytes += sizeOf(value)
+}
+
+func sizeOf(value platform.Value) int { return len(value.Key) + len(value.Data) }
+
+// reset drops all changes and restarts at the revision of a complete list, which does not
 // contain the individual changes before that revision.
-func (h *history) reset(revision uint64) {
+func (h *history) reset(revision uint64, confirmed confirmation) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.changes = nil
 	h.startRevision, h.endRevision = revision, revision
-	h.lastDirect = 0
+	h.confirm(confirmed)
 	h.notify()
 }
 
-// add appends changes up to a revision. isDirect is true if they come from this
-// process's own watch of the store and not from another process.
-func (h *history) add(values []platform.Value, revision uint64, isDirect bool) {
+// add appends changes up to a revision.
+func (h *history) add(values []platform.Value, revision uint64, confirmed confirmation) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.changes = append(h.changes, values...)
@@ -48,53 +124,103 @@
 		h.changes = append([]platform.Value(nil), h.changes[extra:]...)
 	}
 	h.endRevision = max(h.endRevision, revision)
-	if isDirect {
-		h.lastDirect = clock.Now()
+	wasLost := h.isStoreLost
+	h.confirm(confirmed)
+	if len(values) > 0 || wasLost {
+		h.notify()
 	}
-	if len(values) > 0 {
+}
+
+// confirm records that the store answered. The mutex is held.
+func (h *history) confirm(confirmed confirmation) {
+	h.confirmedAt, h.hops = max(h.confirmedAt, confirmed.at), confirmed.hops
+	h.isStoreLost = false
+}
+
+// recordStoreLost records that the store doesn't answer.
+func (h *history) recordStoreLost() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if !h.isStoreLost {
+		h.isStoreLost = true
 		h.notify()
 	}
 }
 
-// wait waits for changes after a revision. It reports false if the last direct
-// watch is older than maxAge or changes since the revision are missing.
-//
-// Without the age check, two processes that follow each other would never receive a
-// change and would both assume that there is none.
-func (h *history) wait(ctx context.Context, after uint64, wait, maxAge time.Duration) (platform.ListReply, bool) {
+func (h *history) isLost() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.isStoreLost
+}
+
+// age returns the time since the store last confirmed that there are no further changes; it
+// reports false if it never has.
+func (h *history) age(now clock.Boot) (time.Duration, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return now.Sub(h.confirmedAt), h.confirmedAt != 0
+}
+
+// wait waits for changes after a revision. It reports false if this process isn't up to date,
+// see isCurrent, or the changes since the revision can't be told.
+func (h *history) wait(ctx context.Context, after uint64, wait, maxAge time.Duration) (Update, bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
-		reply, changed, ok := h.since(after, maxAge)
-		if !ok || len(reply.Values) > 0 {
-			return reply, ok
+	wasLost := false
+	for first := true; ; first = false {
+		update, changed, ok := h.since(after, maxAge)
+		if !ok || len(update.Values) > 0 || update.IsComplete || !first && update.IsStoreLost != wasLost {
+			return update, ok
 		}
+		wasLost = update.IsStoreLost
 		select {
 		case <-ctx.Done():
-			return reply, true
+			return update, true
 		case <-timer.C:
-			return reply, true
+			update, _, ok = h.since(after, maxAge)
+			return update, ok
 		case <-changed:
 		}
 	}
 }
 
-func (h *history) since(revision uint64, maxAge time.Duration) (platform.ListReply, <-chan struct{}, bool) {
+func (h *history) since(revision uint64, maxAge time.Duration) (Update, <-chan struct{}, bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.changed == nil {
 		h.changed = make(chan struct{})
 	}
-	if h.lastDirect == 0 || clock.Now().Sub(h.lastDirect) > maxAge || revision < h.startRevision {
-		return platform.ListReply{}, nil, false
+	update := Update{Age: clock.Now().Sub(h.confirmedAt), Hops: h.hops, IsStoreLost: h.isStoreLost}
+	if !h.isCurrent(update.Age, maxAge) {
+		return Update{}, nil, false
+	}
+	update.Revision = max(revision, h.endRevision)
+	if revision < h.startRevision {
+		if h.bytes > maxCompleteBytes {
+			return Update{}, nil, false
+		}
+		update.IsComplete = true
+		update.Values = slices.Collect(maps.Values(h.values))
+		return update, h.changed, true
 	}
-	reply := platform.ListReply{Revision: max(revision, h.endRevision)}
 	for _, change := range h.changes {
 		if change.Revision > revision {
-			reply.Values = append(reply.Values, change)
+			update.Values = append(update.Values, change)
 		}
 	}
-	return reply, h.changed, true
+	return update, h.changed, true
+}
+
+// isCurrent reports whether other processes may follow this one: the store's last confirmation is
+// recent enough for the number of hops, or the store is known to be lost. The mutex is held.
+//
+// Processes whose views of the fleet differ may follow each other in a cycle, in which a change
+// never arrives. The number of hops then grows with each update until none of them is current.
+func (h *history) isCurrent(age, maxAge time.Duration) bool {
+	if h.confirmedAt == 0 || h.hops > maxHops {
+		return false
+	}
+	return h.isStoreLost || age <= maxAge+time.Duration(h.hops)*hopTime
 }
 
 func (h *history) notify() {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,10 +4,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 )
@@ -19,12 +21,41 @@
 	// followerRetryDelay is the delay after a failed call of a process that follows
 	// another process: well within the two seconds in which a change must take effect.
 	followerRetryDelay = 500 * time.Millisecond
+	// followRetryPause is the delay before another process is followed.
+	followRetryPause = 50 * time.Millisecond
+	// maxFollowGap is how long a process finds no process to follow before it calls the store
+	// itself, and directTime is how long it then watches the store.
+	maxFollowGap = time.Second
+	directTime   = 2 * time.Second
+	// lostCheckInterval is the mean interval at which a follower checks the store itself
+	// while the process that it follows gets no answer: the store may reject only some
+	// processes.
+	lostCheckInterval = 5 * time.Second
 	// freshnessMargin is added to the duration of a watch to get the maximum age of the
-	// last direct reply of the store. If that reply is older, other processes must stop
-	// following this one.
+	// store's confirmation at the process that watches it; each hop adds hopTime, the longest
+	// time of a call to follow a process. With an older confirmation, or more than maxHops
+	// hops, a process must not be followed.
 	freshnessMargin = 900 * time.Millisecond
+	hopTime         = 750 * time.Millisecond
+	maxHops         = 4
 )
 
+// FollowResult is the result of an attempt to follow another process.
+type FollowResult int
+
+const (
+	// NotFollowing means that this process has to watch the store itself.
+	NotFollowing FollowResult = iota
+	// Followed means that the update is valid.
+	Followed
+	// Unavailable means that the process to follow gave no update; the next attempt may choose
+	// another one.
+	Unavailable
+)
+
+// errStoreLost means that the process that watches the store gets no answer.
+var errStoreLost = errors.New("the store doesn't answer the process that watches it")
+
 // Store is the part of the platform's store that a Mirror uses.
 type Store interface {
 	List(ctx context.Context, prefix string) (platform.ListReply, error)
@@ -42,10 +73,10 @@
 	// OnListed is called after OnChanges has received a complete list, and known values
 	// that are missing from the list as deleted; nil is allowed.
 	OnListed func()
-	// Follow waits for changes that another process has received. It reports false if
-	// this process has to watch the store itself. If Follow is nil, this process always
-	// watches the store itself.
-	Follow func(ctx context.Context, prefix string, after uint64) (platform.ListReply, bool)
+	// Follow waits for changes after a revision that another process has received; after
+	// revision 0, for all values. If Follow is nil, this process always watches the store
+	// itself.
+	Follow func(ctx context.Context, prefix string, after uint64) (Update, FollowResult)
 	// IsWatcher reports whether other processes follow this process's watches; nil
 	// means that they do.
 	IsWatcher func() bool
@@ -60,10 +91,18 @@
 	// OnUpToDate is called once OnChanges has received all changes so far; nil is allowed.
 	OnUpToDate func()
 
-	known    map[string]uint64
+	isListed bool
 	revision uint64
 	isLost   bool
 	history  history
+	// followedAt is when this process last got an update from another one; directUntil is
+	// how long it calls the store itself without trying to follow.
+	followedAt  clock.Boot
+	directUntil clock.Boot
+	// lostCheckAt is when the store is checked while the followed process gets no answer.
+	// isBypassing is true if the store answered the last check.
+	lostCheckAt clock.Boot
+	isBypassing bool
 }
 
 // Run keeps the copy up to date until the context ends.
@@ -73,22 +112,23 @@
 // history since that revision, Run lists all values again and treats missing values as
 // deleted.
 func (m *Mirror) Run(ctx context.Context) error {
-	isListed := false
+	m.followedAt = clock.Now()
 	for ctx.Err() == nil {
-		var err error
-		if !isListed {
-			err = m.list(ctx)
-			isListed = err == nil
-		} else {
-			err = m.watch(ctx)
+		if m.Follow != nil && m.follow(ctx) {
+			continue
 		}
+		err := m.callStore(ctx)
 		var compacted *platform.CompactedError
 		switch {
 		case err == nil, ctx.Err() != nil:
 		case errors.As(err, &compacted):
 			klog.InfoS("mirror: the store has dropped its history; listing all values again", "prefix", m.Prefix, "after", m.revision)
-			isListed = false
+			m.isListed = false
 		default:
+			m.isBypassing = false
+			if clock.Now() >= m.directUntil {
+				m.history.recordStoreLost()
+			}
 			m.reportLost(err)
 			pause.For(ctx, m.retryDelay())
 		}
@@ -96,6 +136,84 @@
 	return nil
 }
 
+// callStore lists the values in the store or watches it.
+func (m *Mirror) callStore(ctx context.Context) error {
+	if m.isListed {
+		return m.watch(ctx)
+	}
+	return m.list(ctx)
+}
+
+// follow waits for an update of another process. It reports false if this process has to call the
+// store itself now.
+func (m *Mirror) follow(ctx context.Context) bool {
+	if clock.Now() < m.directUntil {
+		return false
+	}
+	after := m.revision
+	if !m.isListed {
+		after = 0
+	}
+	update, result := m.Follow(ctx, m.Prefix, after)
+	now := clock.Now()
+	switch {
+	case result == NotFollowing:
+		return false
+	case result == Followed && (m.isListed || update.IsComplete):
+		m.followedAt = now
+		return m.followUpdate(update, now)
+	case now.Sub(m.followedAt) < maxFollowGap:
+		pause.For(ctx, followRetryPause)
+		return true
+	default:
+		klog.InfoS("mirror: no process to follow; calling the store", "prefix", m.Prefix, "revision", m.revision)
+		m.followedAt, m.directUntil = now, now.Add(directTime)
+		return false
+	}
+}
+
+// followUpdate applies an update of another process. It reports false if this process has to call the
+// store itself now: the store doesn't answer the other process, but may answer this one.
+func (m *Mirror) followUpdate(update Update, now clock.Boot) bool {
+	if !update.IsStoreLost {
+		m.lostCheckAt, m.isBypassing = 0, false
+		m.applyUpdate(update, confirmation{at: now.Add(-update.Age), hops: update.Hops + 1})
+		return true
+	}
+	if m.isBypassing {
+		return false
+	}
+	m.applyUpdate(update, confirmation{at: now.Add(-update.Age), hops: update.Hops + 1})
+	if m.lostCheckAt == 0 {
+		// All followers learn of the loss at the same moment.
+		m.lostCheckAt = now.Add(time.Duration((0.5 + rand.Float64()) * float64(lostCheckInterval)))
+	}
+	if now < m.lostCheckAt {
+		return true
+	}
+	m.lostCheckAt = now.Add(lostCheckInterval)
+	m.isBypassing = true
+	return false
+}
+
+// applyUpdate applies an update of another process.
+func (m *Mirror) applyUpdate(update Update, confirmed confirmation) {
+	if !update.IsStoreLost {
+		m.reportRegained()
+	}
+	if update.IsComplete {
+		m.applyList(update.ListReply, confirmed)
+	} else {
+		m.applyChanges(update.ListReply, confirmed)
+	}
+	if update.IsStoreLost {
+		m.history.recordStoreLost()
+		m.reportLost(errStoreLost)
+		return
+	}
+	m.reportUpToDate()
+}
+
 // retryDelay returns the delay after a failed call.
 //
 // While the store is down for all processes, a follower detects the recovery through
@@ -115,50 +233,45 @@
 		return err
 	}
 	m.reportRegained()
-	present := map[string]bool{}
-	for _, value := range reply.Values {
-		present[value.Key] = true
-	}
-	var changes []platform.Value
-	for key := range m.known {
-		if !present[key] {
-			changes = append(changes, platform.Value{Key: key, Revision: reply.Revision, Deleted: true})
-		}
-	}
-	m.apply(append(changes, reply.Values...))
-	m.revision = max(m.revision, reply.Revision)
-	m.history.reset(m.revision)
+	m.applyList(reply, confirmation{at: clock.Now()})
+	m.reportUpToDate()
+	return nil
+}
+
+// applyList applies a list of all values.
+func (m *Mirror) applyList(list platform.ListReply, confirmed confirmation) {
+	m.apply(append(m.history.missing(list), list.Values...))
+	m.revision = max(m.revision, list.Revision)
+	m.history.reset(m.revision, confirmed)
+	m.isListed = true
 	if m.OnListed != nil {
 		m.OnListed()
 	}
-	m.reportUpToDate()
-	return nil
 }
 
 func (m *Mirror) watch(ctx context.Context) error {
-	if m.Follow != nil {
-		if reply, ok := m.Follow(ctx, m.Prefix, m.revision); ok {
-			m.applyReply(reply, false)
-			return nil
-		}
+	wait := m.Wait
+	if age, ok := m.history.age(clock.Now()); !ok || age > m.Wait {
+		// Processes that follow this one need a confirmation at once.
+		wait = time.Millisecond
 	}
-	reply, err := m.Store.Watch(ctx, m.Prefix, m.revision, m.Wait)
+	reply, err := m.Store.Watch(ctx, m.Prefix, m.revision, wait)
 	if err != nil {
 		return err
 	}
-	m.applyReply(reply, true)
+	m.reportRegained()
+	m.applyChanges(reply, confirmation{at: clock.Now()})
+	m.reportUpToDate()
 	if m.Pause > 0 && len(reply.Values) > 0 {
 		pause.For(ctx, m.Pause)
 	}
 	return nil
 }
 
-func (m *Mirror) applyReply(reply platform.ListReply, isDirect bool) {
-	m.reportRegained()
+func (m *Mirror) applyChanges(reply platform.ListReply, confirmed confirmation) {
 	m.apply(reply.Values)
 	m.revision = max(m.revision, reply.Revision)
-	m.history.add(reply.Values, m.revision, isDirect)
-	m.reportUpToDate()
+	m.history.add(reply.Values, m.revision, confirmed)
 }
 
 func (m *Mirror) reportUpToDate() {
@@ -167,29 +280,25 @@
 	}
 }
 
-// Changes waits up to wait for changes after a revision that this process has received
-// by its own watch. It reports false if that watch is stale or changes since the
-// revision are missing; the caller must then watch the store itself.
-func (m *Mirror) Changes(ctx context.Context, after uint64, wait time.Duration) (platform.ListReply, bool) {
+// IsStoreLost reports whether the store doesn't answer this process or the one that it follows.
+func (m *Mirror) IsStoreLost() bool { return m.history.isLost() }
+
+// Changes waits up to wait for changes after a revision. It reports false if this process isn't
+// up to date or can't tell the changes since the revision; the caller must then follow another
+// process or call the store.
+func (m *Mirror) Changes(ctx context.Context, after uint64, wait time.Duration) (Update, bool) {
 	return m.history.wait(ctx, after, wait, m.Wait+freshnessMargin)
 }
 
 // apply passes the values that are newer than the known ones to OnChanges. A delayed
 // reply may hold values that a later reply has already replaced.
 func (m *Mirror) apply(values []platform.Value) {
-	if m.known == nil {
-		m.known = map[string]uint64{}
-	}
 	var changes []platform.Value
 	for _, value := range values {
-		if known, ok := m.known[value.Key]; ok && known >= value.Revision {
+		if known, ok := m.history.known(value.Key); ok && known.Revision >= value.Revision {
 			continue
 		}
-		if value.Deleted {
-			delete(m.known, value.Key)
-		} else {
-			m.known[value.Key] = value.Revision
-		}
+		m.history.set(value)
 		changes = append(changes, value)
 	}
 	if len(changes) > 0 {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,6 +58,17 @@
 	return m, values
 }
 
+// follow returns the Follow of a mirror that follows another one.
+func follow(other **mirror.Mirror) func(context.Context, string, uint64) (mirror.Update, mirror.FollowResult) {
+	return func(ctx context.Context, _ string, after uint64) (mirror.Update, mirror.FollowResult) {
+		update, ok := (*other).Changes(ctx, after, 20*time.Millisecond)
+		if !ok {
+			return mirror.Update{}, mirror.Unavailable
+		}
+		return update, mirror.Followed
+	}
+}
+
 func put(t *testing.T, store *platformtest.Store, key, value string) {
 	t.Helper()
 	_, err := store.Commit(t.Context(), platform.Commit{Writes: []platform.Write{{Key: key, Data: []byte(value)}}})
@@ -132,15 +145,10 @@
 	store := &platformtest.Store{}
 	put(t, store, "p/a", "1")
 	var first, second *mirror.Mirror
-	follow := func(other **mirror.Mirror) func(context.Context, string, uint64) (platform.ListReply, bool) {
-		return func(ctx context.Context, _ string, after uint64) (platform.ListReply, bool) {
-			return (*other).Changes(ctx, after, 20*time.Millisecond)
-		}
-	}
 	var ready sync.WaitGroup
 	ready.Add(1)
 	first, firstValues := run(t, store, func(m *mirror.Mirror) {
-		m.Follow = func(ctx context.Context, prefix string, after uint64) (platform.ListReply, bool) {
+		m.Follow = func(ctx context.Context, prefix string, after uint64) (mirror.Update, mirror.FollowResult) {
 			ready.Wait()
 			return follow(&second)(ctx, prefix, after)
 		}
@@ -161,9 +169,7 @@
 	put(t, store, "p/a", "1")
 	awaitValue(t, watcherValues, "p/a", "1")
 	_, values := run(t, store, func(m *mirror.Mirror) {
-		m.Follow = func(ctx context.Context, _ string, after uint64) (platform.ListReply, bool) {
-			return watcher.Changes(ctx, after, 20*time.Millisecond)
-		}
+		m.Follow = follow(&watcher)
 	})
 	awaitValue(t, values, "p/a", "1")
 	put(t, store, "p/a", "2")
@@ -191,3 +197,77 @@
 	must.LessEq(t, 4, calls(false))
 	must.GreaterEq(t, 5, calls(true))
 }
+
+// Guards against a herd of lists when many processes start, or fall behind, at once: a follower gets
+// all values from the process that it follows.
+func TestFollowerListsFromAnotherProcess(t *testing.T) {
+	store, followed := &platformtest.Store{}, &platformtest.Store{}
+	put(t, followed, "p/a", "1")
+	source, sourceValues := run(t, followed, nil)
+	awaitValue(t, sourceValues, "p/a", "1")
+	_, values := run(t, store, func(m *mirror.Mirror) { m.Follow = follow(&source) })
+	awaitValue(t, values, "p/a", "1")
+	must.Eq(t, 0, store.Calls())
+	t.Run("a value that is removed while the follower is behind", func(t *testing.T) {
+		var behind atomic.Bool
+		behind.Store(true)
+		_, values := run(t, store, func(m *mirror.Mirror) {
+			m.Follow = func(ctx context.Context, prefix string, after uint64) (mirror.Update, mirror.FollowResult) {
+				for after > 0 && behind.Load() {
+					time.Sleep(time.Millisecond)
+				}
+				return follow(&source)(ctx, prefix, after)
+			}
+		})
+		awaitValue(t, values, "p/a", "1")
+		for i := range 600 {
+			put(t, followed, "p/b", strconv.Itoa(i))
+		}
+		_, err := followed.Commit(t.Context(), platform.Commit{Remove: []string{"p/a"}})
+		must.NoError(t, err)
+		awaitValue(t, sourceValues, "p/a", "")
+		behind.Store(false)
+		awaitValue(t, values, "p/b", "599")
+		awaitValue(t, values, "p/a", "")
+		must.Eq(t, 0, store.Calls())
+	})
+}
+
+// Guards against followers that all call the store while it is down: they learn of the outage and of its
+// end from the process that they follow.
+func TestOutageReachesFollowersWithoutCalls(t *testing.T) {
+	store, unused := &platformtest.Store{}, &platformtest.Store{}
+	put(t, store, "p/a", "1")
+	source, _ := run(t, store, nil)
+	var lost, regained atomic.Int64
+	middle, _ := run(t, unused, func(m *mirror.Mirror) { m.Follow = follow(&source) })
+	_, values := run(t, unused, func(m *mirror.Mirror) {
+		m.Follow = follow(&middle)
+		m.OnLost, m.OnRegained = func() { lost.Add(1) }, func() { regained.Add(1) }
+	})
+	awaitValue(t, values, "p/a", "1")
+	store.SetUnavailable(true)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return lost.Load() == 1 }), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
+	time.Sleep(500 * time.Millisecond)
+	store.SetUnavailable(false)
+	put(t, store, "p/a", "2")
+	awaitValue(t, values, "p/a", "2")
+	must.Eq(t, 1, lost.Load())
+	must.Eq(t, 1, regained.Load())
+	must.Eq(t, 0, unused.Calls())
+}
+
+// Guards against a process that learns of no change because all that it could follow are unreachable or
+// not up to date.
+func TestNobodyToFollow(t *testing.T) {
+	store := &platformtest.Store{}
+	put(t, store, "p/a", "1")
+	_, values := run(t, store, func(m *mirror.Mirror) {
+		m.Follow = func(context.Context, string, uint64) (mirror.Update, mirror.FollowResult) {
+			return mirror.Update{}, mirror.Unavailable
+		}
+	})
+	awaitValue(t, values, "p/a", "1")
+	put(t, store, "p/a", "2")
+	awaitValue(t, values, "p/a", "2")
+}
