session: a gateway waits for the store's return while it is known to be lost

In an outage each of 418 gateways called the store each 150 ms until its lease was renewed or acquired anew, and calls are counted by the store also then. Gateways hear of the outage and of its end through the tree in which they follow each other, so after a failed call they wait for it: at most a third of the lease with a lease, 3 s without.

--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -204,6 +204,7 @@
 		OnListed: g.roster.MarkListed, OnLost: g.roster.RecordStoreLost, OnRegained: g.roster.RecordStoreRegained,
 	}
 	shared := &mirror.Mirror{Store: g.store, Prefix: batch.Prefix, Wait: wait, OnChanges: g.applySharedKeys, Pause: sharedKeysWatchDelay, OnListed: g.hosts.MarkListed, OnUpToDate: g.cold.markCurrent}
+	g.session.IsStoreLost = shared.IsStoreLost
 	for name, m := range map[string]*mirror.Mirror{"operator": operator, "servers": servers, "live": shared} {
 		m.Follow, m.IsWatcher = g.hosts.Follow, g.hosts.IsWatcher
 		g.peerServer.Mirrors[m.Prefix] = m
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -21,6 +21,9 @@
 	renewalsPerLease = 3
 	// sessionRetryDelay is the delay after a failed call.
 	sessionRetryDelay = 150 * time.Millisecond
+	// maxLostDelay is the maximum delay after a failed call while the store is known to be
+	// lost: the store may reject only the process that watches it.
+	maxLostDelay = 3 * time.Second
 )
 
 // SessionStore is the part of the store client that Session uses.
@@ -39,6 +42,9 @@
 	// Prefix is the prefix of the registration key.
 	Prefix      string
 	LeaseLength time.Duration
+	// IsStoreLost reports whether the store doesn't answer the process that watches it; nil
+	// means that this isn't known.
+	IsStoreLost func() bool
 
 	lease     atomic.Uint64
 	expiresAt atomic.Int64
@@ -69,21 +75,36 @@
 		if s.lease.Load() == 0 {
 			if err := s.acquire(ctx); err != nil {
 				klog.V(1).InfoS("session: acquiring a lease failed", "err", err.Error())
-				pause.For(ctx, sessionRetryDelay)
+				s.pauseAfterFailure(ctx, maxLostDelay)
 				continue
 			}
 		}
-		wait := s.LeaseLength / renewalsPerLease
 		if isRetry {
-			wait = sessionRetryDelay
+			s.pauseAfterFailure(ctx, s.LeaseLength/renewalsPerLease)
+		} else {
+			pause.For(ctx, s.LeaseLength/renewalsPerLease)
 		}
-		if pause.For(ctx, wait) {
+		if ctx.Err() == nil {
 			isRetry = !s.renew(ctx)
 		}
 	}
 	return nil
 }
 
+// pauseAfterFailure waits for sessionRetryDelay or, while the store is known to be lost, for up to
+// maxDelay.
+//
+// All processes of a fleet lose the store at the same moment. The process that watches it detects the
+// end of the outage and the others hear of it at once, so they needn't all ask the store.
+func (s *Session) pauseAfterFailure(ctx context.Context, maxDelay time.Duration) {
+	failedAt := time.Now()
+	for pause.For(ctx, sessionRetryDelay) {
+		if s.IsStoreLost == nil || !s.IsStoreLost() || time.Since(failedAt) >= maxDelay {
+			return
+		}
+	}
+}
+
 // Close releases the lease, which deletes all keys under it.
 func (s *Session) Close(ctx context.Context) {
 	lease := s.lease.Swap(0)
--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -19,6 +19,8 @@
 	renewedAt              time.Time
 	// longestGap is the longest time between two renewals.
 	longestGap time.Duration
+	// failed counts the calls during the outage.
+	failed int
 }
 
 func (l *leaseStore) Commit(context.Context, platform.Commit) (uint64, error) { return 1, nil }
@@ -26,13 +28,16 @@
 func (l *leaseStore) RevokeLease(context.Context, uint64) error { return nil }
 
 func (l *leaseStore) GrantLease(context.Context, time.Duration) (uint64, error) {
+	if l.isOut(time.Now()) {
+		return 0, errors.New("store unavailable")
+	}
 	l.renewedAt = time.Now()
 	return 7, nil
 }
 
 func (l *leaseStore) RenewLease(context.Context, uint64, time.Duration) error {
 	now := time.Now()
-	if !now.Before(l.outageStart) && now.Before(l.outageEnd) {
+	if l.isOut(now) {
 		return errors.New("store unavailable")
 	}
 	l.longestGap = max(l.longestGap, now.Sub(l.renewedAt))
@@ -40,6 +45,19 @@
 	return nil
 }
 
+// isOut reports whether the store fails calls, and counts them.
+func (l *leaseStore) isOut(now time.Time) bool {
+	isOut := l.isOutage(now)
+	if isOut {
+		l.failed++
+	}
+	return isOut
+}
+
+func (l *leaseStore) isOutage(now time.Time) bool {
+	return !now.Before(l.outageStart) && now.Before(l.outageEnd)
+}
+
 // Guards against losing a 3 s lease in a 2 s store outage that ends before the lease
 // expires: the process must not wait for the next regular renewal.
 func TestRenewedAfterOutage(t *testing.T) {
@@ -53,3 +71,20 @@
 		must.Less(t, length, store.longestGap)
 	})
 }
+
+// Guards against a fleet whose processes all retry during an outage of the store, and against one that
+// needs more than a few tenths of a second after its end.
+func TestFewCallsWhileStoreIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const outage = 12 * time.Second
+		store := &leaseStore{outageStart: time.Now().Add(1500 * time.Millisecond)}
+		store.outageEnd = store.outageStart.Add(outage)
+		session := &Session{Store: store, Prefix: PrefixHost, LeaseLength: 3 * time.Second, Host: statepb.Host_builder{Name: "g1"}.Build()}
+		session.IsStoreLost = func() bool { return store.isOutage(time.Now()) }
+		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond+outage+2*sessionRetryDelay)
+		defer cancel()
+		must.NoError(t, session.Run(ctx))
+		must.LessEq(t, int(outage/time.Second), store.failed)
+		must.Less(t, 2*sessionRetryDelay, time.Since(store.renewedAt))
+	})
+}
