--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -78,6 +78,8 @@
 	hostsToEmpty hostsToEmpty
 	// peerServer serves the calls of other gateways.
 	peerServer *gateway.Server
+	// operator is the local copy of the operators' keys.
+	operator *mirror.Mirror
 }
 
 // Run serves until the context ends and all running requests have ended.
@@ -198,14 +200,14 @@
 // addMirrors adds the local copies of the store's keys.
 func (g *Gateway) addMirrors() {
 	wait := g.Settings.GetStore().GetWatch().AsDuration()
-	operator := &mirror.Mirror{Store: g.store, Prefix: platform.PrefixOperator, Wait: wait, OnChanges: g.applyOperator}
+	g.operator = &mirror.Mirror{Store: g.store, Prefix: platform.PrefixOperator, Wait: wait, OnChanges: g.applyOperator}
 	servers := &mirror.Mirror{
 		Store: g.store, Prefix: platform.PrefixServer, Wait: wait, OnChanges: g.applyServers, Pause: registrationWatchDelay,
 		OnListed: g.roster.MarkListed, OnLost: g.roster.RecordStoreLost, OnRegained: g.roster.RecordStoreRegained,
 	}
 	shared := &mirror.Mirror{Store: g.store, Prefix: batch.Prefix, Wait: wait, OnChanges: g.applySharedKeys, Pause: sharedKeysWatchDelay, OnListed: g.hosts.MarkListed, OnUpToDate: g.cold.markCurrent}
 	g.session.IsStoreLost = shared.IsStoreLost
-	for name, m := range map[string]*mirror.Mirror{"operator": operator, "servers": servers, "live": shared} {
+	for name, m := range map[string]*mirror.Mirror{"operator": g.operator, "servers": servers, "live": shared} {
 		m.Follow, m.IsWatcher = g.hosts.Follow, g.hosts.IsWatcher
 		g.peerServer.Mirrors[m.Prefix] = m
 		g.AddTask(name, m.Run)
@@ -330,6 +332,14 @@
 			Name: "bramleyhatch_gateway_table_version",
 			Help: "Version of the operators' configuration in force here; 0 if none is known.",
 		}, g.tableVersion),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramleyhatch_gateway_config_age_seconds",
+			Help: "Time since the store confirmed that there is no newer configuration; -1 before the first time.",
+		}, g.configAge),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramleyhatch_gateway_follow_hops",
+			Help: "Gateways that pass the store's changes on to this one; 0 if it watches the store.",
+		}, g.followHops),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "bramleyhatch_gateway_drained_zones",
 			Help: "Zones whose backend servers an operator has drained.",
@@ -345,6 +355,19 @@
 	)
 }
 
+func (g *Gateway) configAge() float64 {
+	age, _, ok := g.operator.Age()
+	if !ok {
+		return -1
+	}
+	return age.Seconds()
+}
+
+func (g *Gateway) followHops() float64 {
+	_, hops, _ := g.operator.Age()
+	return float64(hops)
+}
+
 func (g *Gateway) drainedZones() float64 {
 	zones, _ := g.roster.DrainedZones()
 	return float64(zones)
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -60,6 +60,8 @@
 	isListed bool
 	// followFailedAt maps a gateway to the time of the last failed attempt to follow it.
 	followFailedAt map[string]clock.Boot
+	// followed is the gateway that this one last followed, "" if it watches the store itself.
+	followed string
 	// rejectedAt maps a gateway to the time when the store last rejected a request that it
 	// relayed for this process.
 	rejectedAt map[string]clock.Boot
@@ -320,10 +322,15 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	now := clock.Now()
-	return duty.Parent(h.Name, h.order, func(name string) bool {
+	parent := duty.Parent(h.Name, h.order, func(name string) bool {
 		at := h.followFailedAt[name]
 		return at != 0 && now.Sub(at) < followCooldown
 	})
+	if parent != h.followed {
+		klog.InfoS("hosts: the gateway to follow changed; without one this gateway watches the store", "host", parent, "before", h.followed, "gateways", len(h.order))
+		h.followed = parent
+	}
+	return parent
 }
 
 func boolToInt(value bool) int {
--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -153,12 +153,12 @@
 	return h.isStoreLost
 }
 
-// age returns the time since the store last confirmed that there are no further changes; it
-// reports false if it never has.
-func (h *history) age(now clock.Boot) (time.Duration, bool) {
+// age returns the time since the store last confirmed that there are no further changes, and the
+// number of hops; ok is false if it never has.
+func (h *history) age(now clock.Boot) (age time.Duration, hops int, ok bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return now.Sub(h.confirmedAt), h.confirmedAt != 0
+	return now.Sub(h.confirmedAt), h.hops, h.confirmedAt != 0
 }
 
 // wait waits for changes after a revision. It reports false if this process isn't up to date,
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -251,7 +251,7 @@
 
 func (m *Mirror) watch(ctx context.Context) error {
 	wait := m.Wait
-	if age, ok := m.history.age(clock.Now()); !ok || age > m.Wait {
+	if age, _, ok := m.Age(); !ok || age > m.Wait {
 		// Processes that follow this one need a confirmation at once.
 		wait = time.Millisecond
 	}
@@ -283,6 +283,10 @@
 // IsStoreLost reports whether the store doesn't answer this process or the one that it follows.
 func (m *Mirror) IsStoreLost() bool { return m.history.isLost() }
 
+// Age returns the time since the store last confirmed that there are no further changes, and the
+// number of processes that passed the confirmation on; ok is false before the first one.
+func (m *Mirror) Age() (age time.Duration, hops int, ok bool) { return m.history.age(clock.Now()) }
+
 // Changes waits up to wait for changes after a revision. It reports false if this process isn't
 // up to date or can't tell the changes since the revision; the caller must then follow another
 // process or call the store.
