--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -201,6 +201,7 @@
 // Guards against a herd of lists when many processes start, or fall behind, at once: a follower gets
 // all values from the process that it follows.
 func TestFollowerListsFromAnotherProcess(t *testing.T) {
+	t.Parallel()
 	store, followed := &platformtest.Store{}, &platformtest.Store{}
 	put(t, followed, "p/a", "1")
 	source, sourceValues := run(t, followed, nil)
@@ -236,6 +237,7 @@
 // Guards against followers that all call the store while it is down: they learn of the outage and of its
 // end from the process that they follow.
 func TestOutageReachesFollowersWithoutCalls(t *testing.T) {
+	t.Parallel()
 	store, unused := &platformtest.Store{}, &platformtest.Store{}
 	put(t, store, "p/a", "1")
 	source, _ := run(t, store, nil)
@@ -260,6 +262,7 @@
 // Guards against a process that learns of no change because all that it could follow are unreachable or
 // not up to date.
 func TestNobodyToFollow(t *testing.T) {
+	t.Parallel()
 	store := &platformtest.Store{}
 	put(t, store, "p/a", "1")
 	_, values := run(t, store, func(m *mirror.Mirror) {
@@ -271,3 +274,27 @@
 	put(t, store, "p/a", "2")
 	awaitValue(t, values, "p/a", "2")
 }
+
+// Guards against a follower that learns of no change while the store rejects only the process that it
+// follows.
+func TestFollowerOfAProcessThatTheStoreRejects(t *testing.T) {
+	t.Parallel()
+	rejecting, store := &platformtest.Store{}, &platformtest.Store{}
+	put(t, rejecting, "p/a", "1")
+	put(t, store, "p/a", "1")
+	source, sourceValues := run(t, rejecting, nil)
+	awaitValue(t, sourceValues, "p/a", "1")
+	var lost, regained atomic.Int64
+	_, values := run(t, store, func(m *mirror.Mirror) {
+		m.Follow = follow(&source)
+		m.OnLost, m.OnRegained = func() { lost.Add(1) }, func() { regained.Add(1) }
+	})
+	awaitValue(t, values, "p/a", "1")
+	rejecting.SetUnavailable(true)
+	put(t, store, "p/a", "2")
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return values.get("p/a") == "2" }), wait.Timeout(10*time.Second), wait.Gap(5*time.Millisecond)))
+	put(t, store, "p/a", "3")
+	awaitValue(t, values, "p/a", "3")
+	must.Eq(t, 1, lost.Load())
+	must.Eq(t, 1, regained.Load())
+}
