--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -101,7 +101,11 @@
 // addStore adds the client of the store and this process's lease.
 func (g *Gateway) addStore() {
 	settings := g.Settings.GetStore()
-	g.hosts = &gateway.Hosts{Name: g.Process.Settings.GetName(), Cores: g.Process.Settings.GetShare() * g.Process.Settings.GetCores()}
+	g.hosts = &gateway.Hosts{
+		Name:      g.Process.Settings.GetName(),
+		Cores:     g.Process.Settings.GetShare() * g.Process.Settings.GetCores(),
+		Followers: int(settings.GetFollowers()),
+	}
 	direct := &detour.Direct{Address: settings.GetAddress()}
 	g.transport = &detour.Transport{Direct: direct, Peers: g.hosts, Metrics: g.Metrics}
 	g.store = &platform.Store{Transport: g.transport, Timeout: settings.GetTimeout().AsDuration()}
--- a/internal/duty/tree_test.go
+++ b/internal/duty/tree_test.go
@@ -10,6 +10,8 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 )
 
+const maxChildren = 20
+
 func order(size int) []string {
 	names := make([]string, size)
 	for i := range names {
@@ -25,7 +27,7 @@
 	followers := map[string][]string{}
 	for _, name := range names {
 		if !skip(name) {
-			parent := duty.Parent(name, names, skip)
+			parent := duty.Parent(name, names, maxChildren, skip)
 			followers[parent] = append(followers[parent], name)
 		}
 	}
@@ -34,9 +36,9 @@
 
 func ExampleParent() {
 	names := order(30)
-	fmt.Println(duty.Parent("g0", names, noSkip) == "", duty.Parent("g5", names, noSkip), duty.Parent("g25", names, noSkip))
+	fmt.Println(duty.Parent("g0", names, maxChildren, noSkip) == "", duty.Parent("g5", names, maxChildren, noSkip), duty.Parent("g25", names, maxChildren, noSkip))
 	isFailed := func(name string) bool { return name == "g0" }
-	fmt.Println(duty.Parent("g1", names, isFailed) == "", duty.Parent("g5", names, isFailed), duty.Parent("g25", names, isFailed))
+	fmt.Println(duty.Parent("g1", names, maxChildren, isFailed) == "", duty.Parent("g5", names, maxChildren, isFailed), duty.Parent("g25", names, maxChildren, isFailed))
 	// Output:
 	// true g0 g1
 	// true g1 g1
@@ -48,11 +50,11 @@
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			names := order(size)
 			for parent, followers := range children(names, noSkip) {
-				must.True(t, parent == "" || len(followers) <= duty.MaxChildren)
+				must.True(t, parent == "" || len(followers) <= maxChildren)
 			}
 			levels, last := 0, names[size-1]
-			for duty.Parent(last, names, noSkip) != "" {
-				last = duty.Parent(last, names, noSkip)
+			for duty.Parent(last, names, maxChildren, noSkip) != "" {
+				last = duty.Parent(last, names, maxChildren, noSkip)
 				levels++
 			}
 			must.Eq(t, depth, levels)
@@ -65,7 +67,7 @@
 	names := order(421)
 	before := map[string]string{}
 	for _, name := range names {
-		before[name] = duty.Parent(name, names, noSkip)
+		before[name] = duty.Parent(name, names, maxChildren, noSkip)
 	}
 	for _, failed := range []string{"g0", "g1", "g20", "g21", "g420"} {
 		t.Run(failed, func(t *testing.T) {
@@ -75,7 +77,7 @@
 				if name == failed {
 					continue
 				}
-				parent := duty.Parent(name, names, skip)
+				parent := duty.Parent(name, names, maxChildren, skip)
 				must.True(t, parent == before[name] || before[name] == failed)
 				if parent == "" {
 					roots++
@@ -83,7 +85,7 @@
 			}
 			must.Eq(t, 1, roots)
 			for parent, followers := range children(names, skip) {
-				must.True(t, parent == "" || len(followers) <= 2*duty.MaxChildren)
+				must.True(t, parent == "" || len(followers) <= 2*maxChildren)
 			}
 		})
 	}
@@ -99,7 +101,7 @@
 		for _, i := range rapid.SliceOf(rapid.IntRange(0, len(names)-1)).Draw(t, "failed") {
 			failed[names[i]] = true
 		}
-		parent := duty.Parent(names[position], names, func(name string) bool { return failed[name] })
+		parent := duty.Parent(names[position], names, rapid.IntRange(1, 30).Draw(t, "children"), func(name string) bool { return failed[name] })
 		isFirst := true
 		for i, name := range names[:position] {
 			isFirst = isFirst && failed[name]
--- a/internal/gateway/followtree_test.go
+++ b/internal/gateway/followtree_test.go
@@ -13,7 +13,6 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/mirror"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
@@ -23,8 +22,9 @@
 )
 
 const (
+	treeFollowers = 20
 	// treeSize is the number of gateways of a tree with two levels below its root.
-	treeSize = 2 + 2*duty.MaxChildren
+	treeSize = 2 + 2*treeFollowers
 	// changeBound is the time in which a change must take effect at every gateway.
 	changeBound = 2 * time.Second
 	treePrefix  = "op/"
@@ -80,7 +80,7 @@
 	t.Cleanup(running.Wait)
 	for i := range treeSize {
 		g := &treeGateway{name: fmt.Sprintf("g%d", i), store: &countingStore{Store: store}}
-		g.hosts = &Hosts{Name: g.name}
+		g.hosts = &Hosts{Name: g.name, Followers: treeFollowers}
 		m := &mirror.Mirror{Store: g.store, Prefix: treePrefix, Wait: 200 * time.Millisecond, OnChanges: g.apply, Follow: g.follow, IsWatcher: g.hosts.IsWatcher}
 		address := make(chan string, 1)
 		server := &listen.GRPC{
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -46,6 +46,8 @@
 	// Name is the name of this process, Cores the number of CPU cores that it may use.
 	Name  string
 	Cores float64
+	// Followers is the maximum number of gateways that follow one gateway.
+	Followers int
 
 	mutex       sync.Mutex
 	hosts       map[string]*statepb.Host
@@ -322,7 +324,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	now := clock.Now()
-	parent := duty.Parent(h.Name, h.order, func(name string) bool {
+	parent := duty.Parent(h.Name, h.order, max(1, h.Followers), func(name string) bool {
 		at := h.followFailedAt[name]
 		return at != 0 && now.Sub(at) < followCooldown
 	})
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -114,7 +114,8 @@
 	settings := fmt.Sprintf("[process]\nname = %s\nregion = r\nzone = z1\npeer = %s\ngrace = 3s\ndata = %s\n[store]\naddress = %s\ntimeout = 400ms\nlease = 2s\nwatch = 500ms\n",
 		name, listentest.FreeAddress(t), p.folder, p.toStore.address)
 	if kind == "gateway" {
-		settings += fmt.Sprintf("orders = %s\n[front]\nlisten = %s\nready = %s\nlinger = 100ms\nadmit = true\n[batches]\ngroup = 50ms\nshare = true\nspeeds = true\n[duty]\nlease = 2s\nmargin = 300ms\ninterval = 200ms\nfenced = true\n[usage]\nwindow = 1s\nsettle = 500ms\nretain = 5s\nkeep = 20s\n",
+		// With one follower each, three gateways form a chain: one is between the root and a leaf.
+		settings += fmt.Sprintf("orders = %s\nfollowers = 1\n[front]\nlisten = %s\nready = %s\nlinger = 100ms\nadmit = true\n[batches]\ngroup = 50ms\nshare = true\nspeeds = true\n[duty]\nlease = 2s\nmargin = 300ms\ninterval = 200ms\nfenced = true\n[usage]\nwindow = 1s\nsettle = 500ms\nretain = 5s\nkeep = 20s\n",
 			d.NewEndpoint(t).Address, p.front, p.ready)
 	}
 	must.NoError(t, os.WriteFile(p.file, []byte(settings), 0o600))
