gateway, mirror: tests of a takeover without a change; the tree's test starts when hosts are known

TestChangeReachesAllGateways failed once under -race and a load of 31 (5 gateways called the store, 2 allowed). Traced: its mirrors ran for more than a second before the test had set up all gateways and told them of each other, and so fell back to the store at the start (lines with revision 0), which is not what it tests. Mirrors start after that now, and subtests one after the other; the bounds are as before.

--- a/internal/gateway/followtree_test.go
+++ b/internal/gateway/followtree_test.go
@@ -28,6 +28,8 @@
 	// changeBound is the time in which a change must take effect at every gateway.
 	changeBound = 2 * time.Second
 	treePrefix  = "op/"
+	// treeWatch is the duration of a watch without a change.
+	treeWatch = time.Second
 )
 
 // countingStore counts the calls of one gateway.
@@ -68,6 +70,7 @@
 	value atomic.Value
 	// isFrozen makes its calls and the calls to it wait; isCutOff makes its calls fail.
 	isFrozen, isCutOff atomic.Bool
+	run                func()
 	stop               context.CancelFunc
 }
 
@@ -81,7 +84,7 @@
 	for i := range treeSize {
 		g := &treeGateway{name: fmt.Sprintf("g%d", i), store: &countingStore{Store: store}}
 		g.hosts = &Hosts{Name: g.name, Followers: treeFollowers}
-		m := &mirror.Mirror{Store: g.store, Prefix: treePrefix, Wait: 200 * time.Millisecond, OnChanges: g.apply, Follow: g.follow, IsWatcher: g.hosts.IsWatcher}
+		m := &mirror.Mirror{Store: g.store, Prefix: treePrefix, Wait: treeWatch, OnChanges: g.apply, Follow: g.follow, IsWatcher: g.hosts.IsWatcher}
 		address := make(chan string, 1)
 		server := &listen.GRPC{
 			Address: "127.0.0.1:0", OnListening: func(a string) { address <- a }, Options: []grpc.ServerOption{grpc.UnaryInterceptor(g.intercept)},
@@ -92,7 +95,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		g.stop = cancel
 		running.Go(func() { _ = server.Run(ctx, 0) })
-		running.Go(func() { _ = m.Run(ctx) })
+		g.run = func() { running.Go(func() { _ = m.Run(ctx) }) }
 		data, err := proto.Marshal(statepb.Host_builder{Name: g.name, Address: <-address}.Build())
 		must.NoError(t, err)
 		live = append(live, platform.Value{Key: PrefixHost + g.name, Data: data, Revision: uint64(i + 1)})
@@ -102,6 +105,9 @@
 		g.hosts.ApplyChanges(live)
 		g.hosts.MarkListed()
 	}
+	for _, g := range gateways {
+		g.run()
+	}
 	var order []*treeGateway
 	for _, name := range gateways["g0"].hosts.order {
 		order = append(order, gateways[name])
@@ -187,7 +193,6 @@
 				continue
 			}
 			t.Run(fmt.Sprintf("%d %s", position, name), func(t *testing.T) {
-				t.Parallel()
 				store := &platformtest.Store{}
 				write(t, store, "1")
 				order := startTree(t, store)
@@ -202,13 +207,27 @@
 				awaitTree(t, order, order[position], "2", bound)
 				called := callers(order)
 				must.LessEq(t, 2, len(called), must.Sprint(called))
-				time.Sleep(changeBound)
+				time.Sleep(treeWatch)
 				must.LessEq(t, 2, len(callers(order)))
 			})
 		}
 	}
 }
 
+// Guards against a gateway that takes over from the root while nothing changes, and isn't followed because
+// its first watch has not confirmed that: one gateway after the other would then watch the store.
+func TestTakeoverWithoutChange(t *testing.T) {
+	store := &platformtest.Store{}
+	write(t, store, "1")
+	order := startTree(t, store)
+	awaitTree(t, order, nil, "1", changeBound)
+	time.Sleep(2 * treeWatch)
+	callers(order)
+	order[0].isFrozen.Store(true)
+	time.Sleep(3 * treeWatch)
+	must.LessEq(t, 2, len(callers(order)))
+}
+
 // Guards against a start of the whole fleet in which every gateway lists all values in the store.
 func TestStartTakesFewCalls(t *testing.T) {
 	store := &platformtest.Store{}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -328,3 +328,28 @@
 	must.Eq(t, 1, lost.Load())
 	must.Eq(t, 1, regained.Load())
 }
+
+// Guards against a process that takes over the watch of the store and isn't followed until its first watch
+// ends: the last confirmation, which came over others, is old by then.
+func TestTakeoverConfirmsAtOnce(t *testing.T) {
+	t.Parallel()
+	store := &platformtest.Store{}
+	put(t, store, "p/a", "1")
+	list, err := store.List(t.Context(), "p/")
+	must.NoError(t, err)
+	var hasFollowed atomic.Bool
+	m, values := run(t, store, func(m *mirror.Mirror) {
+		m.Wait = time.Second
+		m.Follow = func(context.Context, string, uint64) (mirror.Update, mirror.FollowResult) {
+			if hasFollowed.Swap(true) {
+				return mirror.Update{}, mirror.NotFollowing
+			}
+			return mirror.Update{ListReply: list, IsComplete: true, Age: 2 * time.Second}, mirror.Followed
+		}
+	})
+	awaitValue(t, values, "p/a", "1")
+	for end := time.Now().Add(900 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		_, ok := m.Changes(t.Context(), list.Revision, 0)
+		must.True(t, ok)
+	}
+}
