occupancy: requirements that don't all fit get equal parts; late steps aren't counted

The smallest requirement first, with a precedence after two late steps, left the trainers with large steps at their floors. Each model gets the same part of what it needs beyond its floor instead, at most the slots of the pool; then no trainer is last for long, and nothing about earlier steps has to be kept or reported.

--- a/internal/batch/demands.go
+++ b/internal/batch/demands.go
@@ -29,8 +29,6 @@
 	startedAt map[string]clock.Boot
 	// loggedAt is when a model was last logged as held at its cap.
 	loggedAt map[modelInPool]clock.Boot
-	// late is the number of each model's last steps in a row that weren't complete in time.
-	late map[string]int
 }
 
 // lock locks the mutex and initializes the maps on first use.
@@ -41,7 +39,6 @@
 		d.running = map[modelInPool]int{}
 		d.startedAt = map[string]clock.Boot{}
 		d.loggedAt = map[modelInPool]clock.Boot{}
-		d.late = map[string]int{}
 	}
 }
 
@@ -102,24 +99,6 @@
 	return true
 }
 
-// recordEnd records whether a step of a model was complete in time.
-func (d *demands) recordEnd(model string, isLate bool) {
-	d.lock()
-	defer d.mutex.Unlock()
-	if !isLate {
-		delete(d.late, model)
-		return
-	}
-	d.late[model]++
-}
-
-// lateSteps returns the number of a model's last steps in a row that weren't complete in time.
-func (d *demands) lateSteps(model string) int {
-	d.lock()
-	defer d.mutex.Unlock()
-	return d.late[model]
-}
-
 // list returns the demand for a pool by model, in the order of their names.
 func (d *demands) list(pool string) []occupancy.ModelDemand {
 	d.lock()
@@ -136,9 +115,7 @@
 			byModel[model] = demand
 		}
 		demand.Waiting += int(o.waiting.Load())
-		if steps := o.steps.Load(); steps != nil {
-			demand.Steps = slices.Concat(demand.Steps, *steps)
-		}
+		demand.Required += int(o.required.Load())
 		reach[model] = max(reach[model], int(o.reach.Load()))
 		demand.Weight = max(demand.Weight, math.Float64frombits(o.weightBits.Load()))
 	}
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -13,7 +13,6 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/admission"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
-	"github.com/bramleyhatch/bramleyhatch/internal/occupancy"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/poison"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
@@ -91,11 +90,11 @@
 	sharing Sharing
 	demands *demands
 	// waiting is the number of items that wait for a slot; weightBits is the weight of the batch, as
-	// the bits of a float64; steps is its work; reach is the number of slots of the servers that may
-	// run its items.
+	// the bits of a float64; required is the number of slots that it needs to be complete in time; reach is the
+	// number of slots of the servers that may run its items.
 	waiting    atomic.Int32
 	weightBits atomic.Uint64
-	steps      atomic.Pointer[[]occupancy.Step]
+	required   atomic.Int32
 	reach      atomic.Int32
 
 	mutex sync.Mutex
@@ -154,7 +153,6 @@
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	o.recordStepEnd(clock.Now())
 	if o.plan.IsEnded() {
 		o.keepLeftovers(o.plan.Leftovers())
 	}
--- a/internal/batch/sharing.go
+++ b/internal/batch/sharing.go
@@ -106,8 +106,7 @@
 	o.shared.weighedAt = now
 	gap := o.roster.FastGap(pool)
 	o.weightBits.Store(math.Float64bits(Weight(o.plan.Slack(now, gap))))
-	steps := o.plan.steps(now, gap, o.demands.lateSteps(o.batch.GetModel()))
-	o.steps.Store(&steps)
+	o.required.Store(int32(o.plan.RequiredSlots(now, gap)))
 	o.reach.Store(int32(o.roster.SlotsOf(pool, o.batch.GetModel(), o.batch.GetOldest())))
 }
 
@@ -166,12 +165,3 @@
 	}
 	klog.InfoS("batch: placed", values...)
 }
-
-// recordStepEnd records whether the step that ends was complete in time, for the division of the pool's
-// slots among the next ones. Only a step that its trainer has ended counts. The mutex is held.
-func (o *owner) recordStepEnd(now clock.Boot) {
-	if o.sharing == nil || !o.plan.IsEnded() || !o.plan.IsDue() {
-		return
-	}
-	o.demands.recordEnd(o.batch.GetModel(), o.plan.IsPastDue(now))
-}
--- a/internal/batch/slack.go
+++ b/internal/batch/slack.go
@@ -27,14 +27,14 @@
 // Slack returns the time until the batch is due less the expected remaining time of its longest needed item, which generates
 // an event in each gap. A batch that is never due has the largest possible slack.
 func (p *Plan) Slack(now clock.Boot, gap time.Duration) time.Duration {
-	if !p.IsDue() {
+	if p.rules.DueAfter == 0 {
 		return noSlackLimit
 	}
 	var longest time.Duration
 	for _, remaining := range p.remainingTimes(gap) {
 		longest = max(longest, remaining)
 	}
-	return p.dueAt().Sub(now) - longest
+	return p.accepted.Add(p.rules.DueAfter).Sub(now) - longest
 }
 
 // remainingTimes returns the expected remaining times of the needed items that are not settled.
@@ -57,27 +57,15 @@
 	return times
 }
 
-// steps returns what the batch needs of its pool's slots, given the number of late steps before it; none if it is never due or
-// the gap is unknown.
-func (p *Plan) steps(now clock.Boot, gap time.Duration, late int) []occupancy.Step {
-	if !p.IsDue() || gap == 0 {
-		return nil
+// RequiredSlots returns the number of slots that the batch needs to be complete in time; 0 if it is never due or the gap is
+// unknown.
+func (p *Plan) RequiredSlots(now clock.Boot, gap time.Duration) int {
+	if p.rules.DueAfter == 0 || gap == 0 {
+		return 0
 	}
-	required := occupancy.RequiredSlots(p.remainingTimes(gap), p.dueAt().Sub(now), -hopelessSlack)
-	if required == 0 {
-		return nil
-	}
-	return []occupancy.Step{{Required: required, Late: late}}
+	return occupancy.RequiredSlots(p.remainingTimes(gap), p.accepted.Add(p.rules.DueAfter).Sub(now), -hopelessSlack)
 }
 
-// IsDue reports whether the results of the batch are due at some time.
-func (p *Plan) IsDue() bool { return p.rules.DueAfter > 0 }
-
-func (p *Plan) dueAt() clock.Boot { return p.accepted.Add(p.rules.DueAfter) }
-
-// IsPastDue reports whether the results of the batch were due before now.
-func (p *Plan) IsPastDue(now clock.Boot) bool { return p.IsDue() && now > p.dueAt() }
-
 // Weight returns the weight of a step in the division of a pool's slots: 1 with ample slack, up to maxWeight without slack.
 func Weight(slack time.Duration) float64 {
 	switch {
--- a/internal/batch/slack_test.go
+++ b/internal/batch/slack_test.go
@@ -77,3 +77,14 @@
 		must.Eq(t, hopelessWeight, Weight(plan.Slack(start, 40*time.Millisecond)))
 	}
 }
+
+// Guards against slots that go by the number of texts, whatever time is left for them.
+func TestRequiredSlots(t *testing.T) {
+	const gap = 40 * time.Millisecond
+	plan := newDuePlan(500, 500, 500, 500)
+	must.Eq(t, 1, plan.RequiredSlots(start, gap))
+	must.Eq(t, 2, plan.RequiredSlots(start.Add(5*time.Second), gap))
+	must.Eq(t, 0, plan.RequiredSlots(start.Add(7*time.Second), gap), must.Sprint("too late"))
+	must.Eq(t, 0, plan.RequiredSlots(start, 0), must.Sprint("unknown gap"))
+	must.Eq(t, 0, newPlan(100).RequiredSlots(start, gap), must.Sprint("never due"))
+}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -84,13 +84,14 @@
 	}
 	var live, removed []string
 	for _, change := range changes {
-		hosts, name := h.hosts, ""
-		if gateway, ok := strings.CutPrefix(change.Key, PrefixHost); ok {
-			name = gateway
-		} else if keeper, ok := strings.CutPrefix(change.Key, PrefixKeeper); ok {
-			hosts, name = h.keepers, keeper
-		} else {
-			continue
+		hosts := h.hosts
+		name, isHost := strings.CutPrefix(change.Key, PrefixHost)
+		if !isHost {
+			isKeeper := false
+			hosts = h.keepers
+			if name, isKeeper = strings.CutPrefix(change.Key, PrefixKeeper); !isKeeper {
+				continue
+			}
 		}
 		if applyHostChange(hosts, name, change) {
 			live = append(live, name)
--- a/internal/gateway/loadexchange.go
+++ b/internal/gateway/loadexchange.go
@@ -37,7 +37,8 @@
 	// maxReportedGap is the largest usual gap that is taken from another process: a run with longer ones counts as stalled.
 	// A larger value would overflow, or keep all work from its server.
 	maxReportedGap = 2 * time.Second
-	// maxReportedSlots bounds the slots that a step of another process requires.
+	// maxReportedSlots bounds the slots that steps of another process require: the sum over several processes
+	// could overflow.
 	maxReportedSlots = 1 << 16
 )
 
@@ -405,7 +406,7 @@
 		encoded := peerpb.PoolReport_builder{Pool: pool.Pool}
 		for _, model := range pool.Models {
 			encoded.Models = append(encoded.Models, peerpb.ModelReport_builder{
-				Model: model.Model, Waiting: uint32(model.Waiting), Running: uint32(model.Running), Weight: model.Weight, Steps: encodeSteps(model.Steps),
+				Model: model.Model, Waiting: uint32(model.Waiting), Running: uint32(model.Running), Weight: model.Weight, Required: uint32(model.Required),
 			}.Build())
 		}
 		for _, server := range pool.Servers {
@@ -424,7 +425,8 @@
 		decoded := occupancy.PoolLoad{Pool: pool.GetPool()}
 		for _, model := range pool.GetModels() {
 			decoded.Models = append(decoded.Models, occupancy.ModelDemand{
-				Model: model.GetModel(), Waiting: int(model.GetWaiting()), Running: int(model.GetRunning()), Weight: model.GetWeight(), Steps: decodeSteps(model.GetSteps()),
+				Model: model.GetModel(), Waiting: int(model.GetWaiting()), Running: int(model.GetRunning()), Weight: model.GetWeight(),
+				Required: int(min(model.GetRequired(), maxReportedSlots)),
 			})
 		}
 		for _, server := range pool.GetServers() {
@@ -437,26 +439,6 @@
 	return report
 }
 
-func encodeSteps(steps []occupancy.Step) []*peerpb.StepReport {
-	var encoded []*peerpb.StepReport
-	for _, step := range steps {
-		encoded = append(encoded, peerpb.StepReport_builder{Required: uint32(step.Required), Late: uint32(step.Late)}.Build())
-	}
-	return encoded
-}
-
-// decodeSteps decodes the steps of another process. A number of slots that no step can need is bounded:
-// the sum of several could overflow.
-func decodeSteps(steps []*peerpb.StepReport) []occupancy.Step {
-	var decoded []occupancy.Step
-	for _, step := range steps {
-		decoded = append(decoded, occupancy.Step{
-			Required: int(min(step.GetRequired(), maxReportedSlots)), Late: int(step.GetLate()),
-		})
-	}
-	return decoded
-}
-
 // decodeGap returns a usual gap in microseconds as a duration; 0, unknown, if no server can have it.
 func decodeGap(micros int64) time.Duration {
 	if micros < 0 || micros > maxReportedGap.Microseconds() {
--- a/internal/occupancy/divide.go
+++ b/internal/occupancy/divide.go
@@ -70,33 +70,27 @@
 }
 
 // guarantees returns the slots that each model gets before the rest is divided: its floor, and what
-// its steps need to be complete in time.
-//
-// If not all of that fits, models whose last steps were late come first, since a trainer that is
-// always last never finishes a step in time; then those that need the fewest slots, so that most
-// steps are complete in time.
+// its steps need to be complete in time. If not all of that fits, each model gets the same part of
+// what it needs beyond its floor.
 func guarantees(demands []ModelDemand, slots int) []int {
 	least := floorsOf(demands, slots)
-	left := slots - sumOf(least)
-	order := make([]int, len(demands))
-	for i := range order {
-		order[i] = i
+	left, missing := slots-sumOf(least), 0
+	for i, demand := range demands {
+		missing += demand.missing(least[i], slots)
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		return cmp.Or(
-			cmp.Compare(demands[b].lateSteps(), demands[a].lateSteps()),
-			cmp.Compare(demands[a].required(), demands[b].required()),
-			cmp.Compare(demands[a].Model, demands[b].Model),
-		)
-	})
-	for _, i := range order {
-		more := min(max(0, demands[i].required()-least[i]), left)
-		least[i] += more
-		left -= more
+	part := min(1, float64(left)/float64(max(1, missing)))
+	for i, demand := range demands {
+		least[i] += int(part * float64(demand.missing(least[i], slots)))
 	}
 	return least
 }
 
+// missing returns the slots that the model's steps need beyond its least number, given the slots of the
+// pool.
+func (d ModelDemand) missing(least, slots int) int {
+	return max(0, min(d.Required, d.total(), slots)-least)
+}
+
 // fairLevel returns the largest number of slots for each unit of weight at which the shares of all
 // models together don't exceed the slots.
 func fairLevel(demands []ModelDemand, least []int, slots int) float64 {
--- a/internal/occupancy/step.go
+++ b/internal/occupancy/required.go
@@ -7,19 +7,6 @@
 	"time"
 )
 
-// minLateSteps is the number of late steps in a row from which a model takes precedence: a single
-// late step has causes that don't concern its trainer.
-const minLateSteps = 2
-
-// Step is the need of a trainer's step.
-type Step struct {
-	// Required is the number of slots that the step needs to be complete in time; see RequiredSlots.
-	Required int
-	// Late is the number of the trainer's steps directly before this one that weren't complete in
-	// time.
-	Late int
-}
-
 // RequiredSlots returns the number of slots on which generations of these lengths end within the time
 // that is left. Lengths that exceed it by more than the grace are left out: they end late whatever
 // they get.
@@ -41,25 +28,3 @@
 	}
 	return required
 }
-
-// required returns the slots that the model's steps need to be complete in time, at most its demand.
-func (d ModelDemand) required() int {
-	required := 0
-	for _, step := range d.Steps {
-		required += step.Required
-	}
-	return min(required, d.total())
-}
-
-// lateSteps returns the number of late steps in a row that gives the model precedence, 0 if there are
-// too few.
-func (d ModelDemand) lateSteps() int {
-	late := 0
-	for _, step := range d.Steps {
-		late = max(late, step.Late)
-	}
-	if late < minLateSteps {
-		return 0
-	}
-	return late
-}
--- a/internal/occupancy/view.go
+++ b/internal/occupancy/view.go
@@ -36,8 +36,9 @@
 	Waiting, Running int
 	// Weight is the weight of the model in the division of the slots; 0 means 1.
 	Weight float64
-	// Steps are the steps that the process runs and that can still be complete in time.
-	Steps []Step
+	// Required is the number of slots that the model's steps need to be complete in time, see
+	// RequiredSlots; 0 if they are never due, or for a process that doesn't tell.
+	Required int
 }
 
 // ServerLoad is what one process knows of a server.
@@ -220,7 +221,7 @@
 		demands[i].Waiting += demand.Waiting
 		demands[i].Running += demand.Running
 		demands[i].Weight = max(demands[i].weight(), demand.weight())
-		demands[i].Steps = slices.Concat(demands[i].Steps, demand.Steps)
+		demands[i].Required += demand.Required
 	}
 	for _, demand := range own {
 		add(demand)
