--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -84,14 +84,9 @@
 	}
 	var live, removed []string
 	for _, change := range changes {
-		hosts := h.hosts
-		name, isHost := strings.CutPrefix(change.Key, PrefixHost)
-		if !isHost {
-			isKeeper := false
-			hosts = h.keepers
-			if name, isKeeper = strings.CutPrefix(change.Key, PrefixKeeper); !isKeeper {
-				continue
-			}
+		hosts, name := h.processesOf(change.Key)
+		if hosts == nil {
+			continue
 		}
 		if applyHostChange(hosts, name, change) {
 			live = append(live, name)
@@ -106,6 +101,18 @@
 	}
 }
 
+// processesOf returns the gateways or the keepers, and the name of the process that registers under a key;
+// nil for other keys. The mutex is held.
+func (h *Hosts) processesOf(key string) (processes map[string]*statepb.Host, name string) {
+	if name, ok := strings.CutPrefix(key, PrefixHost); ok {
+		return h.hosts, name
+	}
+	if name, ok := strings.CutPrefix(key, PrefixKeeper); ok {
+		return h.keepers, name
+	}
+	return nil, ""
+}
+
 // logHosts logs which processes changed. The line is bounded: when the whole fleet starts, each process
 // hears of all others at once.
 func logHosts(state string, names []string) {
