mirror: no values of a process that is behind, no gap in a loss that is passed on

Two faults found by reading the diff, no play showed them. A process that lists anew could take all values of one that is behind it, and keep a key for good that it knew to be removed. While the store was lost, each poll cleared the loss for a moment, in which a follower could hear that the store was back.

--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -54,10 +54,12 @@
 	changed     chan struct{}
 }
 
-// confirmation is the store's answer that there are no further changes.
+// confirmation is the store's answer that there are no further changes. isStoreLost is true if the
+// store hasn't answered since.
 type confirmation struct {
-	at   clock.Boot
-	hops int
+	at          clock.Boot
+	hops        int
+	isStoreLost bool
 }
 
 // known returns the value of a key.
@@ -126,15 +128,15 @@
 	h.endRevision = max(h.endRevision, revision)
 	wasLost := h.isStoreLost
 	h.confirm(confirmed)
-	if len(values) > 0 || wasLost {
+	if len(values) > 0 || wasLost != h.isStoreLost {
 		h.notify()
 	}
 }
 
-// confirm records that the store answered. The mutex is held.
+// confirm records a confirmation. The mutex is held.
 func (h *history) confirm(confirmed confirmation) {
 	h.confirmedAt, h.hops = max(h.confirmedAt, confirmed.at), confirmed.hops
-	h.isStoreLost = false
+	h.isStoreLost = confirmed.isStoreLost
 }
 
 // recordStoreLost records that the store doesn't answer.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -159,7 +159,7 @@
 	switch {
 	case result == NotFollowing:
 		return false
-	case result == Followed && (m.isListed || update.IsComplete):
+	case result == Followed && m.isUsable(update):
 		m.followedAt = now
 		return m.followUpdate(update, now)
 	case now.Sub(m.followedAt) < maxFollowGap:
@@ -172,18 +172,28 @@
 	}
 }
 
+// isUsable reports whether an update of another process can be applied. All values of a process that is
+// behind this one may hold keys that this one knows to be removed; no later change would remove them.
+func (m *Mirror) isUsable(update Update) bool {
+	if update.IsComplete {
+		return update.Revision >= m.revision
+	}
+	return m.isListed
+}
+
 // followUpdate applies an update of another process. It reports false if this process has to call the
 // store itself now: the store doesn't answer the other process, but may answer this one.
 func (m *Mirror) followUpdate(update Update, now clock.Boot) bool {
+	confirmed := confirmation{at: now.Add(-update.Age), hops: update.Hops + 1, isStoreLost: update.IsStoreLost}
 	if !update.IsStoreLost {
 		m.lostCheckAt, m.isBypassing = 0, false
-		m.applyUpdate(update, confirmation{at: now.Add(-update.Age), hops: update.Hops + 1})
+		m.applyUpdate(update, confirmed)
 		return true
 	}
 	if m.isBypassing {
 		return false
 	}
-	m.applyUpdate(update, confirmation{at: now.Add(-update.Age), hops: update.Hops + 1})
+	m.applyUpdate(update, confirmed)
 	if m.lostCheckAt == 0 {
 		// All followers learn of the loss at the same moment.
 		m.lostCheckAt = now.Add(time.Duration((0.5 + rand.Float64()) * float64(lostCheckInterval)))
@@ -207,7 +217,6 @@
 		m.applyChanges(update.ListReply, confirmed)
 	}
 	if update.IsStoreLost {
-		m.history.recordStoreLost()
 		m.reportLost(errStoreLost)
 		return
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -353,3 +353,58 @@
 		must.True(t, ok)
 	}
 }
+
+// Guards against a key that stays for good although it was removed: a process that lists all values anew
+// gets them from one that has not heard of the removal.
+func TestListOfAProcessThatIsBehind(t *testing.T) {
+	t.Parallel()
+	store := &platformtest.Store{}
+	put(t, store, "p/a", "1")
+	behind, err := store.List(t.Context(), "p/")
+	must.NoError(t, err)
+	var isBehind atomic.Bool
+	_, values := run(t, store, func(m *mirror.Mirror) {
+		m.Follow = func(_ context.Context, _ string, after uint64) (mirror.Update, mirror.FollowResult) {
+			if isBehind.Load() && after == 0 {
+				return mirror.Update{ListReply: behind, IsComplete: true}, mirror.Followed
+			}
+			return mirror.Update{}, mirror.NotFollowing
+		}
+	})
+	awaitValue(t, values, "p/a", "1")
+	_, err = store.Commit(t.Context(), platform.Commit{Remove: []string{"p/a"}})
+	must.NoError(t, err)
+	put(t, store, "p/b", "1")
+	awaitValue(t, values, "p/b", "1")
+	isBehind.Store(true)
+	store.SetWatchesSilent(true)
+	put(t, store, "p/b", "2")
+	store.Compact()
+	store.SetWatchesSilent(false)
+	awaitValue(t, values, "p/b", "2")
+	must.Eq(t, "", values.get("p/a"))
+}
+
+// Guards against followers that hear for a moment that the store is back, each time the process that they
+// follow hears that it is still lost.
+func TestLossIsPassedOnWithoutGaps(t *testing.T) {
+	t.Parallel()
+	source := mirror.Update{ListReply: platform.ListReply{Revision: 1}, IsComplete: true}
+	var isLost atomic.Bool
+	middle, _ := run(t, &platformtest.Store{}, func(m *mirror.Mirror) {
+		m.Follow = func(_ context.Context, _ string, after uint64) (mirror.Update, mirror.FollowResult) {
+			update := source
+			update.IsComplete, update.IsStoreLost = after == 0, isLost.Load()
+			return update, mirror.Followed
+		}
+	})
+	isUpToDate := func() bool { _, ok := middle.Changes(t.Context(), 1, 0); return ok }
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(isUpToDate), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
+	isLost.Store(true)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(middle.IsStoreLost), wait.Timeout(time.Second), wait.Gap(time.Millisecond)))
+	for end := time.Now().Add(300 * time.Millisecond); time.Now().Before(end); {
+		update, ok := middle.Changes(t.Context(), 1, 0)
+		must.True(t, ok)
+		must.True(t, update.IsStoreLost)
+	}
+}
