batch: tests' largest number of concurrent calls loses no update

Traced by reading: two calls read the maximum before either wrote it, and the smaller value was written last. It is raised by compare-and-swap now; the check is the same.

--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -42,7 +42,7 @@
 }
 
 func (s *scorer) Score(ctx context.Context, _ *statepb.Scorer) (string, error) {
-	s.maxRunning.Store(max(s.maxRunning.Load(), s.running.Add(1)))
+	storeMax(&s.maxRunning, s.running.Add(1))
 	defer s.running.Add(-1)
 	select {
 	case <-ctx.Done():
@@ -52,6 +52,16 @@
 	}
 }
 
+// storeMax raises a maximum to at least a value.
+func storeMax(maximum *atomic.Int32, value int32) {
+	for {
+		known := maximum.Load()
+		if value <= known || maximum.CompareAndSwap(known, value) {
+			return
+		}
+	}
+}
+
 // routes holds a route that tests can change.
 type routes struct {
 	mutex sync.Mutex
--- a/internal/batch/earlyrun_test.go
+++ b/internal/batch/earlyrun_test.go
@@ -179,7 +179,7 @@
 	if len(commit.Writes) == 0 || !strings.HasPrefix(commit.Writes[0].Key, prefixBulk) {
 		return s.Store.Commit(ctx, commit)
 	}
-	s.maxRunning.Store(max(s.maxRunning.Load(), s.running.Add(1)))
+	storeMax(&s.maxRunning, s.running.Add(1))
 	defer s.running.Add(-1)
 	select {
 	case <-ctx.Done():
