review: a resumed stream that fails ends as a complete one

stream.resume takes any answer of the next sampler for the rest of the stream. A 500 without a body reads as the end of a complete answer, so the caller's response ends with its last chunk after the events of the first sampler.

--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -29,7 +29,7 @@
 
 // TestMain plays one case in place of tests.
 func TestMain(*testing.M) {
-	cases := map[string]func(d *deployment, trouble bool) (verdict, error){"1": extraAnswer}
+	cases := map[string]func(d *deployment, trouble bool) (verdict, error){"1": extraAnswer, "3": resumedStream}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(couldNotRun)
