backend: log and count answers that belong to another request

Two causes would look the same to callers: an answer to another request that is believed, or a request that was sent and is taken for one that wasn't (a reset connection, a repeat by net/http). Neither logs nor metrics told them apart, since an answer to another request that states "not run" ended like one of a full server.

Each answer to another request is now logged with both IDs, its status and whether it states that nothing ran, and counted by that in bramleyhatch_backend_foreign_answers_total.

--- a/internal/backend/direct.go
+++ b/internal/backend/direct.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
@@ -56,6 +58,8 @@
 	Prepare(header http.Header, request Request)
 	// IsAnswerTo reports whether an answer belongs to the request with this ID.
 	IsAnswerTo(answer *http.Response, id string) bool
+	// AnswerID returns the ID of the request that an answer belongs to; "" if unspecified.
+	AnswerID(answer *http.Response) string
 	// IsNotRun reports whether the answer states that the server ran nothing.
 	IsNotRun(answer *http.Response) bool
 	// IsWrongServer reports whether the answer comes from a server other than the intended
@@ -78,6 +82,8 @@
 	Server
 
 	Wire Wire
+	// Metrics counts answers to other requests; nil counts none.
+	Metrics *Metrics
 }
 
 // Answer is a backend server's answer. The caller reads and closes its body.
@@ -114,6 +120,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if !d.Wire.IsAnswerTo(answer.Response, request.ID) {
+		isNotRun := d.Wire.IsNotRun(answer.Response)
+		d.Metrics.countForeignAnswer(isNotRun)
+		klog.InfoS("backend: the answer belongs to another request", "id", request.ID, "server", d.Name, "answered", d.Wire.AnswerID(answer.Response), "status", answer.StatusCode, "notRun", isNotRun)
+	}
 	if d.Wire.IsNotRun(answer.Response) {
 		defer d.discard(answer.Response)
 		code := CodeFull
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/admission"
+	"github.com/bramleyhatch/bramleyhatch/internal/backend"
 	"github.com/bramleyhatch/bramleyhatch/internal/batch"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/detour"
@@ -120,6 +121,7 @@
 		Zone:              g.Process.Settings.GetZone(),
 		Region:            g.Process.Settings.GetRegion(),
 		Wire:              platform.Wire{},
+		ServerMetrics:     backend.NewMetrics(g.Metrics),
 		IdleTimeout:       idleConnTimeout,
 		ColdLimits:        g.cold,
 		ReregisterTimeout: g.Settings.GetDirectory().GetBack().AsDuration(),
--- a/internal/roster/registrations.go
+++ b/internal/roster/registrations.go
@@ -45,8 +45,9 @@
 		instance:         entry.ID + "@" + strconv.FormatInt(entry.StartedAtMillis, 10),
 		reportedVersions: map[string]uint64{},
 		direct: &backend.Direct{
-			Server: backend.Server{Address: "http://" + entry.Address, Name: entry.ID, IdleTimeout: r.IdleTimeout},
-			Wire:   r.Wire,
+			Server:  backend.Server{Address: "http://" + entry.Address, Name: entry.ID, IdleTimeout: r.IdleTimeout},
+			Wire:    r.Wire,
+			Metrics: r.ServerMetrics,
 		},
 	}
 	if isKnown {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -19,6 +19,8 @@
 	Zone   string
 	Region string
 	Wire   backend.Wire
+	// ServerMetrics counts answers to other requests; nil counts none.
+	ServerMetrics *backend.Metrics
 	// IdleTimeout is how long an unused connection to a server is kept.
 	IdleTimeout time.Duration
 	// ColdLimits limits the requests to cold servers; nil sets no limit.
