backend: an answer to another request states nothing about this one

Cause: a server may send an answer a second time, late, where the answer to the next request on the connection is expected. Direct.Do asked whether an answer states that nothing ran before it asked whose answer it is. A second 503 to request A was thus believed for request B, which the server was about to run, and B was sent to another server or refused as not run.

The ID is checked first now; an answer to another request leaves the outcome unknown. Three more consequences of the same belief are gone with it: - a 421 to another request took the server out of service; - the connection was kept if the foreign answer had no body, so that the request's own answer was taken for that of the next one; - a request that is sent again to the same server bears the same ID, so that the ID alone can't tell a second answer to its first attempt from the answer to its next one. A connection now carries a request only once: one that has sent it before is closed before anything is written, and the request takes another one.

Items, scorer calls and resumed streams use the same function.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -71,14 +71,20 @@
 	*http.Response
 
 	watchdog *watchdog
+	trace    *connectionTrace
 }
 
+// closeConnection closes the connection of the response.
+func (r *watchedResponse) closeConnection() { r.trace.close() }
+
 // call is one request to the backend server.
 type call struct {
 	method string
 	path   string
 	header http.Header
 	body   []byte
+	// id is the request's ID that the answer repeats; "" if answers name no request.
+	id string
 	// host is the Host header sent by the caller; "" means the server's address.
 	host string
 	// noRepeat prevents net/http from repeating requests that have no body.
@@ -96,12 +102,32 @@
 		return nil, refusal.NotRun(http.StatusBadRequest, "bad_path", "%v", err)
 	}
 	ctx, watchdog := newWatchdog(ctx, call.readTimeout)
-	sent := &sentCheck{}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.gotConn})
+	for {
+		trace := &connectionTrace{id: call.id}
+		request, err := newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: trace.gotConn}), target, call)
+		if err != nil {
+			watchdog.stop()
+			return nil, refusal.NotRun(http.StatusBadRequest, "bad_request", "%v", err)
+		}
+		response, err := s.httpClient().DoRequest(request) //nolint:bodyclose // closed through watchedResponse
+		if err == nil {
+			response.Body = &watchedBody{ReadCloser: response.Body, watchdog: watchdog}
+			return &watchedResponse{Response: response, watchdog: watchdog, trace: trace}, nil
+		}
+		mayHaveReceived := trace.closeAndCheck()
+		if trace.isRejected() && !mayHaveReceived && ctx.Err() == nil {
+			continue
+		}
+		refused := s.refuse(watchdog.cause(err), mayHaveReceived)
+		watchdog.stop()
+		return nil, refused
+	}
+}
+
+func newRequest(ctx context.Context, target *url.URL, call call) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, call.method, target.String(), http.NoBody)
 	if err != nil {
-		watchdog.stop()
-		return nil, refusal.NotRun(http.StatusBadRequest, "bad_request", "%v", err)
+		return nil, err
 	}
 	request.Header = call.header
 	request.Host = call.host
@@ -113,13 +139,7 @@
 	if call.noRepeat && len(call.body) == 0 {
 		request.Body = io.NopCloser(emptyBody{})
 	}
-	response, err := s.httpClient().DoRequest(request) //nolint:bodyclose // closed through watchedResponse
-	if err != nil {
-		defer watchdog.stop()
-		return nil, s.refuse(watchdog.cause(err), sent.closeAndCheck())
-	}
-	response.Body = &watchedBody{ReadCloser: response.Body, watchdog: watchdog}
-	return &watchedResponse{Response: response, watchdog: watchdog}, nil
+	return request, nil
 }
 
 // setBody sets a body that can be read only once. net/http repeats a request on a new
@@ -169,7 +189,7 @@
 		if client := s.client.Load(); client != nil {
 			return *client
 		}
-		service := listen.ClientWithOptions("backend-"+s.Name, listen.ClientOptions{IdleTimeout: s.IdleTimeout, WrapConn: newCountingConn})
+		service := listen.ClientWithOptions("backend-"+s.Name, listen.ClientOptions{IdleTimeout: s.IdleTimeout, WrapConn: newTracedConn})
 		s.client.CompareAndSwap(nil, &service)
 	}
 }
--- /dev/null
+++ b/internal/backend/connection.go
@@ -0,0 +1,116 @@
+package backend
+
+import (
+	"net"
+	"net/http/httptrace"
+	"slices"
+	"sync"
+	"sync/atomic"
+)
+
+// maxRecentRequests is how many requests a connection remembers. A late second answer arrives where the answer to the
+// next request is expected.
+const maxRecentRequests = 8
+
+// tracedConn is a connection that counts the bytes that may have been sent, and remembers its latest requests.
+type tracedConn struct {
+	net.Conn
+
+	sent atomic.Int64
+
+	mutex sync.Mutex
+	// recent holds the IDs of the latest requests, oldest first.
+	recent []string
+}
+
+func newTracedConn(conn net.Conn) net.Conn { return &tracedConn{Conn: conn} }
+
+// Write implements net.Conn. Bytes count before they are written, so that a concurrent check never misses any; those
+// that were not written are subtracted.
+func (c *tracedConn) Write(data []byte) (int, error) {
+	c.sent.Add(int64(len(data)))
+	n, err := c.Conn.Write(data)
+	c.sent.Add(int64(n - len(data)))
+	return n, err
+}
+
+// accept records a request that is about to be sent. It returns false if one with the same ID was sent before: a second
+// answer to that one could not be distinguished from the answer to this one.
+func (c *tracedConn) accept(id string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if slices.Contains(c.recent, id) {
+		return false
+	}
+	if len(c.recent) == maxRecentRequests {
+		c.recent = slices.Delete(c.recent, 0, 1)
+	}
+	c.recent = append(c.recent, id)
+	return true
+}
+
+// connectionTrace follows the connections of a request. It determines whether any byte of the request may have reached
+// a server, and keeps the request off a connection on which it was sent before.
+type connectionTrace struct {
+	// id is the request's ID; "" if answers name no request.
+	id string
+
+	mutex       sync.Mutex
+	connections []sentMark
+	rejected    bool
+}
+
+// sentMark is a connection, and the bytes sent on it before the request.
+type sentMark struct {
+	conn   net.Conn
+	before int64
+}
+
+// gotConn records a connection of the request. net/http calls it before it writes to the connection; a connection that
+// is closed here sends nothing.
+func (t *connectionTrace) gotConn(info httptrace.GotConnInfo) {
+	mark := sentMark{conn: info.Conn}
+	traced, isTraced := info.Conn.(*tracedConn)
+	if isTraced {
+		mark.before = traced.sent.Load()
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.connections = append(t.connections, mark)
+	if isTraced && t.id != "" && !traced.accept(t.id) {
+		t.rejected = true
+		_ = traced.Close()
+	}
+}
+
+// isRejected reports whether a connection was closed because the request was sent on it before.
+func (t *connectionTrace) isRejected() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.rejected
+}
+
+// close closes the connections of the request.
+func (t *connectionTrace) close() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, mark := range t.connections {
+		_ = mark.conn.Close()
+	}
+}
+
+// closeAndCheck closes the connections of a request that has failed, and reports whether a server may have received any
+// of it. A full server may reset a connection before the request is written.
+//
+// A connection is closed before its count is read: a write that starts afterwards sends nothing.
+func (t *connectionTrace) closeAndCheck() bool {
+	t.close()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	maybeSent := false
+	for _, mark := range t.connections {
+		traced, isTraced := mark.conn.(*tracedConn)
+		maybeSent = maybeSent || !isTraced || traced.sent.Load() != mark.before
+	}
+	return maybeSent
+}
--- a/internal/backend/sentcheck_test.go
+++ b/internal/backend/connection_test.go
@@ -60,7 +60,7 @@
 			t.Parallel()
 			server := &Server{Address: startResetting(t, test.readBytes), Name: "s1"}
 			client := listen.ClientWithOptions("s1", listen.ClientOptions{WrapConn: func(conn net.Conn) net.Conn {
-				return newCountingConn(slowConn{conn})
+				return newTracedConn(slowConn{conn})
 			}})
 			server.client.Store(&client)
 			_, err := server.exchange(t.Context(), call{
@@ -82,13 +82,13 @@
 func (c failingConn) Write([]byte) (int, error) { return c.written, io.ErrClosedPipe }
 func (c failingConn) Close() error              { return nil }
 
-func TestCountingConn(t *testing.T) {
+func TestTracedConn(t *testing.T) {
 	for name, test := range map[string]struct {
 		written int
 		want    int64
 	}{"nothing is written": {0, 0}, "a part is written": {3, 3}} {
 		t.Run(name, func(t *testing.T) {
-			conn := &countingConn{Conn: failingConn{written: test.written}}
+			conn := &tracedConn{Conn: failingConn{written: test.written}}
 			_, err := conn.Write([]byte("text"))
 			must.Error(t, err)
 			must.Eq(t, test.want, conn.sent.Load())
--- a/internal/backend/direct.go
+++ b/internal/backend/direct.go
@@ -97,6 +97,9 @@
 // Do sends a request once. The error is a *refusal.Error whose outcome is "not run" only if
 // the request certainly did not run. Do also returns answers with an error status, unless
 // the server states that it ran nothing.
+//
+// A server may answer a request a second time, where the answer to the next request on the
+// connection is expected. Such an answer states nothing about that request.
 func (d *Direct) Do(ctx context.Context, request Request) (*Answer, error) {
 	header := request.Header.Clone()
 	if header == nil {
@@ -114,6 +117,7 @@
 		path:        request.Target,
 		header:      header,
 		body:        request.Body,
+		id:          request.ID,
 		noRepeat:    true,
 		readTimeout: request.ReadTimeout,
 	})
@@ -121,9 +125,7 @@
 		return nil, err
 	}
 	if !d.Wire.IsAnswerTo(answer.Response, request.ID) {
-		isNotRun := d.Wire.IsNotRun(answer.Response)
-		d.Metrics.countForeignAnswer(isNotRun)
-		klog.InfoS("backend: the answer belongs to another request", "id", request.ID, "server", d.Name, "answered", d.Wire.AnswerID(answer.Response), "status", answer.StatusCode, "notRun", isNotRun)
+		return nil, d.rejectForeign(request, answer)
 	}
 	if d.Wire.IsNotRun(answer.Response) {
 		defer d.discard(answer.Response)
@@ -133,14 +135,21 @@
 		}
 		return nil, refusal.NotRun(http.StatusServiceUnavailable, code, "%s answered %d and ran nothing", d.Name, answer.StatusCode).WithRetryAfter(retryAfter)
 	}
-	if !d.Wire.IsAnswerTo(answer.Response, request.ID) {
-		// Passing on an answer to a different request would leak another caller's data.
-		_ = answer.Body.Close()
-		return nil, refusal.Unknown(http.StatusBadGateway, CodeWrongRequest, "%s answered another request", d.Name)
-	}
 	return &Answer{Response: answer.Response, direct: d, watchdog: answer.watchdog}, nil
 }
 
+// rejectForeign returns the refusal for an answer to another request. Passing it on would leak another caller's data.
+func (d *Direct) rejectForeign(request Request, answer *watchedResponse) error {
+	isNotRun := d.Wire.IsNotRun(answer.Response)
+	d.Metrics.countForeignAnswer(isNotRun)
+	klog.InfoS("backend: the answer belongs to another request", "id", request.ID, "server", d.Name, "answered", d.Wire.AnswerID(answer.Response), "status", answer.StatusCode, "notRun", isNotRun)
+	_ = answer.Body.Close()
+	// An answer without a body leaves the connection open, and the request's own answer would be taken for that of the
+	// next request.
+	answer.closeConnection()
+	return refusal.Unknown(http.StatusBadGateway, CodeWrongRequest, "%s answered another request", d.Name)
+}
+
 // ReadAll reads the body up to limit bytes. It returns false if the body is larger; the body
 // then holds the bytes read so far, and the rest can still be read from the answer.
 func (a *Answer) ReadAll(limit int64) (body []byte, complete bool, err error) {
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -51,7 +51,7 @@
 // to another request, refuses or fails. The caller must get the whole response of a retry,
 // and none of the bad bytes.
 func TestCorruptServerResponses(t *testing.T) {
-	for name, fault := range map[string]wiretest.Fault{"cut": wiretest.FaultTruncate, "foreign": wiretest.FaultWrongRequest, "refused": wiretest.FaultRefuse, "failed": wiretest.FaultFail} {
+	for name, fault := range map[string]wiretest.Fault{"cut": wiretest.FaultTruncate, "foreign": wiretest.FaultWrongRequest, "foreign refusal": wiretest.FaultWrongRefusal, "refused": wiretest.FaultRefuse, "failed": wiretest.FaultFail} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
 			once := func(_ string, runs int) wiretest.Fault {
@@ -73,17 +73,16 @@
 	}
 }
 
-// Guards against a repeated non-idempotent request. The response to a posting is lost: a resend
-// would run the posting twice, and reporting the posting as not run would be false.
+// Guards against a repeated non-idempotent request. The response to a posting is lost, or belongs to another request: a
+// resend would run the posting twice, and reporting the posting as not run would be false.
 func TestPostingRunsOnce(t *testing.T) {
 	d := newDeployment(t)
 	first, second := d.NewSampler(t, "a1", "app", ""), d.NewSampler(t, "a2", "app", "")
 	g := d.start(t, "g1")
-	for _, fault := range []wiretest.Fault{wiretest.FaultTruncate, wiretest.FaultWrongRequest} {
+	for id, fault := range map[string]wiretest.Fault{"p1": wiretest.FaultTruncate, "p2": wiretest.FaultWrongRequest, "p4": wiretest.FaultWrongRefusal} {
 		for _, server := range []*wiretest.Sampler{first, second} {
 			server.SetFault(func(string, int) wiretest.Fault { return fault })
 		}
-		id := map[wiretest.Fault]string{wiretest.FaultTruncate: "p1", wiretest.FaultWrongRequest: "p2"}[fault]
 		got := g.send(t, http.MethodPost, "/post/x", "key-acme", id, []byte("3 hours"))
 		must.Eq(t, http.StatusBadGateway, got.status)
 		must.Eq(t, 1, first.Runs(id)+second.Runs(id))
--- a/test/soak/run_test.go
+++ b/test/soak/run_test.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// spoilAnswers makes servers fail one in ten requests, with a truncated response, a refusal or
-// another request's response.
+// spoilAnswers makes servers fail one in ten requests, with a truncated response, a refusal, or
+// another request's response or refusal.
 func (d *deployment) spoilAnswers(seed uint64) {
 	for _, server := range append(append([]*wiretest.Sampler{}, d.samplers...), d.plain...) {
 		var mutex sync.Mutex
@@ -147,7 +147,7 @@
 			if random.IntN(10) > 0 {
 				return wiretest.NoFault
 			}
-			return []wiretest.Fault{wiretest.FaultTruncate, wiretest.FaultRefuse, wiretest.FaultWrongRequest}[random.IntN(3)]
+			return []wiretest.Fault{wiretest.FaultTruncate, wiretest.FaultRefuse, wiretest.FaultWrongRequest, wiretest.FaultWrongRefusal}[random.IntN(4)]
 		})
 	}
 }
