backend: a sidecar opens a connection for each request

Engines and plain services don't repeat a request's ID, so that a sidecar can't recognize an answer that comes a second time: the next caller would get the former one's answer, or a request that runs would be refused as not run.

A connection to a backend server now carries one request if its answers name none. The server is on the sidecar's own host, so that a new connection costs little.

TestSecondAnswerMeetsNoRequest fails with connections that are reused. TestPostingIsSentOnce no longer meets a reused connection; that case is kept for gateways, which reuse theirs, by TestPostingOnReusedConnectionIsSentOnce, which fails if net/http can read the body again.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -109,7 +109,7 @@
 			watchdog.stop()
 			return nil, refusal.NotRun(http.StatusBadRequest, "bad_request", "%v", err)
 		}
-		response, err := s.httpClient().DoRequest(request) //nolint:bodyclose // closed through watchedResponse
+		response, err := s.httpClient(call.id != "").DoRequest(request) //nolint:bodyclose // closed through watchedResponse
 		if err == nil {
 			response.Body = &watchedBody{ReadCloser: response.Body, watchdog: watchdog}
 			return &watchedResponse{Response: response, watchdog: watchdog, trace: trace}, nil
@@ -184,12 +184,14 @@
 	return base, nil
 }
 
-func (s *Server) httpClient() httpc.Service {
+// httpClient returns the client of the server. Connections are reused only if answers name their request: a second
+// answer to an earlier request could not be distinguished from the answer to the next one.
+func (s *Server) httpClient(isAnswerNamed bool) httpc.Service {
 	for {
 		if client := s.client.Load(); client != nil {
 			return *client
 		}
-		service := listen.ClientWithOptions("backend-"+s.Name, listen.ClientOptions{IdleTimeout: s.IdleTimeout, WrapConn: newTracedConn})
+		service := listen.ClientWithOptions("backend-"+s.Name, listen.ClientOptions{IdleTimeout: s.IdleTimeout, OneRequestPerConn: !isAnswerNamed, WrapConn: newTracedConn})
 		s.client.CompareAndSwap(nil, &service)
 	}
 }
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -264,6 +264,41 @@
 	must.Len(t, 2, server.requests())
 }
 
+// Guards against the answer to another request, or its refusal, from a server that sends an answer a second time where
+// the next one is expected. Answers to sidecars name no request.
+func TestSecondAnswerMeetsNoRequest(t *testing.T) {
+	refused := "HTTP/1.1 503 x\r\nContent-Length: 16\r\n\r\n{\"error\":\"full\"}"
+	for name, test := range map[string]struct {
+		newClient func(address string) runner
+		request   *peerpb.RunRequest
+		first     string
+		next      string
+		text      string
+	}{
+		"plain":          {func(address string) runner { return newPlain(address) }, posting(), jsonHead + "Content-Length: 2\r\n\r\n{}", jsonHead + "Content-Length: 3\r\n\r\n{1}", "{1}"},
+		"engine refuses": {func(address string) runner { return newEngine(address) }, generation(), refused, chunked(oneToken, finish, done) + lastChunk, "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t)
+			server.choose = func(onConnection, total int) reply {
+				switch {
+				case total == 1:
+					return reply{text: test.first, keepAlive: true}
+				case onConnection == 1:
+					return reply{text: test.next, keepAlive: true}
+				default:
+					return reply{text: test.first + test.next, keepAlive: true}
+				}
+			}
+			client := test.newClient(server.url())
+			_, _, _, _ = run(client, test.request)
+			text, _, _, err := run(client, test.request)
+			must.NoError(t, err)
+			must.Eq(t, test.text, text)
+		})
+	}
+}
+
 // An engine loses its connection in the middle of a sample. The generation resumes after
 // the tokens received so far, and the sample must contain each token once.
 func TestGenerationIsResumed(t *testing.T) {
--- a/internal/backend/direct_test.go
+++ b/internal/backend/direct_test.go
@@ -107,6 +107,19 @@
 	must.Len(t, 2, server.requests())
 }
 
+// Guards against a posting that net/http repeats when its server closes a reused connection without an answer.
+func TestPostingOnReusedConnectionIsSentOnce(t *testing.T) {
+	server := newFakeServer(t, reply{text: answerTo("r1", servedHead, servedBody), keepAlive: true}, reply{}, reply{text: answerTo("r2", servedHead, servedBody)})
+	direct := newDirect(server)
+	answer, err := post(t, direct, "r1")
+	mustBeServed(t, answer, err)
+	_, err = direct.Do(t.Context(), backend.Request{
+		ID: "r2", Method: http.MethodPost, Target: "/", Header: http.Header{"Idempotency-Key": {"k"}}, Body: []byte("{}"), ReadTimeout: time.Minute,
+	})
+	mustEnd(t, unknown, backend.CodeInterrupted, err)
+	must.Len(t, 2, server.requests())
+}
+
 // Guards against a stalled stream that keeps the read timeout of its first event, and that
 // is reported as an interrupted connection.
 func TestReadTimeoutWithinAnswer(t *testing.T) {
--- a/internal/listen/client.go
+++ b/internal/listen/client.go
@@ -36,6 +36,8 @@
 	TLS *tls.Config
 	// IdleTimeout is how long an unused connection is kept; 0 means 30 s.
 	IdleTimeout time.Duration
+	// OneRequestPerConn closes each connection after one request.
+	OneRequestPerConn bool
 	// WrapConn, if not nil, wraps each new connection.
 	WrapConn func(net.Conn) net.Conn
 }
@@ -64,6 +66,7 @@
 			TLSClientConfig:     options.TLS,
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     options.IdleTimeout,
+			DisableKeepAlives:   options.OneRequestPerConn,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
