forward: log the status of the answer to a resumed stream

Two causes would look the same to callers: a failure of the next server that is taken for the rest of the stream, or a cut that reads as the end of an answer. The log named the server of a resumed stream, but not what it answered.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -90,6 +90,7 @@
 		s.run.request.LastEvent = s.lastEvent
 		answer, err := s.run.send(s.ctx, server)
 		if err == nil {
+			klog.InfoS("route: the resumed stream is answered", "id", s.run.request.ID, "server", server.Name(), "status", answer.StatusCode, "after", s.lastEvent)
 			s.server, s.answer, s.events = server, answer, answer.Events()
 			return true
 		}
