forward: a failure isn't the rest of a resumed stream

A caller can't tell such a stream from a whole one and doesn't ask again.

Cause: after a sampler has crashed in the middle of a stream, stream.resume took any answer of the next sampler for the rest. Direct.Do returns answers with an error status without an error, and an empty body of a 500 reads like the end of a stream whose last event was sent.

The answer to a resumption has to have status 200. Any other one is a failed attempt, as for the first sampler: the next sampler is asked, and without attempts left the response is broken off.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -225,9 +225,7 @@
 		r.request.OnFailed()
 	}
 	if answer.StatusCode >= http.StatusInternalServerError && r.policy.repeatable && r.policy.executions+1 < r.policy.maxAttempts {
-		_ = answer.Body.Close()
-		r.recordAnswer(answer)
-		return nil, refusal.Unknown(http.StatusBadGateway, backend.CodeFailed, "%s answered %d", server.Name(), answer.StatusCode)
+		return nil, r.rejectFailure(server, answer)
 	}
 	result.Body, result.Complete = body, complete
 	if complete {
@@ -238,6 +236,26 @@
 	return result, nil
 }
 
+// checkResumed returns an error unless an answer is the rest of a resumed stream. The body of any other answer may look
+// like the end of the stream.
+func (r *run) checkResumed(server *roster.Server, answer *backend.Answer) error {
+	if answer.StatusCode == http.StatusOK {
+		return nil
+	}
+	if _, _, err := answer.ReadAll(maxBufferedBytes); err != nil {
+		_ = answer.Body.Close()
+		return err
+	}
+	return r.rejectFailure(server, answer)
+}
+
+// rejectFailure returns the error of an attempt whose answer was read and reports a failure.
+func (r *run) rejectFailure(server *roster.Server, answer *backend.Answer) error {
+	_ = answer.Body.Close()
+	r.recordAnswer(answer)
+	return refusal.Unknown(http.StatusBadGateway, backend.CodeFailed, "%s answered %d", server.Name(), answer.StatusCode)
+}
+
 // recordAnswer reports an answer that was read to its end.
 func (r *run) recordAnswer(answer *backend.Answer) {
 	if answer.IsFramed() {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -91,6 +91,9 @@
 		answer, err := s.run.send(s.ctx, server)
 		if err == nil {
 			klog.InfoS("route: the resumed stream is answered", "id", s.run.request.ID, "server", server.Name(), "status", answer.StatusCode, "after", s.lastEvent)
+			err = s.run.checkResumed(server, answer)
+		}
+		if err == nil {
 			s.server, s.answer, s.events = server, answer, answer.Events()
 			return true
 		}
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -246,6 +247,32 @@
 	must.Error(t, g.send(t, http.MethodPost, "/stream/x", "key-acme", "r2", nil).err)
 }
 
+// Guards against a stream that looks complete because the sampler that should continue it fails. The caller must see an
+// error.
+func TestStreamCutByFailedResumption(t *testing.T) {
+	d := newDeployment(t)
+	var mutex sync.Mutex
+	hasRun := map[string]bool{}
+	fault := func(id string, _ int) wiretest.Fault {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if hasRun[id] {
+			return wiretest.FaultFail
+		}
+		hasRun[id] = true
+		return wiretest.FaultTruncate
+	}
+	samplers := []*wiretest.Sampler{d.NewSampler(t, "s1", "lm", "m"), d.NewSampler(t, "s2", "lm", "m")}
+	for _, sampler := range samplers {
+		sampler.SetFault(fault)
+	}
+	g := d.start(t, "g1")
+	got := g.send(t, http.MethodPost, "/stream/x", "key-acme", "r1", nil)
+	must.Error(t, got.err)
+	must.Eq(t, 2, strings.Count(got.body, "data: "))
+	must.Eq(t, 2, samplers[0].Runs("r1")+samplers[1].Runs("r1"))
+}
+
 // A sampler dies while a caller reads its stream. Another sampler must continue the same response
 // after the last event that the caller received.
 func TestStreamResumes(t *testing.T) {
