usage: no window up to the newest reported one is reported again

Cause: the write that creates a window's key has the condition that the key doesn't exist. A reporter that was cut off had sent such a write; its successor closed and reported the window and deleted the key 30 s later; then the cut ended, the condition held again, and the store executed the write. The next reporter found a window that wasn't marked as reported and reported it with the figures of the first one. Neither the absence of a key nor that of its mark proves that a window was never reported.

Windows are reported in order. So no window up to the newest reported one is closed or reported now, whatever the store shows, and that newest one is never deleted. Windows that are created anew are deleted. It needs no further key or call, holds for any delay, and for gateways and entries, which share the reporter. The same belief was false for a reporter whose clock is far behind: it closed windows anew whose keys were deleted.

A reporter now logs each window that it finds not reported, with the term that wrote it and its revision.

Tests: TestDelayedWriteCreatesADeletedWindow and TestClockBehindDeletedWindows fail on the code before, and with each of the two guards taken out.

--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -70,6 +71,11 @@
 // reporter of the window sends the stored figures. A reporter writes its fencing
 // token to the window before it sends, which stops every earlier reporter. Its
 // first report waits until no report of an earlier reporter can be in flight.
+//
+// Windows are reported in order, and the newest reported window is never deleted. No
+// window up to it is closed or reported again, whatever the store shows of it: a write
+// that creates a window may be executed long after its timeout, and creates the window
+// anew if its key has been deleted by then.
 type Reporter struct {
 	Process   string
 	Platform  Platform
@@ -149,7 +155,8 @@
 			return err
 		}
 	}
-	for _, start := range r.dueWindows(r.now()) {
+	now := r.now()
+	for _, start := range r.dueWindows(now) {
 		if err := r.closeAndReport(ctx, start); err != nil {
 			return err
 		}
@@ -157,7 +164,7 @@
 			return nil
 		}
 	}
-	return r.deleteExpired(ctx, r.now())
+	return r.deleteExpired(ctx, now)
 }
 
 func (r *Reporter) now() time.Time {
@@ -173,6 +180,7 @@
 	if err != nil {
 		return err
 	}
+	klog.InfoS("usage: windows listed", "count", len(reply.Values), "revision", reply.Revision, "term", r.term.Fence())
 	windows := map[int64]storedWindow{}
 	for _, value := range reply.Values {
 		window, err := ParseWindow(value)
@@ -185,9 +193,29 @@
 		windows[window.GetStart()] = storedWindow{window: window, revision: value.Revision}
 	}
 	r.windows = windows
+	newest := r.newestReported()
+	for start, stored := range windows {
+		if !stored.window.GetReported() {
+			klog.InfoS("usage: a stored window is not reported", "window", start, "writtenInTerm", stored.window.GetFence(), "revision", stored.revision, "newestReported", newest, "ignored", start < newest)
+		}
+	}
 	return nil
 }
 
+// noWindow is the start of the newest reported window if none is reported.
+const noWindow = math.MinInt64
+
+// newestReported returns the start of the newest window that is marked as reported, or noWindow.
+func (r *Reporter) newestReported() int64 {
+	newest := int64(noWindow)
+	for start, stored := range r.windows {
+		if stored.window.GetReported() {
+			newest = max(newest, start)
+		}
+	}
+	return newest
+}
+
 // checkFence returns an error if a newer reporter wrote the window. If an earlier
 // reporter wrote the window and the platform does not reject late reports of that
 // reporter, checkFence delays the first report.
@@ -217,7 +245,7 @@
 	}
 	oldest := newest - maxCatchUp*length
 	var due []int64
-	for start := max(next, oldest); start <= newest; start += length {
+	for start := max(next, oldest, r.newestReported()+length); start <= newest; start += length {
 		due = append(due, start)
 	}
 	return due
@@ -377,12 +405,12 @@
 	return nil
 }
 
-// deleteExpired deletes reported windows that are too old for late figures.
+// deleteExpired deletes windows before the newest reported one that are too old for late figures.
 func (r *Reporter) deleteExpired(ctx context.Context, now time.Time) error {
 	oldest := now.Add(-max(r.WindowRetention, r.MaxLateness+2*r.Window+2*r.Settle)).Unix()
-	deleted := 0
+	deleted, reported := 0, r.newestReported()
 	for start, stored := range r.windows {
-		if start >= oldest || !stored.window.GetReported() || deleted == maxDeletes {
+		if start >= oldest || start >= reported || deleted == maxDeletes {
 			continue
 		}
 		if err := r.Platform.Delete(ctx, WindowKey(start), stored.revision); err != nil {
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,6 +130,106 @@
 	})
 }
 
+// delayedPlatform holds up the write that creates a window: the reporter gets no answer, and the store executes the
+// write later.
+type delayedPlatform struct {
+	*fleet
+
+	window int64
+	// execute executes the write; nil until the reporter has sent it.
+	execute func() error
+}
+
+func (d *delayedPlatform) CompareAndSwap(ctx context.Context, key string, expect uint64, data []byte, lease uint64) (uint64, error) {
+	if key != usage.WindowKey(d.window) || expect != 0 {
+		return d.fleet.CompareAndSwap(ctx, key, expect, data, lease)
+	}
+	if d.execute == nil {
+		d.execute = func() error {
+			_, err := d.fleet.CompareAndSwap(context.Background(), key, expect, data, lease)
+			return err
+		}
+	}
+	return 0, errUnreachable
+}
+
+// mustReportEachWindowOnce checks that no window was reported with two sets of figures.
+func mustReportEachWindowOnce(t *testing.T, reports []platform.Usage) {
+	t.Helper()
+	known := map[int64][]platform.Figure{}
+	for _, report := range reports {
+		figures, again := known[report.Start]
+		must.True(t, !again || slices.Equal(figures, report.Figures), must.Sprintf("window %d was reported with %v and %v", report.Start, figures, report.Figures))
+		known[report.Start] = report.Figures
+	}
+}
+
+// Guards against a window that is reported again with other figures, because a delayed write creates its key after the
+// window was reported and its key deleted. Windows after it whose keys are deleted must not be reported again either.
+func TestDelayedWriteCreatesADeletedWindow(t *testing.T) {
+	for name, executedAfter := range map[string]time.Duration{
+		"right after the deletion":          80 * time.Minute,
+		"after later windows were deleted":  90 * time.Minute,
+		"long after the deletion":           5 * time.Hour,
+		"before the deletion, without harm": 10 * time.Minute,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newFleet(entry("e1", "a"), entry("e2", "b"))
+				counter := newCounter()
+				window := usage.WindowStart(time.Now(), length)
+				countResponse(fleet, counter, "e1")
+				first := &delayedPlatform{fleet: fleet, window: window}
+				stop := start(t, newReporter(fleet, first, "e1"), 1)
+				time.Sleep(length + 2*settle)
+				stop()
+				must.NotNil(t, first.execute)
+				fleet.ledgers["e2"].Merge(counter.Add("a", "m", time.Unix(window, 0), 1, 1))
+				stop = start(t, newReporter(fleet, fleet, "e2"), 2)
+				time.Sleep(executedAfter)
+				stop()
+				err := first.execute()
+				if executedAfter > time.Hour {
+					must.NoError(t, err)
+				} else {
+					must.Error(t, err)
+				}
+				for term := range 3 {
+					stop = start(t, newReporter(fleet, fleet, "e2"), uint64(3+term))
+					time.Sleep(3 * length)
+					stop()
+				}
+				mustReportEachWindowOnce(t, fleet.receivedReports())
+				_, err = fleet.Get(t.Context(), usage.WindowKey(window))
+				must.Eq(t, executedAfter <= time.Hour, err == nil)
+			})
+		})
+	}
+}
+
+// Guards against a window that is reported again with other figures, because the clock of a new reporter is so far behind
+// that a window whose key is deleted seems to be due.
+func TestClockBehindDeletedWindows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(entry("e1", "a"), entry("e2", "b"))
+		counter := newCounter()
+		stop := start(t, newReporter(fleet, fleet, "e1"), 1)
+		for range 80 {
+			countResponse(fleet, counter, "e1")
+			time.Sleep(length)
+		}
+		stop()
+		const lag = 70 * time.Minute
+		fleet.ledgers["e2"].Merge(counter.Add("a", "m", time.Now().Add(-lag-2*length), 1, 1))
+		behind := newReporter(fleet, fleet, "e2")
+		behind.Now = func() time.Time { return time.Now().Add(-lag) }
+		stop = start(t, behind, 2)
+		time.Sleep(3 * length)
+		stop()
+		mustReportEachWindowOnce(t, fleet.receivedReports())
+	})
+}
+
 // Guards against lost and duplicate reports: the store is unavailable while
 // windows end, and responses of writes and reports are lost before and after.
 func TestReportsThroughOutage(t *testing.T) {
