--- a/internal/backend/direct_test.go
+++ b/internal/backend/direct_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/shoenig/test/must"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
@@ -73,7 +74,9 @@
 					return reply{text: answerTo("r3", servedHead, servedBody), keepAlive: true}
 				}
 			}
+			registry := prometheus.NewRegistry()
 			direct := newDirect(server)
+			direct.Metrics = backend.NewMetrics(registry)
 			_, err := post(t, direct, "r1")
 			mustEnd(t, notRun, first.code, err)
 			_, err = post(t, direct, "r2")
@@ -81,6 +84,12 @@
 			answer, err := post(t, direct, "r3")
 			mustBeServed(t, answer, err)
 			must.Len(t, 3, server.requests())
+			families, err := registry.Gather()
+			must.NoError(t, err)
+			must.Len(t, 1, families)
+			counter := families[0].GetMetric()[0]
+			must.Eq(t, "not_run", counter.GetLabel()[0].GetValue())
+			must.Eq(t, 1, counter.GetCounter().GetValue())
 		})
 	}
 }
