listentest: no address is in use while the first process is started

Cause: FreeAddress listens on an address to check it, and holds ForkLock meanwhile, so that no child process gets a copy of the listener. Package os, at the first start of a process, checks once how it can start processes, and forks for that without ForkLock. A listener that FreeAddress closes at that moment lives on in the child for some microseconds, and the server that listens next fails.

--- a/internal/listen/listentest/address.go
+++ b/internal/listen/listentest/address.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -62,9 +63,14 @@
 	return (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 }
 
+// checkProcessStart makes package os check how it can start processes, which it does once. The check forks without
+// ForkLock.
+var checkProcessStart = sync.OnceFunc(func() { _, _ = os.FindProcess(os.Getpid()) })
+
 // isFree reports whether no process listens on an address. It holds ForkLock: a child process holds
 // a copy of every open file from its fork to its exec, so the address would stay in use after Close.
 func isFree(address string) bool {
+	checkProcessStart()
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
 	listener, err := listen(address)
--- a/internal/listen/listentest/address_test.go
+++ b/internal/listen/listentest/address_test.go
@@ -71,3 +71,48 @@
 	}
 	must.NoError(t, ports.locks[0].Close())
 }
+
+// helperEnv makes a child process of the test binary run TestFirstProcessStartHelper.
+const helperEnv = "LISTENTEST_FIRST_START"
+
+// Guards against an address that is still in use when FreeAddress returns it, because the test program starts its first
+// process at that moment: package os then forks without ForkLock. It does so once, so each try is a process of its own.
+func TestAddressIsFreeDuringFirstProcessStart(t *testing.T) {
+	const tries = 25
+	for range tries {
+		helper := exec.CommandContext(t.Context(), os.Args[0], "-test.run=^TestFirstProcessStartHelper$") //nolint:gosec // runs the test binary itself
+		// The race detector would delay the end of each process by a second.
+		helper.Env = append(os.Environ(), helperEnv+"=1", "GORACE=atexit_sleep_ms=0")
+		output, err := helper.CombinedOutput()
+		must.NoError(t, err, must.Sprint(string(output)))
+	}
+}
+
+// TestFirstProcessStartHelper allocates addresses and listens on them while the process starts its first child.
+func TestFirstProcessStartHelper(t *testing.T) {
+	if os.Getenv(helperEnv) == "" {
+		t.Log("only runs in a child process of TestAddressIsFreeDuringFirstProcessStart")
+		return
+	}
+	const goroutines, addresses = 8, 24
+	allocated := make(chan struct{}, goroutines*addresses)
+	var servers sync.WaitGroup
+	for range goroutines {
+		servers.Go(func() {
+			for range addresses {
+				listener, err := listen(FreeAddress(t))
+				allocated <- struct{}{}
+				if err != nil {
+					t.Error(err)
+					continue
+				}
+				_ = listener.Close()
+			}
+		})
+	}
+	for range goroutines {
+		<-allocated
+	}
+	_ = exec.CommandContext(t.Context(), os.Args[0], "-test.run=^$").Run() //nolint:gosec // runs the test binary itself
+	servers.Wait()
+}
