--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -74,7 +74,6 @@
 	trace    *connectionTrace
 }
 
-// closeConnection closes the connection of the response.
 func (r *watchedResponse) closeConnection() { r.trace.close() }
 
 // call is one request to the backend server.
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 )
 
-// maxRecentRequests is how many requests a connection remembers. A late second answer arrives where the answer to the
-// next request is expected.
+// maxRecentRequests is how many requests a connection remembers. Only the latest one can be answered a second time where
+// the next answer is expected; the others allow for a server that sends second answers later.
 const maxRecentRequests = 8
 
 // tracedConn is a connection that counts the bytes that may have been sent, and remembers its latest requests.
@@ -90,7 +90,6 @@
 	return t.rejected
 }
 
-// close closes the connections of the request.
 func (t *connectionTrace) close() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -55,28 +55,31 @@
 				lastAttempt := resumable
 				lastAttempt.MaxAttempts = 2
 				s := newService(t, sendPart(firstEvent, crash), failure, reply(http.StatusOK, secondEvent))
-				answer, err := s.run(t.Context(), lastAttempt)
-				must.NoError(t, err)
-				text, err := readEvents(answer)
-				answer.Finish()
+				text, err := readStream(t, s, lastAttempt)
 				must.Error(t, err)
 				must.Eq(t, firstEvent, text)
 				s.mustSend(2)
-				s.mustHaveFreeSlots()
 			})
 		})
 	}
 }
 
-// mustReadStream checks that a stream of three attempts is whole.
-func mustReadStream(t *testing.T, s *service, route table.Route, want string) {
+// readStream sends the request and returns the events of its answer and how it ended.
+func readStream(t *testing.T, s *service, route table.Route) (string, error) {
 	t.Helper()
 	answer, err := s.run(t.Context(), route)
 	must.NoError(t, err)
 	text, err := readEvents(answer)
 	answer.Finish()
+	s.mustHaveFreeSlots()
+	return text, err
+}
+
+// mustReadStream checks that a stream of three attempts is whole.
+func mustReadStream(t *testing.T, s *service, route table.Route, want string) {
+	t.Helper()
+	text, err := readStream(t, s, route)
 	must.NoError(t, err)
 	must.Eq(t, want, text)
 	s.mustSend(3)
-	s.mustHaveFreeSlots()
 }
