--- a/review/standin-2/cases_test.go
+++ b/review/standin-2/cases_test.go
@@ -286,7 +286,7 @@
 	const limit = 12 * time.Second
 	d := newDeployment()
 	d.configure(nil)
-	lm, _ := d.newServers(4, 8)
+	lm, _ := d.newServers(9, 8)
 	var mutex sync.Mutex
 	last := map[string]time.Time{}
 	for _, s := range lm {
@@ -299,21 +299,20 @@
 		}
 	}
 	d.start()
-	b := newBatch("7c41e09b52d6a3f8", 4, 8, 4)
+	b := newBatch("7c41e09b52d6a3f8", 30, 4, 30)
 	random := rand.New(rand.NewSource(time.Now().UnixNano()))
 	d.submit(b)
 	accepted := time.Now()
 	lastReset := accepted
 	if isTroubled {
-		time.Sleep(200 * time.Millisecond)
-		for time.Since(accepted) < 3900*time.Millisecond {
+		for after := 300; after <= 3900; after += 200 {
+			time.Sleep(time.Until(accepted.Add(time.Duration(after) * time.Millisecond)))
 			count := 0
 			for _, s := range lm {
 				count += s.reset(func() bool { return random.Float64() < 0.55 })
 			}
 			lastReset = time.Now()
 			record.log("%d channels to samplers are reset", count)
-			time.Sleep(200 * time.Millisecond)
 		}
 	}
 	done := map[string]bool{}
