mirror: log what a complete list contains

A gateway whose watch has lost its place lists all values. The line now names the revision before, the list's revision, its values, and how many known keys it lacks.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -249,7 +249,9 @@
 
 // applyList applies a list of all values.
 func (m *Mirror) applyList(list platform.ListReply, confirmed confirmation) {
-	m.apply(append(m.history.missing(list), list.Values...))
+	missing := m.history.missing(list)
+	klog.InfoS("mirror: listed all values", "prefix", m.Prefix, "revision", list.Revision, "after", m.revision, "values", len(list.Values), "missing", len(missing))
+	m.apply(append(missing, list.Values...))
 	m.revision = max(m.revision, list.Revision)
 	m.history.reset(m.revision, confirmed)
 	m.isListed = true
