batch: a batch ends although the watch has never shown it

Cause: the owner takes a batch as open from the answer to its own write, and its end from the watch. After a 410 the local copy lists all keys and reports as removed those that it knew. It had never known this one: created and removed while the watch heard nothing.

Ruled out: a stale list (its revision is newer than the end) and an end that was overtaken by the answer to the write (no "batch: ended" in the log). The latter is possible too, as a test shows, in the acceptance and in a handover.

Now the board remembers the keys that it knows from its own writes alone. A complete list that is newer than such a write and lacks the key proves the removal. An answer that comes after the end doesn't open the batch, and a claim is conditional on the open key. The same holds for owner keys: one that was written and lost in that second left a batch that nobody claimed.

The board's tests now use the mirror in place of a watch that never lists.

--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -119,7 +119,13 @@
 	// keys of open batches.
 	ownerRevisions map[string]uint64
 	openRevisions  map[string]uint64
-	claiming       map[string]bool
+	// unshown maps the owner keys and the keys of open batches that are known only from answers to
+	// writes of this process, and not from the watch yet, to the revisions of the writes. listed is
+	// the revision of the newest complete list; isListed reports whether there was one.
+	unshown  map[string]uint64
+	listed   uint64
+	isListed bool
+	claiming map[string]bool
 	// stored maps each batch in the store, open or ended, to the time when this process first saw
 	// it; accounts maps each of them to its account. removing holds the batches that this process
 	// is deleting from the store.
@@ -223,6 +229,7 @@
 	b.owners = map[string]string{}
 	b.ownerRevisions = map[string]uint64{}
 	b.unowned = map[string]unownedBatch{}
+	b.unshown = map[string]uint64{}
 	b.claiming = map[string]bool{}
 	b.stored = map[string]clock.Boot{}
 	b.accounts = map[string]string{}
--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/wait"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/duty"
+	"github.com/bramleyhatch/bramleyhatch/internal/mirror"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform/platformtest"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
@@ -129,16 +130,8 @@
 }
 
 func (p *process) watch(ctx context.Context, store *platformtest.Store) {
-	var revision uint64
-	for ctx.Err() == nil {
-		reply, err := store.Watch(ctx, Prefix, revision, 20*time.Millisecond)
-		if err != nil {
-			time.Sleep(time.Millisecond)
-			continue
-		}
-		revision = max(revision, reply.Revision)
-		p.ApplyChanges(reply.Values)
-	}
+	watch := mirror.Mirror{Store: store, Prefix: Prefix, Wait: 20 * time.Millisecond, OnChanges: p.ApplyChanges, OnListed: p.MarkListed}
+	_ = watch.Run(ctx)
 }
 
 // AcceptOwn accepts a batch with p as its owner, whichever processes are preferred.
--- a/internal/batch/changes.go
+++ b/internal/batch/changes.go
@@ -15,6 +15,11 @@
 func (b *Board) ApplyChanges(changes []platform.Value) {
 	b.lock()
 	defer b.mutex.Unlock()
+	b.applyChanges(changes)
+}
+
+// applyChanges is ApplyChanges for callers that hold the mutex.
+func (b *Board) applyChanges(changes []platform.Value) {
 	for _, change := range changes {
 		if id, ok := strings.CutPrefix(change.Key, PrefixOpen); ok {
 			b.applyOpen(id, change)
@@ -31,6 +36,7 @@
 }
 
 func (b *Board) applyOpen(id string, change platform.Value) {
+	delete(b.unshown, openKey(id))
 	if !change.Deleted {
 		b.open[id] = true
 		b.openRevisions[id] = change.Revision
@@ -40,17 +46,25 @@
 		b.resume(id)
 		return
 	}
-	b.ended[id] = b.open[id] || b.ended[id]
+	b.ended[id] = b.open[id] || b.ended[id] || b.stored[id] != 0
 	delete(b.open, id)
 	delete(b.openRevisions, id)
 	delete(b.unowned, id)
-	if owned := b.owned[id]; owned != nil && !owned.ended {
-		klog.InfoS("batch: ended", "batch", id)
-		owned.ended = true
-		owned.end()
-		b.endEarlyRun(owned)
-		b.startTask(func() { b.Keeper.Drop(b.ctx, id) })
+	b.endOwned(id)
+}
+
+// endOwned ends the runs of a batch that has ended, if this process owns it. The mutex must be
+// held.
+func (b *Board) endOwned(id string) {
+	owned := b.owned[id]
+	if owned == nil || owned.ended {
+		return
 	}
+	klog.InfoS("batch: ended", "batch", id)
+	owned.ended = true
+	owned.end()
+	b.endEarlyRun(owned)
+	b.startTask(func() { b.Keeper.Drop(b.ctx, id) })
 }
 
 // applyStored records whether the store holds any key of a batch. Once the store holds none, the
@@ -61,6 +75,8 @@
 		delete(b.accounts, id)
 		delete(b.ended, id)
 		delete(b.ownerRevisions, id)
+		delete(b.unshown, openKey(id))
+		delete(b.unshown, ownerKey(id))
 		return
 	}
 	b.accounts[id] = string(change.Data)
@@ -70,7 +86,11 @@
 }
 
 func (b *Board) applyOwner(id, process string, change platform.Value) {
+	if change.Revision < b.ownerRevisions[id] {
+		return
+	}
 	b.ownerRevisions[id] = change.Revision
+	delete(b.unshown, ownerKey(id))
 	if change.Deleted {
 		if b.open[id] {
 			b.unowned[id] = unownedBatch{since: clock.Now(), lastOwner: b.owners[id]}
--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -61,9 +61,14 @@
 // claim makes this process the owner of a batch that has none.
 func (b *Board) claim(ctx context.Context, id string) {
 	b.lock()
-	owned := b.owned[id]
+	owned, open := b.owned[id], b.openRevisions[id]
 	b.mutex.Unlock()
-	ownership, err := b.writeOwner(ctx, id, claimConditions(id, owned)...)
+	if open == 0 {
+		b.release(id) // It has ended since it became claimable.
+		return
+	}
+	ownership, err := b.writeOwner(ctx, id, claimConditions(id, open, owned)...)
+	b.applyConflict(id, err)
 	var conflict *platform.ConflictError
 	if owned != nil && errors.As(err, &conflict) && hasChunk(conflict, id) {
 		klog.InfoS("batch: evicted because another owner has listed more outcomes", "batch", id)
@@ -81,21 +86,21 @@
 		b.lock()
 		b.endEarlyRun(owned)
 		delete(b.claiming, id)
-		delete(b.unowned, id)
+		b.recordOwner(id, ownership)
 		b.mutex.Unlock()
 		return
 	}
 	b.adopt(ctx, id, ownership)
 }
 
-// claimConditions returns the conditions under which the store commits a claim: the batch has no
-// owner and, if this process owned it before, no other process has listed outcomes since.
+// claimConditions returns the conditions under which the store commits a claim: the batch is open,
+// has no owner and, if this process owned it before, no other process has listed outcomes since.
 //
 // While this process could not reach the store, another process may have owned the batch, listed
 // outcomes and died. Under the first condition alone, this process would list its own outcomes at
 // positions where clients have already read different ones.
-func claimConditions(id string, owned *ownedBatch) []platform.Expect {
-	expect := []platform.Expect{{Key: ownerKey(id)}}
+func claimConditions(id string, open uint64, owned *ownedBatch) []platform.Expect {
+	expect := []platform.Expect{{Key: ownerKey(id)}, {Key: openKey(id), Revision: open}}
 	if owned != nil {
 		expect = append(expect, platform.Expect{Key: chunkKey(id, owned.ledger.nextPosition())})
 	}
@@ -157,16 +162,18 @@
 // chunk expects the former revision of the owner key, so a new revision makes it fail. The
 // rewritten key also expires with the lease of this process instead of the previous one's.
 func (b *Board) reclaim(ctx context.Context, id string, revision uint64) {
+	open := b.openRevision(id)
 	for ctx.Err() == nil && b.ownsAt(id, revision) {
 		if b.Lease() == 0 {
 			pause.For(ctx, leasePollInterval)
 			continue
 		}
-		ownership, err := b.writeOwner(ctx, id, platform.Expect{Key: ownerKey(id), Revision: revision})
+		ownership, err := b.writeOwner(ctx, id, platform.Expect{Key: ownerKey(id), Revision: revision}, platform.Expect{Key: openKey(id), Revision: open})
 		if err == nil {
 			b.adopt(ctx, id, ownership)
 			return
 		}
+		b.applyConflict(id, err)
 		klog.InfoS("batch: rewriting the owner key failed", "batch", id, "owner", revision, "err", err.Error())
 		pause.For(ctx, claimStagger)
 	}
@@ -197,6 +204,7 @@
 		return
 	}
 	klog.InfoS("batch: taken over", "batch", id, "owner", ownership.Revision, "listed", len(listed), "partly", len(partials))
+	b.recordOwner(id, ownership)
 	delete(b.unowned, id)
 	b.metrics.takeovers.Inc()
 	b.start(Handover{Batch: batch, Ownership: ownership, Listed: listed, Partials: partials}, clock.Now())
@@ -212,6 +220,26 @@
 	}
 }
 
+// openRevision returns the revision of the key that marks a batch as open; 0 if the batch is not
+// known to be open.
+func (b *Board) openRevision(id string) uint64 {
+	b.lock()
+	defer b.mutex.Unlock()
+	return b.openRevisions[id]
+}
+
+// applyConflict ends a batch if a rejected write that expected it to be open shows that it isn't.
+func (b *Board) applyConflict(id string, err error) {
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) || !conflict.Lacks(openKey(id)) {
+		return
+	}
+	klog.InfoS("batch: not claimed because it has ended", "batch", id)
+	b.lock()
+	defer b.mutex.Unlock()
+	b.applyOpen(id, platform.Value{Key: openKey(id), Deleted: true})
+}
+
 // ownsAt reports whether the batch is open and its owner key is not known to have changed since
 // a revision.
 func (b *Board) ownsAt(id string, revision uint64) bool {
--- a/internal/batch/drain.go
+++ b/internal/batch/drain.go
@@ -239,11 +239,11 @@
 	defer b.mutex.Unlock()
 	klog.InfoS("batch: taken from its owner", "batch", id, "owner", ownership.Revision, "listed", len(state.Listed), "pending", len(state.Pending), "partly", len(state.Partials))
 	b.metrics.takeovers.Inc()
-	b.open[id] = true
+	if !b.recordOpen(id, ownership.Revision) {
+		return true, nil
+	}
 	b.openRevisions[id] = state.OpenRevision
-	b.owners[id] = b.Process
-	b.ownerRevisions[id] = ownership.Revision
-	delete(b.unowned, id)
+	b.recordOwner(id, ownership)
 	state.Ownership = ownership
 	b.start(state, clock.Now())
 	return true, nil
--- a/internal/batch/earlyrun.go
+++ b/internal/batch/earlyrun.go
@@ -159,9 +159,10 @@
 		return
 	}
 	b.metrics.accepted.Inc()
-	b.open[id] = true
-	b.owners[id] = b.Process
-	b.ownerRevisions[id] = ownership.Revision
+	if !b.recordOpen(id, ownership.Revision) {
+		return
+	}
+	b.recordOwner(id, ownership)
 	if owned == nil {
 		b.start(Handover{Batch: batch, Ownership: ownership}, clock.Now())
 		return
--- /dev/null
+++ b/internal/batch/ownwrites_test.go
@@ -0,0 +1,172 @@
+package batch
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform/platformtest"
+)
+
+// mustRunUntilCompacted checks that a process runs a batch until the store drops its history.
+func mustRunUntilCompacted(t *testing.T, p *process, store *platformtest.Store) {
+	t.Helper()
+	p.mutex.Lock()
+	owned := p.owned["b1"]
+	p.mutex.Unlock()
+	must.NotNil(t, owned)
+	time.Sleep(2 * claimPollInterval)
+	must.False(t, owned.isEnded())
+	store.Compact()
+	store.SetWatchesSilent(false)
+	await(t, owned.isEnded)
+}
+
+func commit(t *testing.T, store *platformtest.Store, commit platform.Commit) uint64 {
+	t.Helper()
+	revision, err := store.Commit(t.Context(), commit)
+	must.NoError(t, err)
+	return revision
+}
+
+// Guards against a batch that runs on after its end: it was accepted and ended while the watches
+// heard nothing, and no change reports the removal of a key that the watch has never shown.
+func TestEndWithinDroppedHistory(t *testing.T) {
+	t.Run("of an accepted batch", func(t *testing.T) {
+		store := &platformtest.Store{}
+		first, second := startProcess(t, store, "g1", "g1"), startProcess(t, store, "g2", "g2")
+		awaitListed(t, first)
+		store.SetWatchesSilent(true)
+		must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10, 20)))
+		must.NoError(t, second.End(t.Context(), "b1", ""))
+		mustRunUntilCompacted(t, first, store)
+	})
+	t.Run("of a batch that was handed over", func(t *testing.T) {
+		store, first, second := setUpDrain(t)
+		store.SetWatchesSilent(true)
+		first.Drain(t.Context())
+		must.NoError(t, first.End(t.Context(), "b1", ""))
+		mustRunUntilCompacted(t, second, store)
+	})
+}
+
+// Guards against a batch without an owner that no process claims: its owner key was written and
+// removed while the watches heard nothing.
+func TestOwnerKeyLostWithinDroppedHistory(t *testing.T) {
+	store := &platformtest.Store{}
+	p := startProcess(t, store, "g1", "g1")
+	awaitListed(t, p)
+	store.SetWatchesSilent(true)
+	must.NoError(t, p.AcceptOwn(t.Context(), newBatch(10, 20)))
+	accepted := p.owned["b1"].ledger.currentOwnership().Revision
+	commit(t, store, platform.Commit{Remove: []string{ownerKey("b1")}})
+	store.Compact()
+	store.SetWatchesSilent(false)
+	await(t, func() bool { return p.owned["b1"].ledger.currentOwnership().Revision > accepted })
+}
+
+// heldStore holds back answers to writes of owner keys.
+type heldStore struct {
+	*platformtest.Store
+
+	// committed is closed once a write was executed, and release delivers its answer.
+	committed, release chan struct{}
+}
+
+func (h *heldStore) Commit(ctx context.Context, commit platform.Commit) (uint64, error) {
+	revision, err := h.Store.Commit(ctx, commit)
+	if slices.ContainsFunc(commit.Writes, func(write platform.Write) bool { return strings.HasPrefix(write.Key, prefixOwner) }) {
+		close(h.committed)
+		<-h.release
+	}
+	return revision, err
+}
+
+// Guards against a batch that starts after its end: the watch shows the end before the answer to
+// the write that accepts the batch, or takes it over, arrives.
+func TestEndOvertakesAnswer(t *testing.T) {
+	hold := func(p *process, store *platformtest.Store) *heldStore {
+		held := &heldStore{Store: store, committed: make(chan struct{}), release: make(chan struct{})}
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		p.Store = held
+		return held
+	}
+	end := func(t *testing.T, p *process, store *platformtest.Store) {
+		t.Helper()
+		commit(t, store, platform.Commit{Remove: []string{openKey("b1")}})
+		await(t, func() bool {
+			p.mutex.Lock()
+			defer p.mutex.Unlock()
+			return p.ended["b1"]
+		})
+	}
+	mustNotRun := func(t *testing.T, p *process) {
+		t.Helper()
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		owned := p.owned["b1"]
+		must.True(t, owned == nil || owned.isEnded())
+		must.False(t, p.open["b1"])
+	}
+	t.Run("to an acceptance", func(t *testing.T) {
+		store := &platformtest.Store{}
+		p := startProcess(t, store, "g1", "g1")
+		awaitListed(t, p)
+		held := hold(p, store)
+		accepted := make(chan error, 1)
+		go func() { accepted <- p.AcceptOwn(context.Background(), newBatch(10, 20)) }()
+		<-held.committed
+		end(t, p, store)
+		close(held.release)
+		must.NoError(t, <-accepted)
+		mustNotRun(t, p)
+	})
+	t.Run("to a handover", func(t *testing.T) {
+		store, first, second := setUpDrain(t)
+		held := hold(second, store)
+		drained := make(chan struct{})
+		go func() {
+			first.Drain(context.Background())
+			close(drained)
+		}()
+		<-held.committed
+		end(t, second, store)
+		close(held.release)
+		<-drained
+		mustNotRun(t, second)
+	})
+}
+
+// Guards against a batch that is claimed after its end, which the watch has not shown yet.
+func TestEndedBatchIsNotClaimed(t *testing.T) {
+	store := &platformtest.Store{}
+	first, second := startProcess(t, store, "g1", "g1"), startProcess(t, store, "g2", "g2")
+	must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10, 20)))
+	await(t, func() bool { return second.Owner("b1") == "g1" })
+	store.SetWatchesSilent(true)
+	first.stop()
+	commit(t, store, platform.Commit{Remove: []string{openKey("b1"), ownerKey("b1")}})
+	second.ApplyChanges([]platform.Value{{Key: ownerKey("b1"), Revision: second.ownerRevisions["b1"] + 1, Deleted: true}})
+	await(t, func() bool {
+		second.mutex.Lock()
+		defer second.mutex.Unlock()
+		return second.ended["b1"]
+	})
+	must.False(t, second.ownsBatch())
+}
+
+// awaitListed waits until a process has read the watched keys.
+func awaitListed(t *testing.T, p *process) {
+	t.Helper()
+	await(t, func() bool {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		return p.isListed
+	})
+}
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -209,9 +209,9 @@
 	g.operator = &mirror.Mirror{Store: g.store, Prefix: platform.PrefixOperator, Wait: wait, OnChanges: g.applyOperator}
 	servers := &mirror.Mirror{
 		Store: g.store, Prefix: platform.PrefixServer, Wait: wait, OnChanges: g.applyServers, Pause: registrationWatchDelay,
-		OnListed: g.roster.MarkListed, OnLost: g.roster.RecordStoreLost, OnRegained: g.roster.RecordStoreRegained,
+		OnListed: func(uint64) { g.roster.MarkListed() }, OnLost: g.roster.RecordStoreLost, OnRegained: g.roster.RecordStoreRegained,
 	}
-	shared := &mirror.Mirror{Store: g.store, Prefix: batch.Prefix, Wait: wait, OnChanges: g.applySharedKeys, Pause: sharedKeysWatchDelay, OnListed: g.hosts.MarkListed, OnUpToDate: g.cold.markCurrent}
+	shared := &mirror.Mirror{Store: g.store, Prefix: batch.Prefix, Wait: wait, OnChanges: g.applySharedKeys, Pause: sharedKeysWatchDelay, OnListed: g.markSharedKeysListed, OnUpToDate: g.cold.markCurrent}
 	g.session.IsStoreLost = shared.IsStoreLost
 	for name, m := range map[string]*mirror.Mirror{"operator": g.operator, "servers": servers, "live": shared} {
 		m.Follow, m.IsWatcher = g.hosts.Follow, g.hosts.IsWatcher
@@ -230,6 +230,12 @@
 	applySteps(&g.steps, changes)
 }
 
+// markSharedKeysListed processes the end of a complete list of the keys that gateways share through the store.
+func (g *Gateway) markSharedKeysListed(revision uint64) {
+	g.hosts.MarkListed()
+	g.board.MarkListed(revision)
+}
+
 // applySteps updates the steps from changes of the open batches' keys.
 func applySteps(steps *weight.Steps, changes []store.Value) {
 	for _, change := range changes {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -70,9 +70,9 @@
 	Wait time.Duration
 	// OnChanges is called with the changes, in the order of the store's revisions.
 	OnChanges func(changes []platform.Value)
-	// OnListed is called after OnChanges has received a complete list, and known values
-	// that are missing from the list as deleted; nil is allowed.
-	OnListed func()
+	// OnListed is called with the revision of a complete list after OnChanges has received
+	// it, and known values that are missing from the list as deleted; nil is allowed.
+	OnListed func(revision uint64)
 	// Follow waits for changes after a revision that another process has received; after
 	// revision 0, for all values. If Follow is nil, this process always watches the store
 	// itself.
@@ -256,7 +256,7 @@
 	m.history.reset(m.revision, confirmed)
 	m.isListed = true
 	if m.OnListed != nil {
-		m.OnListed()
+		m.OnListed(list.Revision)
 	}
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -27,7 +27,7 @@
 	// Revision is the current revision of the key.
 	Revision uint64
 	// Current holds the current values of the keys in a commit's expectations, if
-	// the store returns them; keys that don't exist are omitted.
+	// the store returns them, else nil; keys that don't exist are omitted.
 	Current []Value
 }
 
@@ -42,6 +42,13 @@
 	return Value{}, false
 }
 
+// Lacks reports whether the store returned the current values of the commit's keys and this key
+// doesn't exist.
+func (e *ConflictError) Lacks(key string) bool {
+	_, exists := e.Find(key)
+	return e.Current != nil && !exists
+}
+
 // CompactedError reports that the store no longer has the changes since a revision.
 type CompactedError struct {
 	Prefix string
--- a/internal/platform/platformtest/store.go
+++ b/internal/platform/platformtest/store.go
@@ -63,7 +63,7 @@
 // checkExpectations returns a *platform.ConflictError with the current values if a key doesn't have
 // the revision that the commit expects.
 func (s *Store) checkExpectations(commit platform.Commit) error {
-	conflict := &platform.ConflictError{}
+	conflict := &platform.ConflictError{Current: []platform.Value{}}
 	for _, expect := range commit.Expect {
 		if current := s.values[expect.Key]; current.Revision != expect.Revision && conflict.Key == "" {
 			conflict.Key, conflict.Revision = expect.Key, current.Revision
