batch: a batch that the store already holds doesn't run early

Cause: an early run relies on what this start of the process has seen. A batch that it hasn't seen open or ended was taken for a new one, although the watched keys showed that the store holds it. The conflict, which proves that it isn't new, was taken for a success, and the early run went on for 10 s.

Ruled out: an adoption from the store ("taken over" isn't in the log; "started before the store holds it" is).

Now a batch whose key the watch has shown never starts early, nor does any before the first list. The write of a batch expects that its stored, open and owner keys don't exist, so that a conflict shows all three at one revision; if the batch has ended or has another owner, its early run stops at once.

The tests' processes now wait for their first list, as gateways do before they are ready.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -113,7 +113,7 @@
 func (b *Board) isAccepted(id string) bool {
 	b.lock()
 	defer b.mutex.Unlock()
-	return b.open[id] || b.owned[id] != nil && b.earlyRunLocked(id) == nil
+	return b.isKnown(id) || b.owned[id] != nil && b.earlyRunLocked(id) == nil
 }
 
 func (b *Board) commitBatch(ctx context.Context, batch *statepb.Batch) error {
@@ -143,7 +143,7 @@
 		defer b.release(id)
 	}
 	revision, err := b.Store.Commit(ctx, platform.Commit{
-		Expect: []platform.Expect{{Key: bulkKey(id)}},
+		Expect: []platform.Expect{{Key: storedKey(id)}, {Key: openKey(id)}, {Key: ownerKey(id)}},
 		Writes: []platform.Write{
 			{Key: bulkKey(id), Data: data},
 			{Key: openKey(id), Data: open},
@@ -153,7 +153,7 @@
 	})
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
-		klog.InfoS("batch: already accepted", "batch", id)
+		b.applyAccepted(id, conflict)
 		return nil
 	}
 	var missing *platform.NotFoundError
@@ -170,6 +170,9 @@
 	return nil
 }
 
+// isKnown reports whether the store is known to hold a batch, open or ended. The mutex must be held.
+func (b *Board) isKnown(id string) bool { return b.open[id] || b.ended[id] || b.stored[id] != 0 }
+
 func (b *Board) hasDrainStarted() bool {
 	b.lock()
 	defer b.mutex.Unlock()
--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -126,9 +126,20 @@
 		ended.Wait()
 	}
 	t.Cleanup(p.stop)
+	awaitListed(t, p)
 	return p
 }
 
+// awaitListed waits until a process has listed the watched keys.
+func awaitListed(t *testing.T, p *process) {
+	t.Helper()
+	await(t, func() bool {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		return p.isListed
+	})
+}
+
 func (p *process) watch(ctx context.Context, store *platformtest.Store) {
 	watch := mirror.Mirror{Store: store, Prefix: Prefix, Wait: 20 * time.Millisecond, OnChanges: p.ApplyChanges, OnListed: p.MarkListed}
 	_ = watch.Run(ctx)
--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -234,7 +234,7 @@
 	if !errors.As(err, &conflict) || !conflict.Lacks(openKey(id)) {
 		return
 	}
-	klog.InfoS("batch: not claimed because it has ended", "batch", id)
+	klog.InfoS("batch: the store holds it as ended", "batch", id)
 	b.lock()
 	defer b.mutex.Unlock()
 	b.applyOpen(id, platform.Value{Key: openKey(id), Deleted: true})
--- a/internal/batch/earlyrun.go
+++ b/internal/batch/earlyrun.go
@@ -10,6 +10,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
@@ -51,6 +52,8 @@
 	// done is closed once the store is known to hold the batch, or the batch is given up.
 	done   chan struct{}
 	isDone bool
+	// isStored reports whether the store held the batch when a write of this process was rejected.
+	isStored bool
 }
 
 // await waits until the early run or the context ends.
@@ -72,11 +75,14 @@
 func (b *Board) rankedOwners(model string) []string { return b.Candidates("model/" + model) }
 
 // startEarly starts a batch that the store is not known to hold.
+//
+// Trainers send batches again, also after they have ended them. Before the first list of the
+// watched keys, a process can't tell such a batch from a new one.
 func (b *Board) startEarly(batch *statepb.Batch) {
 	b.lock()
 	defer b.mutex.Unlock()
 	id := batch.GetId()
-	if b.owned[id] != nil || b.open[id] || b.ended[id] || b.isDraining {
+	if b.owned[id] != nil || b.isKnown(id) || !b.isListed || b.isDraining {
 		return
 	}
 	klog.InfoS("batch: started before the store holds it", "batch", id, "step", batch.GetStep(), "model", batch.GetModel(), "items", len(batch.GetItems()))
@@ -118,6 +124,33 @@
 	}
 }
 
+// applyAccepted applies what a rejected write of a batch shows of the batch, which the store already
+// holds. An early run ends unless the batch is open and may be this process's: the batch has ended,
+// or another process runs it.
+func (b *Board) applyAccepted(id string, conflict *platform.ConflictError) {
+	hasEnded := conflict.Lacks(openKey(id))
+	key, _ := conflict.Find(ownerKey(id))
+	_, process, _ := ParseOwner(key)
+	klog.InfoS("batch: already accepted", "batch", id, "ended", hasEnded, "owner", process)
+	b.lock()
+	defer b.mutex.Unlock()
+	owned, early := b.owned[id], b.earlyRunLocked(id)
+	if hasEnded {
+		b.applyOpen(id, platform.Value{Key: openKey(id), Deleted: true})
+	}
+	if early == nil {
+		return
+	}
+	early.isStored = true
+	if !hasEnded && (process == "" || process == b.Process) {
+		return
+	}
+	klog.InfoS("batch: early run stopped", "batch", id, "ended", hasEnded, "owner", process)
+	owned.cancel()
+	b.endEarlyRun(owned)
+	b.startTask(func() { b.reload(id, owned) })
+}
+
 // isCommitting reports whether a write of the batch is in flight. A second write would compete
 // with it for the link.
 func (b *Board) isCommitting(id string) bool {
@@ -175,7 +208,10 @@
 // store holds the batch.
 func (b *Board) awaitEarly(ctx context.Context, early *earlyRun, id string) error {
 	early.await(ctx)
-	if b.isAccepted(id) {
+	b.lock()
+	isStored := early.isStored
+	b.mutex.Unlock()
+	if isStored || b.isAccepted(id) {
 		return nil
 	}
 	return errCommitUnknown()
--- a/internal/batch/ownwrites_test.go
+++ b/internal/batch/ownwrites_test.go
@@ -40,7 +40,6 @@
 	t.Run("of an accepted batch", func(t *testing.T) {
 		store := &platformtest.Store{}
 		first, second := startProcess(t, store, "g1", "g1"), startProcess(t, store, "g2", "g2")
-		awaitListed(t, first)
 		store.SetWatchesSilent(true)
 		must.NoError(t, first.AcceptOwn(t.Context(), newBatch(10, 20)))
 		must.NoError(t, second.End(t.Context(), "b1", ""))
@@ -60,7 +59,6 @@
 func TestOwnerKeyLostWithinDroppedHistory(t *testing.T) {
 	store := &platformtest.Store{}
 	p := startProcess(t, store, "g1", "g1")
-	awaitListed(t, p)
 	store.SetWatchesSilent(true)
 	must.NoError(t, p.AcceptOwn(t.Context(), newBatch(10, 20)))
 	accepted := p.owned["b1"].ledger.currentOwnership().Revision
@@ -117,7 +115,6 @@
 	t.Run("to an acceptance", func(t *testing.T) {
 		store := &platformtest.Store{}
 		p := startProcess(t, store, "g1", "g1")
-		awaitListed(t, p)
 		held := hold(p, store)
 		accepted := make(chan error, 1)
 		go func() { accepted <- p.AcceptOwn(context.Background(), newBatch(10, 20)) }()
@@ -160,13 +157,3 @@
 	})
 	must.False(t, second.ownsBatch())
 }
-
-// awaitListed waits until a process has read the watched keys.
-func awaitListed(t *testing.T, p *process) {
-	t.Helper()
-	await(t, func() bool {
-		p.mutex.Lock()
-		defer p.mutex.Unlock()
-		return p.isListed
-	})
-}
