--- a/internal/batch/endedearly_test.go
+++ b/internal/batch/endedearly_test.go
@@ -9,11 +9,11 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/platform/platformtest"
 )
 
-// runs reports whether a process runs a batch.
-func (p *process) runs(id string) bool {
+// runsBatch reports whether a process runs batch b1.
+func (p *process) runsBatch() bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	owned := p.owned[id]
+	owned := p.owned["b1"]
 	return owned != nil && !owned.isEnded()
 }
 
@@ -21,7 +21,7 @@
 func mustNotRun(t *testing.T, p *process) {
 	t.Helper()
 	for began := time.Now(); time.Since(began) < 2*earlyStartDelay; time.Sleep(time.Millisecond) {
-		must.False(t, p.runs("b1"))
+		must.False(t, p.runsBatch())
 	}
 }
 
@@ -48,7 +48,7 @@
 		p.lease.Store(1)
 		store.SetUnavailable(true)
 		mustBeUnknown(t, p.Accept(shortContext(t), newBatch(10, 20)))
-		must.False(t, p.runs("b1"))
+		must.False(t, p.runsBatch())
 	})
 	t.Run("once the store shows the end", func(t *testing.T) {
 		store := &platformtest.Store{}
@@ -59,9 +59,9 @@
 		first.Store = &slowStore{Store: store}
 		accepted := make(chan error, 1)
 		go func() { accepted <- first.Accept(t.Context(), newBatch(10, 20)) }()
-		await(t, func() bool { return first.runs("b1") })
+		await(t, func() bool { return first.runsBatch() })
 		must.NoError(t, <-accepted)
-		must.False(t, first.runs("b1"))
+		must.False(t, first.runsBatch())
 		mustNotRun(t, first)
 	})
 }
@@ -78,6 +78,6 @@
 	go func() { accepted <- first.Accept(t.Context(), newBatch(10, 20)) }()
 	await(t, func() bool { return first.earlyRunOf("b1") != nil })
 	must.NoError(t, <-accepted)
-	await(t, func() bool { return !first.runs("b1") })
-	must.True(t, second.runs("b1"))
+	await(t, func() bool { return !first.runsBatch() })
+	must.True(t, second.runsBatch())
 }
