backend: an event without end costs a bounded amount of memory

The gateway grew by 100 MB a second and was killed over its memory; six requests on kept connections, which a sound server had run, got no answer.

Cause: a line was read to its end before its length was compared with the limit, and any byte resets the read timeout.

Ruled out: growing texts or a queue behind the reader. Nothing of the item is kept, listed or logged meanwhile, and the reader alone takes 64 MB in a test.

Now lines are read in parts. The run ends as after any failure of its server, and the text goes on elsewhere. A text is bounded by what a value of the store can hold, since well-formed events may come without end as well. Engines' events use the same reader; samples that an entry collects get a bound.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,13 +45,17 @@
 	mutex  sync.Mutex
 	raw    []string
 	closed chan struct{}
+	// repeated is the number of bytes of repeated texts.
+	repeated atomic.Int64
 }
 
 // reply is sent in response to a request. With hold, the connection then stays open without
 // data.
 type reply struct {
 	text string
-	hold bool
+	// repeat is sent after text, again and again until the connection is closed, up to maxRepeatedBytes.
+	repeat string
+	hold   bool
 	// keepAlive keeps the connection open for the next request.
 	keepAlive bool
 }
@@ -90,6 +95,7 @@
 		_, _ = io.Copy(io.Discard, request.Body)
 		reply := s.next(raw.String(), onConnection)
 		_, _ = io.WriteString(connection, reply.text)
+		s.repeat(connection, reply.repeat)
 		if reply.hold {
 			<-s.closed
 		}
@@ -99,6 +105,19 @@
 	}
 }
 
+// maxRepeatedBytes bounds what a server without a bound of its own sends.
+const maxRepeatedBytes = 64 << 20
+
+func (s *fakeServer) repeat(connection net.Conn, text string) {
+	for text != "" && s.repeated.Load() < maxRepeatedBytes {
+		n, err := io.WriteString(connection, text)
+		s.repeated.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
 func (s *fakeServer) next(raw string, onConnection int) reply {
 	s.mutex.Lock()
 	s.raw = append(s.raw, raw)
--- a/internal/backend/directstream.go
+++ b/internal/backend/directstream.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"strconv"
@@ -26,13 +25,13 @@
 // Events reads the events of an answer.
 type Events struct {
 	answer  *Answer
-	reader  *bufio.Reader
+	lines   *eventLines
 	version uint64
 }
 
 // Events returns a reader of the answer's events.
 func (a *Answer) Events() *Events {
-	return &Events{answer: a, reader: bufio.NewReaderSize(a.Body, 4096), version: a.direct.Wire.Version(a.Response)}
+	return &Events{answer: a, lines: newEventLines(a.Body), version: a.direct.Wire.Version(a.Response)}
 }
 
 // Version returns the weight version of the next event; 0 if unknown.
@@ -45,16 +44,16 @@
 	event := Event{}
 	started, hasData := false, false
 	for {
-		line, err := e.reader.ReadString('\n')
+		line, err := e.lines.next()
+		if errors.Is(err, errLongEvent) {
+			return Event{}, refusal.Unknown(502, "bad_event", "%s sent an event of more than %d bytes", e.answer.direct.Name, maxEventBytes)
+		}
 		if err != nil {
 			if errors.Is(err, io.EOF) && !started && line == "" {
 				return Event{}, io.EOF
 			}
 			return Event{}, e.answer.Interrupted()
 		}
-		if len(line) > maxEventBytes {
-			return Event{}, refusal.Unknown(502, "bad_event", "%s sent an event that is too long", e.answer.direct.Name)
-		}
 		event.Raw = append(event.Raw, line...)
 		line = strings.TrimRight(line, "\r\n")
 		switch {
@@ -62,6 +61,7 @@
 			event.Raw = event.Raw[:0]
 			continue
 		case line == "":
+			e.lines.endEvent()
 			event.Version = e.version
 			if event.Number == 0 || !hasData {
 				return Event{}, refusal.Unknown(502, "bad_event", "%s sent an event without number or data", e.answer.direct.Name)
--- a/internal/backend/engineevent.go
+++ b/internal/backend/engineevent.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"encoding/json"
 	"errors"
 	"io"
@@ -13,10 +12,8 @@
 )
 
 const (
-	// maxEventBytes limits the size of a server-sent event.
-	maxEventBytes = 1 << 20
-	dataPrefix    = "data:"
-	doneMarker    = "[DONE]"
+	dataPrefix = "data:"
+	doneMarker = "[DONE]"
 )
 
 // errDone reports the engine's end marker of a complete answer.
@@ -79,36 +76,36 @@
 
 // engineEvents reads server-sent events.
 type engineEvents struct {
-	scanner *bufio.Scanner
+	lines *eventLines
 }
 
 func newEngineEvents(reader io.Reader) *engineEvents {
-	scanner := bufio.NewScanner(reader)
-	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
-	return &engineEvents{scanner: scanner}
+	return &engineEvents{lines: newEventLines(reader)}
 }
 
 // next returns the next event, errDone at the end marker of a complete answer, or
 // io.ErrUnexpectedEOF if the answer ends without it.
 func (e *engineEvents) next() (*engineEvent, error) {
-	for e.scanner.Scan() {
-		data, isData := strings.CutPrefix(e.scanner.Text(), dataPrefix)
-		if !isData {
-			continue
+	for {
+		line, err := e.lines.next()
+		data, isData := strings.CutPrefix(line, dataPrefix)
+		switch {
+		case isData && (err == nil || errors.Is(err, io.EOF)):
+			e.lines.endEvent()
+			return parseEvent(strings.TrimSpace(data))
+		case errors.Is(err, io.EOF):
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
 		}
-		data = strings.TrimSpace(data)
-		if data == doneMarker {
-			return nil, errDone
-		}
-		return parseEvent(data)
-	}
-	if err := e.scanner.Err(); err != nil {
-		return nil, err
 	}
-	return nil, io.ErrUnexpectedEOF
 }
 
+// parseEvent returns the event with this data, or errDone.
 func parseEvent(data string) (*engineEvent, error) {
+	if data == doneMarker {
+		return nil, errDone
+	}
 	parsed := &engineEvent{}
 	if err := json.Unmarshal([]byte(data), parsed); err != nil {
 		return nil, eris.Wrap(err, "parse engine event")
--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -276,6 +276,7 @@
 			scorer:        b.Scorer,
 			headerEncoder: b.HeaderEncoder,
 			ledger:        newLedger(b.Store, batch.GetId(), b.GroupDelay, b.ValueBytes, state.Ownership, state.Listed, b.metrics),
+			maxTextBytes:  int(chunkShare * float64(b.ValueBytes)),
 			keeper:        b.Keeper,
 			metrics:       b.metrics,
 			keepLeftovers: b.leftovers.add,
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -75,6 +75,8 @@
 	scorer        Scorer
 	headerEncoder HeaderEncoder
 	ledger        *ledger
+	// maxTextBytes bounds a text, so that the store can hold it; 0 means no bound.
+	maxTextBytes int
 	// keeper stores the incomplete texts.
 	keeper  Keeper
 	metrics *metrics
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -282,7 +282,7 @@
 	}
 	if p.rules.SingleVersion && len(item.versions) > 0 && item.versions[0] != version {
 		// The rest is of another version, so none of the text can be used.
-		item.events, item.versions, item.kept = nil, nil, 0
+		p.DropText(job)
 		return false
 	}
 	item.events = append(item.events, data)
@@ -290,6 +290,21 @@
 	return true
 }
 
+// TextBytes returns the size of the events of an item so far.
+func (p *Plan) TextBytes(job Job) int {
+	size := 0
+	for _, event := range p.items[job.index].events {
+		size += len(event)
+	}
+	return size
+}
+
+// DropText drops the events of an item, which starts anew.
+func (p *Plan) DropText(job Job) {
+	item := p.items[job.index]
+	item.events, item.versions, item.kept = nil, nil, 0
+}
+
 // MayMove reports whether a running item may leave its server for a faster one.
 func (p *Plan) MayMove(index int) bool { return p.items[index].moves < maxMoves }
 
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -136,6 +136,7 @@
 func (o *owner) readEvents(job Job, server *roster.Server, answer *backend.Answer) error {
 	events := answer.Events()
 	next := uint64(job.events)
+	size := o.textBytes(job)
 	var last clock.Boot
 	for {
 		event, err := events.Next()
@@ -158,12 +159,30 @@
 			answer.SetReadTimeout(stallTimeout(o.roster.RecordEvent(server, now.Sub(last))))
 		}
 		last = now
+		if size += len(event.Data); o.maxTextBytes > 0 && size > o.maxTextBytes {
+			o.dropText(job)
+			return refusal.Unknown(http.StatusBadGateway, "long_text", "the text has more than %d bytes with event %d of %s", o.maxTextBytes, event.Number, server.Name())
+		}
 		if !o.recordEvent(job, server, event) {
 			return errVersionMismatch
 		}
 	}
 }
 
+// textBytes returns the size of an item's text so far.
+func (o *owner) textBytes(job Job) int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.plan.TextBytes(job)
+}
+
+// dropText drops the text of a running item, which starts anew.
+func (o *owner) dropText(job Job) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.plan.DropText(job)
+}
+
 // stallTimeout returns the maximum time between two events of a text, given the usual event
 // interval of the server; an interval of 0 means that it is unknown.
 //
--- a/internal/rollout/samplebuilder.go
+++ b/internal/rollout/samplebuilder.go
@@ -17,6 +17,9 @@
 	return "sample " + e.Request + ": " + e.Problem
 }
 
+// maxSampleBytes bounds the text of a sample; a message to another process holds a whole sample.
+const maxSampleBytes = 4 << 20
+
 // SampleBuilder collects the chunks of one attempt.
 type SampleBuilder struct {
 	text     []byte
@@ -27,12 +30,15 @@
 
 // Add appends a chunk. The chunk's version is the one that the engine reported for
 // its tokens, never the version that the engine was ordered to load. Add rejects
-// tokens without a version.
+// tokens without a version, and text without an end.
 func (b *SampleBuilder) Add(request string, chunk *peerpb.Chunk) error {
 	tokens := uint32(len(chunk.GetTokens()))
 	if tokens > 0 && chunk.GetVersion() == 0 {
 		return &SampleError{Request: request, Problem: "the engine showed no weight version"}
 	}
+	if len(b.text)+len(chunk.GetData()) > maxSampleBytes {
+		return &SampleError{Request: request, Problem: fmt.Sprintf("the text has more than %d bytes", maxSampleBytes)}
+	}
 	b.text = append(b.text, chunk.GetData()...)
 	from := uint32(len(b.tokens))
 	b.tokens = append(b.tokens, chunk.GetTokens()...)
