batch, forward: items and their scorers' requests leave the quarantine

What was reported: after a burst of crashes in which several servers died under the same sound item, the item was never placed again. It can happen here. With eight crashes under an item, or under the request that scores it, nothing was placed for the minute for which the test waits: after two unlucky trials the next one is due after ten minutes.

Cause: the quarantine took items for callers' requests, whose callers ask again. An item waits at its owner, and nobody else asks. Work that is handed in for later never crashes servers by itself, says the users' contract.

Ruled out: a plan that forgets an item or whose pause grows without a bound (TestItemAfterFaults).

Now items, and the requests that score them, are neither held nor counted. An item runs again at most 2 s after its server crashed. As suspects, items could also have explained the crashes of a request that did cause them.

Evidence: both parts of TestCrashedItemIsOwed in test/gateway, and the one in internal/batch, fail on the code before.

--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -14,7 +14,6 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
-	"github.com/bramleyhatch/bramleyhatch/internal/poison"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
 )
 
@@ -82,8 +81,6 @@
 	Scorer        Scorer
 	HeaderEncoder HeaderEncoder
 	Routes        Routes
-	// Quarantine keeps back items that crash samplers; nil keeps back none.
-	Quarantine *poison.Quarantine
 	// Lease returns the lease that registers this process with the store, or 0 while it has
 	// none.
 	Lease func() uint64
@@ -281,11 +278,9 @@
 			metrics:       b.metrics,
 			keepLeftovers: b.leftovers.add,
 			onScored:      b.notifyOwners,
-			quarantine:    b.Quarantine,
 			sharing:       b.Sharing,
 			demands:       &b.demands,
 			speeds:        b.Speeds,
-			trackers:      map[int]*poison.Tracker{},
 			plan:          plan,
 			runs:          map[int]*activeRun{},
 			wake:          make(chan struct{}, 1),
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -14,7 +14,6 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/admission"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
-	"github.com/bramleyhatch/bramleyhatch/internal/poison"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
 )
@@ -33,9 +32,8 @@
 	stallEvents     = 8
 	// runTimeout bounds one run; samplers stop a run after the same time.
 	runTimeout = 60 * time.Second
-	// maxHoldTime is the longest time between two checks whether a quarantined item may run: an answer to another copy
-	// ends the quarantine at any time.
-	maxHoldTime = time.Second
+	// maxScoringDelay bounds the delay before a text is scored again.
+	maxScoringDelay = time.Second
 )
 
 // HeaderEncoder converts the headers of an item to HTTP headers.
@@ -83,8 +81,7 @@
 	// keepLeftovers stores the texts of incomplete groups for later batches.
 	keepLeftovers func([]Leftover)
 	// onScored is called after each call of the scorer.
-	onScored   func()
-	quarantine *poison.Quarantine
+	onScored func()
 	// speeds places and moves runs by the speed of servers.
 	speeds bool
 	// sharing divides pools that several models use; nil divides none. demands holds the demand of
@@ -106,8 +103,6 @@
 	// shared is the state of the batch in a pool that several models use.
 	shared sharedPool
 	runs   map[int]*activeRun
-	// trackers follow the items that have run.
-	trackers map[int]*poison.Tracker
 	// scoring is the number of texts that are being scored.
 	scoring int
 	wake    chan struct{}
@@ -244,11 +239,6 @@
 	if !ok {
 		return false
 	}
-	if held := o.tracker(job).HeldFor(); held > 0 {
-		o.plan.Hold(job, min(held, maxHoldTime), now)
-		return true
-	}
-	o.plan.Release(job)
 	if !o.reserve(pool, now) {
 		return false
 	}
@@ -268,26 +258,13 @@
 	o.logPlaced(job, pool, server, now)
 	running, cancel := context.WithCancelCause(ctx)
 	o.runs[job.index] = &activeRun{server: server, pool: pool, cancel: cancel, startedAt: now}
-	tracker := o.tracker(job)
 	o.tasks.Go(func() {
 		defer cancel(nil)
-		o.generate(running, job, server, tracker)
+		o.generate(running, job, server)
 	})
 	return true
 }
 
-// tracker returns the tracker of an item. The mutex is held.
-func (o *owner) tracker(job Job) *poison.Tracker {
-	tracker := o.trackers[job.index]
-	if tracker == nil {
-		tracker = o.quarantine.Track(job.spec.GetId(), poison.Identity{
-			Account: o.batch.GetAccount(), Method: http.MethodPost, Host: o.batch.GetHost(), Target: job.spec.GetPath(), Body: job.spec.GetBody(),
-		})
-		o.trackers[job.index] = tracker
-	}
-	return tracker
-}
-
 // moveSlowRun ends a run on a slow sampler if a faster sampler has a free slot and no item waits
 // for a slot: the run continues on the faster sampler after its last event.
 //
@@ -338,10 +315,10 @@
 // scoringDelay returns the delay before a text is scored again.
 func scoringDelay(err error) time.Duration {
 	refused := refusal.Of(err)
-	if refused.Code != poison.CodeQuarantined && refused.Code != admission.CodeOverloaded {
+	if refused.Code != admission.CodeOverloaded {
 		return faultPause
 	}
-	return max(faultPause, min(refused.RetryAfter, maxHoldTime))
+	return max(faultPause, min(refused.RetryAfter, maxScoringDelay))
 }
 
 // end stops the batch at the request of its trainer.
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -71,8 +71,6 @@
 	scorerFailures int
 	moves          int
 	notBefore      clock.Boot
-	// isHeld is true while the item is quarantined.
-	isHeld bool
 	// isSpare is true if the trainer doesn't wait for the item.
 	isSpare bool
 	group   *groupWork
@@ -205,17 +203,8 @@
 // IsComplete reports whether every item has its outcome.
 func (p *Plan) IsComplete() bool { return p.openItems == 0 }
 
-// Waiting returns the number of items that wait for a server. Quarantined items aren't counted: they must not keep a
-// later batch of the model from its slots.
-func (p *Plan) Waiting() int {
-	waiting := 0
-	for _, item := range p.order {
-		if !item.isHeld {
-			waiting++
-		}
-	}
-	return waiting
-}
+// Waiting returns the number of items that wait for a server.
+func (p *Plan) Waiting() int { return len(p.order) }
 
 // Next returns the item to run now, if there is one. The item keeps waiting until Start.
 func (p *Plan) Next(now clock.Boot) (Job, bool) {
@@ -228,26 +217,15 @@
 	return Job{}, false
 }
 
-// Hold keeps a waiting item from running for a time because it is quarantined.
-func (p *Plan) Hold(job Job, length time.Duration, now clock.Boot) {
-	item := p.items[job.index]
-	item.isHeld = true
-	item.notBefore = now.Add(length)
-}
-
 // Postpone keeps a waiting item from running for a time, so that other items run meanwhile.
 func (p *Plan) Postpone(job Job, length time.Duration, now clock.Boot) {
 	p.items[job.index].notBefore = now.Add(length)
 }
 
-// Release ends the quarantine of a waiting item.
-func (p *Plan) Release(job Job) { p.items[job.index].isHeld = false }
-
 // Start records that an item runs.
 func (p *Plan) Start(job Job) {
 	item := p.items[job.index]
 	item.phase = running
-	item.isHeld = false
 	p.order = slices.DeleteFunc(p.order, func(other *itemState) bool { return other == item })
 }
 
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -12,24 +12,15 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/forward"
-	"github.com/bramleyhatch/bramleyhatch/internal/poison"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
 )
 
 // generate runs an item on a server and records the result.
-func (o *owner) generate(ctx context.Context, job Job, server *roster.Server, tracker *poison.Tracker) {
+func (o *owner) generate(ctx context.Context, job Job, server *roster.Server) {
 	began := clock.Now()
-	err := tracker.Admit(ctx)
-	if err == nil {
-		err = o.stream(ctx, job, server, tracker)
-	}
+	err := o.stream(ctx, job, server)
 	o.roster.Finish(server)
-	if err != nil {
-		tracker.RecordFailure(ctx, server.Instance(), err)
-		// The item may wait long for its next run, and other owners may have copies of it.
-		tracker.Close()
-	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	defer o.notify()
@@ -62,10 +53,6 @@
 	case ctx.Err() != nil:
 		o.plan.Interrupted(job, 0, now)
 		return endStopped
-	case refused.Code == poison.CodeQuarantined:
-		o.plan.Interrupted(job, 0, now)
-		o.plan.Hold(job, min(refused.RetryAfter, maxHoldTime), now)
-		return endRefused
 	case refused.Code == backend.CodeFailed && isItemFailure(refused.Status):
 		o.plan.Failed(job, refused.Status == http.StatusUnprocessableEntity, now)
 		return endFailed
@@ -90,7 +77,7 @@
 var errVersionMismatch = refusal.Unknown(http.StatusConflict, "unfit", "the sampler's weight version doesn't fit the batch")
 
 // stream sends an item and reads the events of the answer.
-func (o *owner) stream(ctx context.Context, job Job, server *roster.Server, tracker *poison.Tracker) error {
+func (o *owner) stream(ctx context.Context, job Job, server *roster.Server) error {
 	ctx, cancel := context.WithTimeout(ctx, runTimeout)
 	defer cancel()
 	answer, err := server.Direct().Do(ctx, backend.Request{
@@ -110,17 +97,10 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode != http.StatusOK {
-		if answer.IsFramed() {
-			tracker.RecordAnswer(answer.StatusCode)
-		}
 		return refusal.Unknown(answer.StatusCode, backend.CodeFailed, "%s answered %d", server.Name(), answer.StatusCode)
 	}
 	o.roster.RecordAnswer(server)
-	err = o.readEvents(job, server, answer)
-	if err == nil && answer.IsFramed() {
-		tracker.RecordAnswer(answer.StatusCode)
-	}
-	return runError(ctx, server.Name(), err)
+	return runError(ctx, server.Name(), o.readEvents(job, server, answer))
 }
 
 // runError returns the error of a run. A run that this process ends at its timeout looks like one whose server has closed
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -159,7 +159,6 @@
 		Scorer:        scorer,
 		HeaderEncoder: platform.Wire{},
 		Routes:        gateway.Routes(g.view),
-		Quarantine:    g.quarantine,
 		Metrics:       g.Metrics,
 		Lease:         g.session.Lease,
 		Candidates:    g.hosts.Candidates,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/admission"
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/pause"
@@ -66,7 +67,7 @@
 		pool:      request.Route.Pool(rand.Float64()),
 		policy:    policy{maxAttempts: request.Route.MaxAttempts, repeatable: request.isRepeatable(), latencyTarget: request.Route.LatencyTarget},
 		tried:     map[string]bool{},
-		tracker:   f.Quarantine.Track(request.ID, request.identity()),
+		tracker:   f.track(request),
 	}
 	run.gate = f.newGate(request, run.pool)
 	ctx, cancel := context.WithTimeout(ctx, request.left())
@@ -81,6 +82,16 @@
 	return answer, nil
 }
 
+// track returns the tracker of a request. Scorers' requests belong to items of batches, which never crash servers by
+// themselves, and without a score the item is never listed.
+func (f *Forwarder) track(request *Request) *poison.Tracker {
+	quarantine := f.Quarantine
+	if request.Class == admission.Scorers {
+		quarantine = nil
+	}
+	return quarantine.Track(request.ID, request.identity())
+}
+
 // run is the state of one request across its attempts.
 type run struct {
 	forwarder *Forwarder
