listen, backend: heads, and bodies that are dropped, have bounds in size and time

Tests with a server that sends up to 64 MB show what it does here: a head without end is buffered up to 10 MB for each request, net/http's default, so that 28 such requests at once exceed an entry host's memory; a refusal ("not run") whose body is silent holds its request up for the read timeout before another server is asked.

Cause: the bound on heads was the library's, and the bytes of a dropped body were bounded in number but not in time.

Now all clients accept heads of 64 KB, and a refusal's body is drained for 50 ms. Where a limit is exceeded the outcome stays unknown.

Evidence: TestHeadWithoutEnd (four parts) fails without the limit, "a silent body" of TestRefusalWithoutEnd fails without the timeout (60 s). TestBodyWithoutEnd holds before and after.

--- a/internal/backend/direct.go
+++ b/internal/backend/direct.go
@@ -128,7 +128,7 @@
 		return nil, d.rejectForeign(request, answer)
 	}
 	if d.Wire.IsNotRun(answer.Response) {
-		defer d.discard(answer.Response)
+		defer answer.discard()
 		code := CodeFull
 		if d.Wire.IsWrongServer(answer.Response) {
 			code = CodeWrongServer
@@ -176,12 +176,19 @@
 	return a.direct.refuse(io.ErrUnexpectedEOF, true)
 }
 
-// discard drains a short answer so that its connection can be reused.
-func (d *Direct) discard(answer *http.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxDiscardBytes))
-	_ = answer.Body.Close()
-}
+const (
+	// maxDiscardBytes limits how much of an unwanted answer is drained to reuse its
+	// connection.
+	maxDiscardBytes = 4 << 10
+	// discardTimeout limits how long that takes: a new connection costs less than a wait.
+	discardTimeout = 50 * time.Millisecond
+)
 
-// maxDiscardBytes limits how much of an unwanted answer is drained to reuse its
-// connection.
-const maxDiscardBytes = 4 << 10
+// discard drains a short answer so that its connection can be reused. It closes the connection of a
+// long or slow one.
+func (r *watchedResponse) discard() {
+	timer := time.AfterFunc(discardTimeout, r.watchdog.stop)
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardBytes))
+	timer.Stop()
+	_ = r.Body.Close()
+}
--- a/internal/listen/client.go
+++ b/internal/listen/client.go
@@ -16,6 +16,8 @@
 	dialTimeout        = 2 * time.Second
 	maxIdleConnections = 64
 	defaultIdleTimeout = 30 * time.Second
+	// maxResponseHeaderBytes limits the head of an answer, with informational ones before it.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // Client returns an HTTP client for one remote service. It has no circuit breaker and
@@ -67,6 +69,8 @@
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     options.IdleTimeout,
 			DisableKeepAlives:   options.OneRequestPerConn,
+			// Without this limit, net/http buffers 10 MB of a head for each request.
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
