batch: a conflict's end is remembered before the watch shows the batch

Found in the reading of the diff: without it, each copy of an ended batch that the watch has never shown would run early until the next conflict. The third part of TestEndedBatchDoesNotRunEarly sends one more copy.

--- a/internal/batch/endedearly_test.go
+++ b/internal/batch/endedearly_test.go
@@ -63,6 +63,9 @@
 		must.NoError(t, <-accepted)
 		must.False(t, first.runsBatch())
 		mustNotRun(t, first)
+		go func() { accepted <- first.Accept(t.Context(), newBatch(10, 20)) }()
+		mustNotRun(t, first)
+		must.NoError(t, <-accepted)
 	})
 }
 
