batch: an event or a proof that isn't valid UTF-8 doesn't hold up a batch

Cause: the text goes into a chunk of outcomes whose encoding takes valid UTF-8 only. The ledger takes the same outcomes again for ever, and all that follow wait behind them.

Ruled out: a write that the store rejects. The ledger logs "cannot encode a chunk" before any call.

Now such an event ends its run as a failure of its server, and the text goes on at another one. A scorer's proof, a header that goes into the same outcome, had the same fault; it counts as no score.

--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"k8s.io/klog/v2"
 
@@ -294,6 +295,9 @@
 func (o *owner) score(ctx context.Context, job Job, release func()) {
 	proof, err := o.scorer.Score(ctx, job.spec.GetScorer())
 	release()
+	if err == nil && !utf8.ValidString(proof) {
+		err = refusal.Unknown(http.StatusBadGateway, "bad_proof", "the scorer's proof isn't valid UTF-8")
+	}
 	defer o.onScored()
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"k8s.io/klog/v2"
 
@@ -134,6 +135,10 @@
 		if event.Number != next {
 			return refusal.Unknown(http.StatusBadGateway, "bad_event", "%s sent event %d in place of %d", server.Name(), event.Number, next)
 		}
+		if !utf8.ValidString(event.Data) {
+			// Messages hold valid text only: the outcome could not be stored, nor any outcome after it.
+			return refusal.Unknown(http.StatusBadGateway, "bad_event", "event %d of %s isn't valid UTF-8", event.Number, server.Name())
+		}
 		now := clock.Now()
 		if last != 0 {
 			answer.SetReadTimeout(stallTimeout(o.roster.RecordEvent(server, now.Sub(last))))
