batch: a batch that is reloaded before the watch shows it is resumed

Now the revision is read for each attempt, and there is none before it is known. TestReloadBeforeWatch fails without this.

--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -162,9 +162,9 @@
 // chunk expects the former revision of the owner key, so a new revision makes it fail. The
 // rewritten key also expires with the lease of this process instead of the previous one's.
 func (b *Board) reclaim(ctx context.Context, id string, revision uint64) {
-	open := b.openRevision(id)
 	for ctx.Err() == nil && b.ownsAt(id, revision) {
-		if b.Lease() == 0 {
+		open := b.openRevision(id)
+		if b.Lease() == 0 || open == 0 {
 			pause.For(ctx, leasePollInterval)
 			continue
 		}
@@ -220,8 +220,8 @@
 	}
 }
 
-// openRevision returns the revision of the key that marks a batch as open; 0 if the batch is not
-// known to be open.
+// openRevision returns the revision of the key that marks a batch as open; 0 until the watch has
+// shown the key.
 func (b *Board) openRevision(id string) uint64 {
 	b.lock()
 	defer b.mutex.Unlock()
--- a/internal/batch/ownwrites_test.go
+++ b/internal/batch/ownwrites_test.go
@@ -157,3 +157,19 @@
 	})
 	must.False(t, second.ownsBatch())
 }
+
+// Guards against a batch that is never resumed: it is reloaded before the watch has shown its key.
+func TestReloadBeforeWatch(t *testing.T) {
+	store := &platformtest.Store{}
+	p := startProcess(t, store, "g1", "g1")
+	store.SetWatchesSilent(true)
+	must.NoError(t, p.AcceptOwn(t.Context(), newBatch(10, 20)))
+	p.mutex.Lock()
+	first := p.owned["b1"]
+	p.mutex.Unlock()
+	p.reload("b1", first)
+	time.Sleep(2 * claimStagger)
+	must.False(t, p.runsBatch())
+	store.SetWatchesSilent(false)
+	await(t, p.runsBatch)
+}
