batch: ends of runs use codes that the reference names

Both end a run and reach no caller; a text that is too long is a bad event now, and a proof that can't be stored isn't judged, as other answers of this kind.

--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -296,7 +296,7 @@
 	proof, err := o.scorer.Score(ctx, job.spec.GetScorer())
 	release()
 	if err == nil && !utf8.ValidString(proof) {
-		err = refusal.Unknown(http.StatusBadGateway, "bad_proof", "the scorer's proof isn't valid UTF-8")
+		err = refusal.Unknown(http.StatusBadGateway, "not_judged", "the scorer's proof isn't valid UTF-8")
 	}
 	defer o.onScored()
 	o.mutex.Lock()
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -146,7 +146,7 @@
 		last = now
 		if size += len(event.Data); o.maxTextBytes > 0 && size > o.maxTextBytes {
 			o.dropText(job)
-			return refusal.Unknown(http.StatusBadGateway, "long_text", "the text has more than %d bytes with event %d of %s", o.maxTextBytes, event.Number, server.Name())
+			return refusal.Unknown(http.StatusBadGateway, "bad_event", "the text has more than %d bytes with event %d of %s", o.maxTextBytes, event.Number, server.Name())
 		}
 		if !o.recordEvent(job, server, event) {
 			return errVersionMismatch
