gateway: each gateway's demand is timed by its own reply

The new holder ordered three servers where two were wanted: "running 7.0" with five callers.

Cause: the replies of a round were timed when the last one had come. Where another gateway answers late in the first round (its connection is dialed), this gateway's own counters, read at once, seem to have grown within a shorter time: 5 x 140/100.

Ruled out: more requests than callers, or requests that load kept from running (80 answers a second of 52 ms: 4.2 at once).

Now each reply is timed as it arrives.

--- a/internal/gateway/demandcollector.go
+++ b/internal/gateway/demandcollector.go
@@ -30,6 +30,12 @@
 	needs      map[string]fleet.Need
 }
 
+// demandReply is a gateway's reply and the time of its arrival. reply is nil if the gateway did not answer.
+type demandReply struct {
+	reply *peerpb.DemandReply
+	at    clock.Boot
+}
+
 // Collect queries all gateways and returns the need of each pool, without Slots.
 //
 // A gateway that does not answer counts with its previous need until its lease expires:
@@ -37,12 +43,12 @@
 func (d *DemandCollector) Collect(ctx context.Context, pools []string) map[string]fleet.Need {
 	request := peerpb.DemandRequest_builder{Pools: pools}.Build()
 	samples, totals := map[string]demandSample{}, map[string]fleet.Need{}
-	for name, reply := range d.queryAll(ctx, request) {
+	for name, answer := range d.queryAll(ctx, request) {
 		previous, isKnown := d.samples[name]
-		if reply == nil {
+		if answer.reply == nil {
 			samples[name] = previous
 		} else {
-			samples[name] = newDemandSample(reply, clock.Now(), previous, isKnown)
+			samples[name] = newDemandSample(answer.reply, answer.at, previous, isKnown)
 		}
 		for pool, need := range samples[name].needs {
 			total := totals[pool]
@@ -55,19 +61,20 @@
 	return totals
 }
 
-// queryAll returns the replies by gateway name, nil for gateways that did not answer.
-func (d *DemandCollector) queryAll(ctx context.Context, request *peerpb.DemandRequest) map[string]*peerpb.DemandReply {
+// queryAll returns the replies by gateway name, each with its own time of arrival. Counters that are read at once and
+// timed with the slowest reply would seem to grow within a shorter time at the next query.
+func (d *DemandCollector) queryAll(ctx context.Context, request *peerpb.DemandRequest) map[string]demandReply {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var mutex sync.Mutex
 	var group sync.WaitGroup
-	replies := map[string]*peerpb.DemandReply{}
+	replies := map[string]demandReply{}
 	for _, name := range d.Hosts.Names() {
 		group.Go(func() {
-			reply := d.query(ctx, name, request)
+			answer := demandReply{reply: d.query(ctx, name, request), at: clock.Now()}
 			mutex.Lock()
 			defer mutex.Unlock()
-			replies[name] = reply
+			replies[name] = answer
 		})
 	}
 	group.Wait()
