backend: bytes without end don't restart a read timeout

What callers saw, in tests: a server in trouble sends a byte, a comment or an empty line now and then, and never an event or a whole answer. An item stayed there for up to 60 s while other servers were free (the batch wasn't complete within 15 s), a stream that may be resumed was cut after its 5 s, and a request that may be repeated got 502 after its 2 s with an attempt left. The bounds in size don't help: such a server stays far below 256 KB.

Cause: an attempt gets a share of its request's time, and a text leaves a server that makes no event. Both were measured by the read timeout, which any byte restarts.

Where events are read, on gateways and sidecars, only a whole event restarts it now. A body that is read before it is passed on has to arrive within the timeout of its attempt; an engine's report or error answer within one timeout from its head. Bytes that are passed on restart it as before, since they can't be told from a slow answer. The request's outcome stays unknown, so nothing is called "not run", and nothing that may run once is sent again.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -8,6 +8,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -40,14 +41,15 @@
 	codeReadTimeout = "backend_silent"
 )
 
-// ReadTimeoutError reports that the backend server sent nothing for the whole read timeout.
+// ReadTimeoutError reports that the backend server sent nothing for the whole read timeout, or
+// bytes that make up no event or answer.
 type ReadTimeoutError struct {
 	Timeout time.Duration
 }
 
 // Error names the read timeout.
 func (e *ReadTimeoutError) Error() string {
-	return fmt.Sprintf("nothing was sent for %s", e.Timeout)
+	return fmt.Sprintf("no progress for %s", e.Timeout)
 }
 
 // Server is the part of the client common to both kinds of backend server. Exported fields
@@ -76,6 +78,13 @@
 
 func (r *watchedResponse) abandonConnection() { r.trace.abandon() }
 
+// decode decodes a JSON body of up to maxEventBytes, which must arrive within the read timeout.
+func (r *watchedResponse) decode(message any) error {
+	r.watchdog.ignoreBytes()
+	r.watchdog.reset()
+	return json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxEventBytes)).Decode(message)
+}
+
 // call is one request to the backend server.
 type call struct {
 	method string
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -53,8 +53,10 @@
 // data.
 type reply struct {
 	text string
-	// repeat is sent after text, again and again until the connection is closed, up to maxRepeatedBytes.
+	// repeat is sent after text, again and again until the connection is closed, up to maxRepeatedBytes,
+	// with a pause after each time.
 	repeat string
+	pause  time.Duration
 	hold   bool
 	// keepAlive keeps the connection open for the next request.
 	keepAlive bool
@@ -95,7 +97,7 @@
 		_, _ = io.Copy(io.Discard, request.Body)
 		reply := s.next(raw.String(), onConnection)
 		_, _ = io.WriteString(connection, reply.text)
-		s.repeat(connection, reply.repeat)
+		s.repeat(connection, reply)
 		if reply.hold {
 			<-s.closed
 		}
@@ -105,16 +107,21 @@
 	}
 }
 
-// maxRepeatedBytes bounds what a server without a bound of its own sends.
-const maxRepeatedBytes = 64 << 20
+// maxRepeatedBytes and maxRepeatTime bound what a server sends without end.
+const (
+	maxRepeatedBytes = 64 << 20
+	maxRepeatTime    = 10 * time.Second
+)
 
-func (s *fakeServer) repeat(connection net.Conn, text string) {
-	for text != "" && s.repeated.Load() < maxRepeatedBytes {
-		n, err := io.WriteString(connection, text)
+func (s *fakeServer) repeat(connection net.Conn, reply reply) {
+	began := time.Now()
+	for reply.repeat != "" && s.repeated.Load() < maxRepeatedBytes && time.Since(began) < maxRepeatTime {
+		n, err := io.WriteString(connection, reply.repeat)
 		s.repeated.Add(int64(n))
 		if err != nil {
 			return
 		}
+		time.Sleep(reply.pause)
 	}
 }
 
--- a/internal/backend/direct.go
+++ b/internal/backend/direct.go
@@ -41,7 +41,8 @@
 	Body []byte
 	// Account is the client account; "" for requests without one.
 	Account string
-	// ReadTimeout is the longest time without data from the server.
+	// ReadTimeout is the longest time without data from the server, or without an event where
+	// events are read.
 	ReadTimeout time.Duration
 	// TimeLeft is how much longer the caller waits; 0 if unknown.
 	TimeLeft time.Duration
@@ -151,12 +152,15 @@
 }
 
 // ReadAll reads the body up to limit bytes. It returns false if the body is larger; the body
-// then holds the bytes read so far, and the rest can still be read from the answer.
+// then holds the bytes read so far, and the rest can still be read from the answer. The read
+// timeout applies to the body as a whole, or to the bytes up to the limit.
 func (a *Answer) ReadAll(limit int64) (body []byte, complete bool, err error) {
+	a.watchdog.ignoreBytes()
 	body, err = io.ReadAll(io.LimitReader(a.Body, limit+1))
 	if err != nil {
 		return nil, false, a.Interrupted()
 	}
+	a.watchdog.acceptBytes()
 	return body, int64(len(body)) <= limit, nil
 }
 
--- a/internal/backend/directstream.go
+++ b/internal/backend/directstream.go
@@ -31,7 +31,7 @@
 
 // Events returns a reader of the answer's events.
 func (a *Answer) Events() *Events {
-	return &Events{answer: a, lines: newEventLines(a.Body), version: a.direct.Wire.Version(a.Response)}
+	return &Events{answer: a, lines: newEventLines(a.Body, a.watchdog), version: a.direct.Wire.Version(a.Response)}
 }
 
 // Version returns the weight version of the next event; 0 if unknown.
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -1,6 +1,8 @@
 package backend_test
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -143,3 +145,104 @@
 		})
 	}
 }
+
+const (
+	// slowReadTimeout is the read timeout of requests whose server sends a byte every slowGap.
+	slowReadTimeout, slowGap = 300 * time.Millisecond, 30 * time.Millisecond
+	// maxSlowWait is when the request's own deadline would end it.
+	maxSlowWait = 5 * time.Second
+)
+
+// doSlow sends a request to a server that sends bytes slowly and without end.
+func doSlow(t *testing.T, bytes reply) *backend.Answer {
+	t.Helper()
+	bytes.pause = slowGap
+	ctx, cancel := context.WithTimeout(t.Context(), maxSlowWait)
+	t.Cleanup(cancel)
+	request := backend.Request{ID: "r1", Method: http.MethodPost, Target: "/", ReadTimeout: slowReadTimeout}
+	answer, err := newDirect(newFakeServer(t, bytes)).Do(ctx, request)
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, answer.Body.Close()) })
+	return answer
+}
+
+// Guards against a text that stays at a server which sends no event any more, but bytes that restart the read timeout.
+func TestSlowBytesInPlaceOfEvent(t *testing.T) {
+	for name, repeated := range map[string]string{"one line": "x", "lines of data": "data: x\n", "comments": ": x\n", "empty lines": "\n"} {
+		t.Run(name, func(t *testing.T) {
+			events := doSlow(t, reply{text: answerTo("r1", eventsHead, "id: 1\ndata: x\n\n"), repeat: repeated}).Events()
+			_, err := events.Next()
+			must.NoError(t, err)
+			_, err = events.Next()
+			mustEnd(t, unknown, "backend_silent", err)
+		})
+	}
+}
+
+// Guards against a stream that is taken for a silent one although each event arrives in time.
+func TestSlowEvents(t *testing.T) {
+	const count = 20
+	answer := doSlow(t, reply{text: answerTo("r1", eventsHead, ""), repeat: "id: 1\ndata: x\n\n"})
+	events := answer.Events()
+	for range count {
+		event, err := events.Next()
+		must.NoError(t, err)
+		must.Eq(t, "x", event.Data)
+	}
+}
+
+// Guards against a generation that stays at an engine which sends no event any more, but bytes that restart the read
+// timeout.
+func TestSlowBytesInPlaceOfEngineEvent(t *testing.T) {
+	server := newFakeServer(t, reply{text: "HTTP/1.1 200 OK\r\n\r\n" + oneToken, repeat: ": x\n", pause: slowGap})
+	request := generation()
+	request.SetIdempotent(false)
+	began := time.Now()
+	_, tokens, end, err := run(newEngine(server.url()), request)
+	mustBeRefused(t, unknown, "backend_silent", end, err)
+	must.Eq(t, []int32{7}, tokens)
+	must.Less(t, maxSlowWait, time.Since(began))
+}
+
+// Guards against a request that may be repeated, and waits for a body without end in place of going to another server.
+func TestSlowBodyWithoutEnd(t *testing.T) {
+	const limit = 1 << 10
+	chunked := answerTo("r1", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", "")
+	t.Run("within the limit", func(t *testing.T) {
+		_, isComplete, err := doSlow(t, reply{text: chunked, repeat: "1\r\nx\r\n"}).ReadAll(limit)
+		mustEnd(t, unknown, "backend_silent", err)
+		must.False(t, isComplete)
+	})
+	t.Run("passed on beyond the limit", func(t *testing.T) {
+		const more = 20
+		answer := doSlow(t, reply{text: chunked + "1000\r\n" + strings.Repeat("x", 4096) + "\r\n", repeat: "1\r\nx\r\n"})
+		_, isComplete, err := answer.ReadAll(limit)
+		must.NoError(t, err)
+		must.False(t, isComplete)
+		_, err = io.CopyN(io.Discard, answer.Body, 4096-limit+more)
+		must.NoError(t, err)
+	})
+}
+
+// Guards against a request that waits for the body of an engine's refusal in place of going to another engine, and
+// against versions that are no longer polled.
+func TestSlowEngineBodies(t *testing.T) {
+	t.Run("error", func(t *testing.T) {
+		server := newFakeServer(t, reply{text: "HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\n", repeat: "1\r\n \r\n", pause: slowGap})
+		began := time.Now()
+		_, _, end, err := run(newEngine(server.url()), generation())
+		mustBeRefused(t, unknown, "engine_failed", end, err)
+		must.Less(t, maxSlowWait, time.Since(began))
+	})
+	t.Run("load report", func(t *testing.T) {
+		slow := reply{text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeat: "1\r\n \r\n", pause: slowGap}
+		server := newFakeServer(t, slow, slow)
+		ctx, cancel := context.WithTimeout(t.Context(), maxSlowWait)
+		defer cancel()
+		go func() { _ = newEngine(server.url()).Watch(ctx) }()
+		for ctx.Err() == nil && len(server.requests()) < 2 {
+			time.Sleep(slowGap)
+		}
+		must.SliceLen(t, 2, server.requests())
+	})
+}
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -95,7 +95,7 @@
 // relay passes the events to sink until [DONE]. An answer without [DONE] was interrupted
 // and gets no end frame.
 func (e *Engine) relay(answer *watchedResponse, prompt *prompt, sink Sink) (*peerpb.End, error) {
-	events := newEngineEvents(answer.Body)
+	events := newEngineEvents(answer.Body, answer.watchdog)
 	end := &peerpb.End{}
 	for {
 		event, err := events.next()
@@ -137,7 +137,7 @@
 	var body struct {
 		Error json.RawMessage `json:"error"`
 	}
-	err := json.NewDecoder(http.MaxBytesReader(nil, answer.Body, maxEventBytes)).Decode(&body)
+	err := answer.decode(&body)
 	isRefusal := err == nil && hasError(body.Error)
 	switch {
 	case answer.StatusCode == http.StatusServiceUnavailable && isRefusal:
--- a/internal/backend/engineevent.go
+++ b/internal/backend/engineevent.go
@@ -79,8 +79,8 @@
 	lines *eventLines
 }
 
-func newEngineEvents(reader io.Reader) *engineEvents {
-	return &engineEvents{lines: newEventLines(reader)}
+func newEngineEvents(body io.Reader, watchdog *watchdog) *engineEvents {
+	return &engineEvents{lines: newEventLines(body, watchdog)}
 }
 
 // next returns the next event, errDone at the end marker of a complete answer, or
--- a/internal/backend/eventlines.go
+++ b/internal/backend/eventlines.go
@@ -16,14 +16,18 @@
 //
 // A faulty server may send bytes without end, in one line or in lines that are no event. So each
 // line counts while it is read, and all lines up to the end of an event count together.
+//
+// For the same reason, only events restart the read timeout.
 type eventLines struct {
-	reader *bufio.Reader
+	reader   *bufio.Reader
+	watchdog *watchdog
 	// size is the number of bytes since the last event.
 	size int
 }
 
-func newEventLines(body io.Reader) *eventLines {
-	return &eventLines{reader: bufio.NewReaderSize(body, 4096)}
+func newEventLines(body io.Reader, watchdog *watchdog) *eventLines {
+	watchdog.ignoreBytes()
+	return &eventLines{reader: bufio.NewReaderSize(body, 4096), watchdog: watchdog}
 }
 
 // next returns the next line with its end. After an error, other than errLongEvent, it returns what
@@ -44,4 +48,7 @@
 }
 
 // endEvent starts the next event.
-func (l *eventLines) endEvent() { l.size = 0 }
+func (l *eventLines) endEvent() {
+	l.size = 0
+	l.watchdog.reset()
+}
--- a/internal/backend/fuzz_test.go
+++ b/internal/backend/fuzz_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -38,7 +39,9 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
-		events := newEngineEvents(strings.NewReader(text))
+		_, watchdog := newWatchdog(t.Context(), time.Minute)
+		defer watchdog.stop()
+		events := newEngineEvents(strings.NewReader(text), watchdog)
 		for {
 			event, err := events.next()
 			if err != nil {
--- a/internal/backend/order.go
+++ b/internal/backend/order.go
@@ -105,6 +105,6 @@
 
 func decodeVersionReport(answer *watchedResponse) (versionReport, error) {
 	var report versionReport
-	err := json.NewDecoder(http.MaxBytesReader(nil, answer.Body, maxEventBytes)).Decode(&report)
+	err := answer.decode(&report)
 	return report, err
 }
--- a/internal/backend/watchdog.go
+++ b/internal/backend/watchdog.go
@@ -15,6 +15,9 @@
 	cancel  context.CancelCauseFunc
 	timeout atomic.Int64
 	timer   *time.Timer
+	// ignoresBytes is true while bytes don't restart the timeout. A faulty server may send bytes
+	// without end that never make up an event or an answer.
+	ignoresBytes atomic.Bool
 }
 
 func newWatchdog(parent context.Context, timeout time.Duration) (context.Context, *watchdog) {
@@ -45,12 +48,22 @@
 	}
 }
 
+// ignoreBytes makes the timeout apply to a whole event or answer in place of its bytes. Its reader
+// calls reset after each event.
+func (w *watchdog) ignoreBytes() { w.ignoresBytes.Store(true) }
+
+// acceptBytes restarts the timeout, which bytes restart from now on.
+func (w *watchdog) acceptBytes() {
+	w.ignoresBytes.Store(false)
+	w.reset()
+}
+
 func (w *watchdog) stop() {
 	w.timer.Stop()
 	w.cancel(context.Canceled)
 }
 
-// watchedBody resets the watchdog whenever data is read.
+// watchedBody resets the watchdog whenever data is read, unless the watchdog ignores bytes.
 type watchedBody struct {
 	io.ReadCloser
 
@@ -63,10 +76,10 @@
 	return b.ReadCloser.Close()
 }
 
-// Read reads from the body and restarts the watchdog's timeout.
+// Read reads from the body and restarts the watchdog's timeout, unless the watchdog ignores bytes.
 func (b *watchedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if n > 0 {
+	if n > 0 && !b.watchdog.ignoresBytes.Load() {
 		b.watchdog.reset()
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
