batch: scoring stops after the end of a batch

What callers could see: a scorer's request reaches a server after its batch has ended (UNASKED holds for it as for an item).

One second after the owner has learned of the end, scores that are under way are cancelled. A server that is at work has answered by then.

--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -344,12 +344,24 @@
 // the scoring service, and requests of other callers queue behind them.
 func TestConcurrentScoresAreBounded(t *testing.T) {
 	scorer := &scorer{capacity: 2, release: make(chan struct{})}
+	p := startScoring(t, scorer, 10, 20, 30, 40, 50)
+	for range 5 {
+		scorer.release <- struct{}{}
+	}
+	await(t, func() bool { return len(p.outcomes(t)) == 5 })
+	must.Eq(t, 2, scorer.maxRunning.Load())
+}
+
+// startScoring starts a process with a batch of items whose texts are complete, and waits until it scores as many of
+// them as the scorer takes.
+func startScoring(t *testing.T, scorer *scorer, lengths ...uint64) *process {
+	t.Helper()
 	p := startProcess(t, &platformtest.Store{}, "g1", "g1")
 	p.Scorer = scorer
-	must.NoError(t, p.Accept(t.Context(), newBatch(10, 20, 30, 40, 50)))
+	must.NoError(t, p.Accept(t.Context(), newBatch(lengths...)))
 	owner := p.owned["b1"].owner
 	owner.mutex.Lock()
-	for range 5 {
+	for range lengths {
 		job, ok := owner.plan.Next(0)
 		must.True(t, ok)
 		owner.plan.Start(job)
@@ -358,12 +370,20 @@
 	}
 	owner.mutex.Unlock()
 	owner.notify()
-	await(t, func() bool { return scorer.running.Load() == 2 })
-	for range 5 {
-		scorer.release <- struct{}{}
-	}
-	await(t, func() bool { return len(p.outcomes(t)) == 5 })
-	must.Eq(t, 2, scorer.maxRunning.Load())
+	await(t, func() bool { return scorer.running.Load() == int32(scorer.capacity) })
+	return p
+}
+
+// Guards against a request of a scorer that is sent, or sent again, long after the end of its batch.
+func TestScoringStopsAfterEnd(t *testing.T) {
+	const maxLag = 3 * time.Second
+	scorer := &scorer{capacity: 1, release: make(chan struct{})}
+	p := startScoring(t, scorer, 10, 20)
+	began := time.Now()
+	must.NoError(t, p.End(t.Context(), "b1", ""))
+	await(t, func() bool { return scorer.running.Load() == 0 })
+	must.Less(t, maxLag, time.Since(began))
+	must.Eq(t, 1, scorer.maxRunning.Load())
 }
 
 // A trainer ends its step at a gateway that does not own the batch. That takes one call of the
--- a/internal/batch/crashes_test.go
+++ b/internal/batch/crashes_test.go
@@ -184,7 +184,7 @@
 	younger.yieldTo(older.owner)
 	mustHavePrecedence := func(want bool) {
 		t.Helper()
-		must.False(t, older.schedule(t.Context()))
+		must.False(t, older.schedule(t.Context(), t.Context()))
 		must.Eq(t, want, younger.hasPrecedence())
 	}
 	mustHavePrecedence(false)
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -35,6 +35,9 @@
 	runTimeout = 60 * time.Second
 	// maxScoringDelay bounds the delay before a text is scored again.
 	maxScoringDelay = time.Second
+	// endedScoringTime is how long scoring goes on after the end of the batch: long enough for the
+	// answer of a server that is at work.
+	endedScoringTime = time.Second
 )
 
 // HeaderEncoder converts the headers of an item to HTTP headers.
@@ -128,9 +131,11 @@
 func (o *owner) run(ctx context.Context) {
 	ticker := time.NewTicker(schedulePollInterval)
 	defer ticker.Stop()
+	scoring, stopScoring := context.WithCancel(ctx)
+	defer stopScoring()
 	for {
 		changed := o.roster.Changed()
-		if o.schedule(ctx) {
+		if o.schedule(ctx, scoring) {
 			break
 		}
 		select {
@@ -145,6 +150,8 @@
 	}
 	o.waiting.Store(0)
 	o.stopRuns()
+	// A scorer's request may wait for a server, or be sent again, until its route's time limit.
+	defer time.AfterFunc(endedScoringTime, stopScoring).Stop()
 	o.tasks.Wait()
 	if o.sharing != nil {
 		o.demands.remove(o)
@@ -157,9 +164,9 @@
 	o.older = nil
 }
 
-// schedule starts the runs and the scoring that can start now. It reports whether the batch is
-// done.
-func (o *owner) schedule(ctx context.Context) bool {
+// schedule starts the runs and the scoring that can start now, each with its context. It reports
+// whether the batch is done.
+func (o *owner) schedule(ctx, scoring context.Context) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	now := clock.Now()
@@ -183,7 +190,7 @@
 	if o.plan.IsEnded() || o.plan.IsComplete() {
 		return true
 	}
-	o.startScoring(ctx, now)
+	o.startScoring(scoring, now)
 	return false
 }
 
