gateway: a relay without an answer counts as failed

Cause: while direct calls of the store fail, a gateway has its requests relayed by others. One whose relay the store rejects is tried last; one that gives no answer wasn't remembered. Two gateways that are in touch with the others and not with the store were asked first for each request, for its whole timeout, and those that reach the store not at all.

A relay without an answer now counts like a rejected one, unless the process itself has given up. No call is made more often: the same number of relays is tried for each request, in another order.

--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -19,9 +19,9 @@
 	detourMargin = 100 * time.Millisecond
 	// maxDetourAttempts is the maximum number of peers tried for one call.
 	maxDetourAttempts = 2
-	// rejectedCooldown is how long a gateway is tried last after the store rejected a
-	// call that it relayed.
-	rejectedCooldown = time.Second
+	// detourCooldown is how long a gateway is tried last after it gave no answer, or the
+	// store rejected a call that it relayed.
+	detourCooldown = time.Second
 )
 
 // Detour sends a store request through another gateway, starting with the gateway that
@@ -51,8 +51,11 @@
 		case err != nil:
 			klog.InfoS("hosts: relaying a store request through a peer failed", "host", name, "err", err.Error())
 			result = detour.OutcomeUnknown
+			if ctx.Err() == nil {
+				h.recordDetourFailed(name)
+			}
 		case platform.IsRejected(status):
-			h.recordDetourRejected(name)
+			h.recordDetourFailed(name)
 			if result == detour.NotSent {
 				answer, result = detour.Answer{Status: status}, detour.Answered
 			}
@@ -72,36 +75,38 @@
 		klog.InfoS("hosts: store requests now go through a peer", "host", name)
 	}
 	h.detourHost = name
-	delete(h.rejectedAt, name)
+	delete(h.detourFailedAt, name)
 }
 
-// recordDetourRejected notes that the store rejected a request relayed by a gateway.
-func (h *Hosts) recordDetourRejected(name string) {
+// recordDetourFailed notes that a gateway gave no answer to a request that it was to relay, or that
+// the store rejected the request. A gateway may be in touch with this process and cut off from the
+// store: each request that is sent through it takes its whole timeout.
+func (h *Hosts) recordDetourFailed(name string) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.rejectedAt[name] = clock.Now()
+	h.detourFailedAt[name] = clock.Now()
 	if h.detourHost == name {
 		h.detourHost = ""
 	}
 }
 
 // detourOrder returns the other gateways in the order in which they are tried: the
-// gateway that last succeeded first, recently rejected gateways last, else those that watch
+// gateway that last succeeded first, those that failed recently last, else those that watch
 // the store or would be the next to do so.
 func (h *Hosts) detourOrder() []string {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	names := slices.Clone(h.order)
 	now := clock.Now()
-	rejectedRank := func(name string) int {
-		at := h.rejectedAt[name]
-		return boolToInt(at != 0 && now.Sub(at) < rejectedCooldown)
+	failedRank := func(name string) int {
+		at := h.detourFailedAt[name]
+		return boolToInt(at != 0 && now.Sub(at) < detourCooldown)
 	}
 	slices.SortStableFunc(names, func(a, b string) int {
 		return cmp.Or(
 			cmp.Compare(boolToInt(b == h.detourHost), boolToInt(a == h.detourHost)),
-			cmp.Compare(rejectedRank(a), rejectedRank(b)),
-			cmp.Compare(h.rejectedAt[a], h.rejectedAt[b]),
+			cmp.Compare(failedRank(a), failedRank(b)),
+			cmp.Compare(h.detourFailedAt[a], h.detourFailedAt[b]),
 		)
 	})
 	return slices.DeleteFunc(names, func(name string) bool { return name == h.Name })
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -64,9 +64,9 @@
 	followFailedAt map[string]clock.Boot
 	// followed is the gateway that this one last followed, "" if it watches the store itself.
 	followed string
-	// rejectedAt maps a gateway to the time when the store last rejected a request that it
-	// relayed for this process.
-	rejectedAt map[string]clock.Boot
+	// detourFailedAt maps a gateway to the time when it last failed to relay a store request for
+	// this process.
+	detourFailedAt map[string]clock.Boot
 }
 
 var _ detour.Peers = &Hosts{}
@@ -79,7 +79,7 @@
 		h.hosts = map[string]*statepb.Host{}
 		h.keepers = map[string]*statepb.Host{}
 		h.followFailedAt = map[string]clock.Boot{}
-		h.rejectedAt = map[string]clock.Boot{}
+		h.detourFailedAt = map[string]clock.Boot{}
 		h.connections = map[string]*grpc.ClientConn{}
 	}
 	var live, removed []string
