--- a/internal/gateway/detour_test.go
+++ b/internal/gateway/detour_test.go
@@ -106,7 +106,7 @@
 		must.Eq(t, 2, order[0].calls.Load())
 	})
 	t.Run("a process that gives up blames no gateway", func(t *testing.T) {
-		hosts, order := startRelays(t, 2)
+		hosts, order := startRelays(t, maxDetourAttempts+1)
 		order[0].isSilent.Store(true)
 		ctx, cancel := context.WithTimeout(t.Context(), relayTimeout/4)
 		defer cancel()
