batch, rollout: events without data count towards the size of a text

Cause: the bound on a text counted the data of its events. An event without data takes a string and a weight version in memory, 24 bytes, and counted for nothing; no bound on single events stops it, since each is short. A sample that an entry collects had the same fault: only text counted, and tokens, log probabilities and ranges of versions came without end.

Ruled out: the bound on single events (256 KB each), and the read timeout, which every event restarts.

Streams of callers are passed on event by event and collect nothing: safe. Engines' frames at a sidecar are bounded in number, and the reader waits: safe.

--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -268,11 +268,18 @@
 	return true
 }
 
-// TextBytes returns the size of the events of an item so far.
+// eventOverhead is the memory that an event takes besides its data: a string's header and a weight
+// version. Events without data may come without end too.
+const eventOverhead = 24
+
+// eventSize returns the memory that an event takes in bytes.
+func eventSize(data string) int { return len(data) + eventOverhead }
+
+// TextBytes returns the size of the events of an item so far, with their overhead.
 func (p *Plan) TextBytes(job Job) int {
 	size := 0
 	for _, event := range p.items[job.index].events {
-		size += len(event)
+		size += eventSize(event)
 	}
 	return size
 }
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -144,7 +144,7 @@
 			answer.SetReadTimeout(stallTimeout(o.roster.RecordEvent(server, now.Sub(last))))
 		}
 		last = now
-		if size += len(event.Data); o.maxTextBytes > 0 && size > o.maxTextBytes {
+		if size += eventSize(event.Data); o.maxTextBytes > 0 && size > o.maxTextBytes {
 			o.dropText(job)
 			return refusal.Unknown(http.StatusBadGateway, "bad_event", "the text has more than %d bytes with event %d of %s", o.maxTextBytes, event.Number, server.Name())
 		}
--- a/internal/batch/run_test.go
+++ b/internal/batch/run_test.go
@@ -27,20 +27,23 @@
 
 // Guards against a text without end, which takes a process over its memory and which the store could not hold.
 func TestTextWithoutEnd(t *testing.T) {
-	s := newSampled(t, 10)
-	const events = 16
-	event := strings.Repeat("x", 256)
-	s.maxTextBytes = events * len(event)
-	s.startSampler(samplerSlots, func(w http.ResponseWriter, r *http.Request) {
-		for number := 1; r.Context().Err() == nil && number < 4*events; number++ {
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, event)
-		}
-	})
-	s.generateFirst(t.Context())
-	item := s.plan.items[0]
-	must.Eq(t, waiting, item.phase)
-	must.SliceEmpty(t, item.events)
-	must.Eq(t, 1, item.faults)
+	for name, data := range map[string]string{"events with data": strings.Repeat("x", 256), "events without data": ""} {
+		t.Run(name, func(t *testing.T) {
+			const maxTextBytes, events = 4 << 10, 1 << 10
+			s := newSampled(t, 10)
+			s.maxTextBytes = maxTextBytes
+			s.startSampler(samplerSlots, func(w http.ResponseWriter, r *http.Request) {
+				for number := 1; r.Context().Err() == nil && number < events; number++ {
+					_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, data)
+				}
+			})
+			s.generateFirst(t.Context())
+			item := s.plan.items[0]
+			must.Eq(t, waiting, item.phase)
+			must.SliceEmpty(t, item.events)
+			must.Eq(t, 1, item.faults)
+		})
+	}
 }
 
 // fixedScorer returns the same proof for all texts.
--- a/internal/rollout/samplebuilder.go
+++ b/internal/rollout/samplebuilder.go
@@ -17,8 +17,12 @@
 	return "sample " + e.Request + ": " + e.Problem
 }
 
-// maxSampleBytes bounds the text of a sample; a message to another process holds a whole sample.
-const maxSampleBytes = 4 << 20
+const (
+	// maxSampleBytes bounds a sample; a message to another process holds a whole sample.
+	maxSampleBytes = 4 << 20
+	// rangeBytes is the size of a Range in memory.
+	rangeBytes = 64
+)
 
 // SampleBuilder collects the chunks of one attempt.
 type SampleBuilder struct {
@@ -26,34 +30,50 @@
 	tokens   []int32
 	logprobs []float32
 	ranges   []*peerpb.Range
+	// size is the number of bytes of the chunks so far.
+	size int
 }
 
 // Add appends a chunk. The chunk's version is the one that the engine reported for
 // its tokens, never the version that the engine was ordered to load. Add rejects
-// tokens without a version, and text without an end.
+// tokens without a version, and chunks without an end.
 func (b *SampleBuilder) Add(request string, chunk *peerpb.Chunk) error {
 	tokens := uint32(len(chunk.GetTokens()))
 	if tokens > 0 && chunk.GetVersion() == 0 {
 		return &SampleError{Request: request, Problem: "the engine showed no weight version"}
 	}
-	if len(b.text)+len(chunk.GetData()) > maxSampleBytes {
-		return &SampleError{Request: request, Problem: fmt.Sprintf("the text has more than %d bytes", maxSampleBytes)}
+	if b.size += b.sizeOf(chunk); b.size > maxSampleBytes {
+		return &SampleError{Request: request, Problem: fmt.Sprintf("the chunks have more than %d bytes", maxSampleBytes)}
 	}
 	b.text = append(b.text, chunk.GetData()...)
 	from := uint32(len(b.tokens))
 	b.tokens = append(b.tokens, chunk.GetTokens()...)
 	b.logprobs = append(b.logprobs, chunk.GetLogprobs()...)
-	if tokens == 0 {
-		return nil
-	}
-	if last := len(b.ranges) - 1; last >= 0 && b.ranges[last].GetVersion() == chunk.GetVersion() {
-		b.ranges[last].SetUntil(from + tokens)
-		return nil
+	switch {
+	case tokens == 0:
+	case b.startsRange(chunk):
+		b.ranges = append(b.ranges, peerpb.Range_builder{From: from, Until: from + tokens, Version: chunk.GetVersion()}.Build())
+	default:
+		b.ranges[len(b.ranges)-1].SetUntil(from + tokens)
 	}
-	b.ranges = append(b.ranges, peerpb.Range_builder{From: from, Until: from + tokens, Version: chunk.GetVersion()}.Build())
 	return nil
 }
 
+// startsRange reports whether the version of a chunk's tokens differs from that of the tokens before.
+func (b *SampleBuilder) startsRange(chunk *peerpb.Chunk) bool {
+	last := len(b.ranges) - 1
+	return last < 0 || b.ranges[last].GetVersion() != chunk.GetVersion()
+}
+
+// sizeOf returns the number of bytes that a chunk adds to the sample.
+func (b *SampleBuilder) sizeOf(chunk *peerpb.Chunk) int {
+	size := len(chunk.GetData()) + 4*len(chunk.GetTokens()) + 4*len(chunk.GetLogprobs())
+	if len(chunk.GetTokens()) > 0 && b.startsRange(chunk) {
+		size += rangeBytes
+	}
+	return size
+}
+
 // Sample returns the complete sample, or a SampleError if tokens are missing.
 //
 // An engine that resumes another engine's answer may omit or repeat tokens; the
