batch: the end of an early run is stored, so that a late write doesn't accept the batch

Not seen in service.

Cause: the end removes the key of the open batch, and takes the store's word that there is none for an end. The store may execute a write without an answer later, as long as its condition holds, and "no such batch" still held.

Ruled out: a resubmission that starts it (already accepted batches don't start early), and the former process's retries, which stop at the end.

Now the end of a batch that runs early here stores it as ended, under the condition that the store doesn't hold it. The late write is then rejected like any second acceptance. If the store holds the batch by then, the end removes the open key as before.

Other ends were safe: one at a gateway that doesn't run the batch is answered 404 by the store's word, which acknowledges nothing.

--- a/internal/batch/earlyrun.go
+++ b/internal/batch/earlyrun.go
@@ -185,6 +185,16 @@
 	return owned.early
 }
 
+// earlyBatch returns a batch that this process runs early, or nil.
+func (b *Board) earlyBatch(id string) *statepb.Batch {
+	b.lock()
+	defer b.mutex.Unlock()
+	if b.earlyRunLocked(id) == nil {
+		return nil
+	}
+	return b.owned[id].batch
+}
+
 // markAccepted records that the store holds a batch and this process owns it. The mutex must be
 // held.
 func (b *Board) markAccepted(batch *statepb.Batch, ownership Ownership) {
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
@@ -133,6 +134,7 @@
 
 // End ends a batch. It stops the runs of the batch here before it updates the store.
 func (b *Board) End(ctx context.Context, id, account string) error {
+	early := b.earlyBatch(id)
 	if err := b.checkAccount(ctx, id, account); err != nil {
 		return err
 	}
@@ -141,10 +143,10 @@
 		return nil
 	}
 	for {
-		_, err := b.Store.Commit(ctx, platform.Commit{Remove: []string{openKey(id)}})
+		err := b.commitEnd(ctx, id, early)
 		var missing *platform.NotFoundError
 		if err == nil || errors.As(err, &missing) {
-			klog.InfoS("batch: its trainer has ended it", "batch", id)
+			klog.InfoS("batch: its trainer has ended it", "batch", id, "early", early != nil)
 			return nil
 		}
 		if ctx.Err() != nil || isNotCommitted(err) {
@@ -153,6 +155,29 @@
 	}
 }
 
+// commitEnd makes the store hold a batch as ended; early is the batch if it runs early here, else nil.
+//
+// A write that accepts an early batch may be executed after the batch has ended. It is rejected if
+// the store holds the batch already, so the batch is stored as ended, as if it had been accepted.
+func (b *Board) commitEnd(ctx context.Context, id string, early *statepb.Batch) error {
+	if early != nil {
+		data, err := proto.Marshal(early)
+		if err != nil {
+			return err
+		}
+		_, err = b.Store.Commit(ctx, platform.Commit{
+			Expect: []platform.Expect{{Key: storedKey(id)}},
+			Writes: []platform.Write{{Key: bulkKey(id), Data: data}, {Key: storedKey(id), Data: []byte(early.GetAccount())}},
+		})
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) {
+			return err
+		}
+	}
+	_, err := b.Store.Commit(ctx, platform.Commit{Remove: []string{openKey(id)}})
+	return err
+}
+
 // isEnded reports whether the watch has shown the end of a batch. A trainer that got no answer
 // ends its batch again, and so do other trainers of its account.
 func (b *Board) isEnded(id string) bool {
