batch: a test notices a batch that runs early although the watch has shown it meanwhile

Taking the guard in startEarly out, no test failed: the one at the beginning of Accept stops the same batch. The new part learns of the batch between the two, and fails without the guard (run here).

--- a/internal/batch/endedearly_test.go
+++ b/internal/batch/endedearly_test.go
@@ -46,6 +46,15 @@
 		mustNotRun(t, second)
 		must.NoError(t, <-accepted)
 	})
+	t.Run("at a process that learns of it after it was sent again", func(t *testing.T) {
+		store := &platformtest.Store{}
+		first, second := startProcess(t, store, "g1", "g1"), startProcess(t, store, "g2", "g2")
+		must.NoError(t, first.Accept(t.Context(), newBatch(10, 20)))
+		must.NoError(t, first.End(t.Context(), "b1", ""))
+		await(t, func() bool { return second.isAccepted("b1") })
+		second.startEarly(newBatch(10, 20))
+		must.False(t, second.runsBatch())
+	})
 	t.Run("at a process that has not listed the batches yet", func(t *testing.T) {
 		store := &platformtest.Store{}
 		p := &process{routes: &routes{route: knownRoute, known: true}}
