--- a/internal/batch/endedearly_test.go
+++ b/internal/batch/endedearly_test.go
@@ -96,6 +96,7 @@
 	await(t, func() bool { return first.earlyRunOf("b1") != nil })
 	must.NoError(t, <-accepted)
 	await(t, func() bool { return !first.runsBatch() })
+	must.False(t, first.isEnded("b1"))
 	must.True(t, second.runsBatch())
 }
 
--- a/internal/batch/ownwrites_test.go
+++ b/internal/batch/ownwrites_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform/platformtest"
 )
@@ -173,3 +175,42 @@
 	store.SetWatchesSilent(false)
 	await(t, p.runsBatch)
 }
+
+// Guards against a batch that runs after its end at a process that has started again: it knows from the watch that the batch
+// is open and its own, and the batch ends before the process has a lease.
+func TestEndedBatchIsNotResumed(t *testing.T) {
+	store := &platformtest.Store{}
+	former, p := startProcess(t, store, "g1", "g1"), startProcess(t, store, "g1", "g1")
+	lease := p.lease.Swap(0)
+	must.NoError(t, former.Accept(t.Context(), newBatch(10, 20)))
+	former.stop()
+	await(t, func() bool { return p.isCommitting("b1") })
+	store.SetWatchesSilent(true)
+	commit(t, store, platform.Commit{Remove: []string{openKey("b1")}})
+	p.lease.Store(lease)
+	await(t, func() bool { return p.isEnded("b1") })
+	must.False(t, p.runsBatch())
+}
+
+// Guards against a batch that stops, or whose readers are sent to a former owner, because an older change of its owner key is
+// received after a newer one.
+func TestOlderOwnerIsIgnored(t *testing.T) {
+	t.Run("in the watch", func(t *testing.T) {
+		p := startProcess(t, &platformtest.Store{}, "g1", "g1")
+		must.NoError(t, p.AcceptOwn(t.Context(), newBatch(10, 20)))
+		owner, err := proto.Marshal(statepb.Owner_builder{Process: "g2"}.Build())
+		must.NoError(t, err)
+		older := p.owned["b1"].ledger.currentOwnership().Revision - 1
+		p.ApplyChanges([]platform.Value{{Key: ownerKey("b1"), Data: owner, Revision: older}})
+		must.Eq(t, "g1", p.Owner("b1"))
+		must.True(t, p.runsBatch())
+	})
+	t.Run("in an answer", func(t *testing.T) {
+		p := startProcess(t, &platformtest.Store{}, "g1", "g1")
+		p.mutex.Lock()
+		p.owners["b1"], p.ownerRevisions["b1"] = "g2", 10
+		p.recordOwner("b1", Ownership{Revision: 9})
+		p.mutex.Unlock()
+		must.Eq(t, "g2", p.Owner("b1"))
+	})
+}
