batch: a batch that the store can't hold doesn't run early

What callers could see: a batch whose path isn't valid UTF-8, or that is larger than a value of the store, arrives while its gateway has no lease. It runs early for up to 10 s and can never be accepted; an end of it was tried again without a pause until its client left, since it can't be encoded. Found in the last reading of the diff, not seen in service.

Cause: whether the store can hold the batch was asked after the lease, and a missing lease starts the early run. The order is reversed now: such a batch is refused at once. Nothing of it was ever sent, so "not run" is true.

Evidence: both parts of TestBatchThatCannotBeStoredIsRefused failed before (outcome unknown, early run started). internal/batch passes with -race.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -117,10 +117,6 @@
 }
 
 func (b *Board) commitBatch(ctx context.Context, batch *statepb.Batch) error {
-	lease := b.Lease()
-	if lease == 0 {
-		return refusal.NotRun(http.StatusServiceUnavailable, codeStoreUnavailable, "this process is not known to the store").WithRetryAfter(storeRetryAfter)
-	}
 	id := batch.GetId()
 	data, err := proto.Marshal(batch)
 	if err != nil {
@@ -129,6 +125,10 @@
 	if len(data) > int(0.74*float64(b.ValueBytes)) {
 		return refusal.NotRun(http.StatusRequestEntityTooLarge, "large_batch", "the batch is larger than the store's values")
 	}
+	lease := b.Lease()
+	if lease == 0 {
+		return refusal.NotRun(http.StatusServiceUnavailable, codeStoreUnavailable, "this process is not known to the store").WithRetryAfter(storeRetryAfter)
+	}
 	owner, err := proto.Marshal(statepb.Owner_builder{Process: b.Process}.Build())
 	if err != nil {
 		return err
--- a/internal/batch/earlyrun_test.go
+++ b/internal/batch/earlyrun_test.go
@@ -226,6 +226,24 @@
 	}
 }
 
+// Guards against a batch that the store can't hold and that runs early, because this process had no lease when it arrived.
+func TestBatchThatCannotBeStoredIsRefused(t *testing.T) {
+	mustRefuse := func(t *testing.T, batch *statepb.Batch, valueBytes int) {
+		t.Helper()
+		p := startProcess(t, &platformtest.Store{}, "g1", "g1")
+		p.lease.Store(0)
+		p.ValueBytes = valueBytes
+		must.True(t, refusal.IsNotRun(p.Accept(t.Context(), batch)))
+		must.Nil(t, p.earlyRunOf("b1"))
+	}
+	t.Run("for its bytes", func(t *testing.T) {
+		batch := newBatch(10)
+		batch.SetPath("/\xff")
+		mustRefuse(t, batch, 1<<20)
+	})
+	t.Run("for its size", func(t *testing.T) { mustRefuse(t, newBatch(10), 1) })
+}
+
 func isClosed(channel <-chan struct{}) bool {
 	select {
 	case <-channel:
