batch: the log says what a process believes of a batch that it removes

Two causes would look the same to callers: the owner removes its own batch by the time since its acceptance, or a gateway that isn't the owner removes it since its copy of the watched keys lacks the open key. "batch: removed" named neither the owner nor what the process knew of the end.

--- a/internal/batch/remove.go
+++ b/internal/batch/remove.go
@@ -38,6 +38,7 @@
 	ids = slices.DeleteFunc(ids, func(id string) bool { return b.removing[id] })
 	for _, id := range ids {
 		b.removing[id] = true
+		klog.InfoS("batch: removing a batch past its retention", "batch", id, "owner", b.owners[id], "open", b.open[id], "ended", b.ended[id], "running", b.owned[id] != nil)
 	}
 	return ids
 }
