batch: a batch that is open is never removed

Results that had been read were gone, and so were the bodies of the items at work.

Cause: the owner removed what was older than its retention, whether it had ended or not; and a process that found no owner removed by its own copy of the watched keys, without a condition at the store.

Change: a removal needs the end, the retention since the acceptance and 30 s since the end; each of its commits expects that the store holds no open key. What is kept longer is bounded: at 32 open batches an account gets 429, not run, at once, after the store was asked whether the batch is new; owners unload complete open batches after the retention.

Why it works: whether a batch is open is decided by the store in the same transaction as the removal, so neither a clock nor a copy that is behind, nor a removal that is executed late, can hit an open batch.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -15,9 +15,17 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
-// codeStoreUnavailable is the code of refusals caused by an unavailable store or a missing
-// lease of this process.
-const codeStoreUnavailable = "store_away"
+const (
+	// codeStoreUnavailable is the code of refusals caused by an unavailable store or a missing
+	// lease of this process.
+	codeStoreUnavailable = "store_away"
+	// maxOpenBatches bounds the open batches of an account, which the store holds until their trainer ends
+	// them: several steps in progress for each of several trainers.
+	maxOpenBatches = 32
+	// openLimitRetryAfter is the delay after which a trainer with too many open batches should retry:
+	// longer than it takes to end one.
+	openLimitRetryAfter = time.Second
+)
 
 // Accept stores a batch through this process or a preferred owner of its model. It returns nil
 // once the store holds the batch, also from an earlier attempt; any error is a *refusal.Error
@@ -29,6 +37,9 @@
 	if b.isAccepted(batch.GetId()) {
 		return nil
 	}
+	if err := b.checkOpenLimit(ctx, batch); err != nil {
+		return err
+	}
 	for _, host := range b.preferredOwners(batch.GetModel()) {
 		if host == b.Process {
 			return b.acceptOwn(ctx, batch, attempt{isPreferred: true})
@@ -46,6 +57,45 @@
 	return b.acceptOwn(ctx, batch, attempt{})
 }
 
+// checkOpenLimit refuses a new batch of an account with too many open batches. The store is asked
+// whether the batch is new: an earlier attempt may have stored it that the watch has not shown yet.
+func (b *Board) checkOpenLimit(ctx context.Context, batch *statepb.Batch) error {
+	count, oldest := b.openOf(batch.GetAccount())
+	if count < maxOpenBatches {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	_, err := b.Store.Get(ctx, storedKey(batch.GetId()))
+	var missing *platform.NotFoundError
+	switch {
+	case err == nil:
+		return nil
+	case !errors.As(err, &missing):
+		klog.InfoS("batch: can't tell whether a batch of an account with too many open batches is new", "batch", batch.GetId(), "account", batch.GetAccount(), "open", count, "err", err.Error())
+		return errCommitUnknown()
+	default:
+		return refusal.NotRun(http.StatusTooManyRequests, "too_many_open", "account %s has %d open batches, the oldest is %s; end those that nobody reads", batch.GetAccount(), count, oldest).WithRetryAfter(openLimitRetryAfter)
+	}
+}
+
+// openOf returns the number of open batches of an account, and the one that this process has known
+// longest.
+func (b *Board) openOf(account string) (count int, oldest string) {
+	b.lock()
+	defer b.mutex.Unlock()
+	for id := range b.open {
+		if b.stored[id] == 0 || b.accounts[id] != account {
+			continue
+		}
+		count++
+		if oldest == "" || b.stored[id] < b.stored[oldest] {
+			oldest = id
+		}
+	}
+	return count, oldest
+}
+
 // attempt describes one attempt of this process to accept a batch.
 type attempt struct {
 	// mayBeAccepted reports whether an earlier attempt may have stored the batch.
@@ -171,7 +221,7 @@
 }
 
 // isKnown reports whether the store is known to hold a batch, open or ended. The mutex must be held.
-func (b *Board) isKnown(id string) bool { return b.open[id] || b.ended[id] || b.stored[id] != 0 }
+func (b *Board) isKnown(id string) bool { return b.open[id] || b.ended[id] != 0 || b.stored[id] != 0 }
 
 func (b *Board) hasDrainStarted() bool {
 	b.lock()
--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -94,7 +94,7 @@
 	Keeper Keeper
 	// Sharing divides pools that several models use among the owners of batches; nil divides none.
 	Sharing Sharing
-	// Retention is how long a batch can be read after its acceptance.
+	// Retention is how long a batch can be read after its acceptance; one that is open can be read longer.
 	Retention time.Duration
 	// GroupDelay is how long outcomes are gathered before they are written together.
 	GroupDelay time.Duration
@@ -128,9 +128,11 @@
 	// is deleting from the store.
 	stored   map[string]clock.Boot
 	accounts map[string]string
-	// ended holds the stored batches whose end the watch has shown.
-	ended      map[string]bool
-	removing   map[string]bool
+	// ended maps the stored batches that have ended to the time when this process learned of the end.
+	ended    map[string]clock.Boot
+	removing map[string]bool
+	// unloaded holds the open batches whose outcomes are all listed and that are read from the store.
+	unloaded   map[string]bool
 	isDraining bool
 	// ownerCount is the result of OwnerCount. It is atomic because an owner reads it with its own mutex held, which is
 	// locked after that of the board.
@@ -163,14 +165,13 @@
 	cancel context.CancelFunc
 	ended  bool
 	// early is nil unless the batch was started before the store was known to hold it.
-	early      *earlyRun
-	total      uint64
-	acceptedAt clock.Boot
+	early *earlyRun
+	total uint64
 	// stopped is closed once the owner and its ledger have stopped.
 	stopped chan struct{}
 }
 
-// Run claims batches without an owner and removes expired ones until the context ends.
+// Run claims batches without an owner, unloads complete ones and removes expired ones until the context ends.
 func (b *Board) Run(ctx context.Context) error {
 	b.lock()
 	b.mutex.Unlock()
@@ -180,6 +181,7 @@
 		for _, id := range b.claimable(now) {
 			b.tasks.Go(func() { b.claim(ctx, id) })
 		}
+		b.unloadComplete(now)
 		for _, id := range b.expired(now) {
 			b.tasks.Go(func() { b.remove(ctx, id) })
 		}
@@ -230,8 +232,9 @@
 	b.claiming = map[string]bool{}
 	b.stored = map[string]clock.Boot{}
 	b.accounts = map[string]string{}
-	b.ended = map[string]bool{}
+	b.ended = map[string]clock.Boot{}
 	b.removing = map[string]bool{}
+	b.unloaded = map[string]bool{}
 	b.wake = make(chan struct{}, 1)
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	b.metrics = newMetrics(b.Metrics, b.countOpen)
@@ -246,6 +249,11 @@
 			open++
 		}
 	}
+	for id := range b.unloaded {
+		if b.owners[id] == b.Process {
+			open++
+		}
+	}
 	return float64(open)
 }
 
@@ -285,10 +293,9 @@
 			runs:          map[int]*activeRun{},
 			wake:          make(chan struct{}, 1),
 		},
-		cancel:     cancel,
-		acceptedAt: accepted,
-		total:      uint64(len(batch.GetItems())),
-		stopped:    make(chan struct{}),
+		cancel:  cancel,
+		total:   uint64(len(batch.GetItems())),
+		stopped: make(chan struct{}),
 	}
 	b.setPrecedence(owned.owner)
 	b.owned[batch.GetId()] = owned
--- a/internal/batch/board_test.go
+++ b/internal/batch/board_test.go
@@ -289,9 +289,7 @@
 		return len(list.Values)
 	}
 	must.Positive(t, keys())
-	second.mutex.Lock()
-	second.stored["b1"] = second.stored["b1"].Add(-2 * second.Retention)
-	second.mutex.Unlock()
+	second.passRetention()
 	await(t, func() bool { return keys() == 0 })
 	t.Run("and nothing of them stays in memory", func(t *testing.T) {
 		for _, p := range []*process{second, third} {
@@ -323,23 +321,6 @@
 	}
 }
 
-// Batches past their retention leave nothing in the store.
-func TestRemoved(t *testing.T) {
-	store := &platformtest.Store{}
-	p := startProcess(t, store, "g1", "g1")
-	must.NoError(t, p.Accept(t.Context(), newBatch(10)))
-	p.owned["b1"].ledger.enqueue([]*statepb.Outcome{statepb.Outcome_builder{Item: "i0"}.Build()}, true)
-	await(t, func() bool { return len(p.outcomes(t)) == 1 })
-	must.NoError(t, p.End(t.Context(), "b1", ""))
-	p.mutex.Lock()
-	p.owned["b1"].acceptedAt = p.owned["b1"].acceptedAt.Add(-2 * p.Retention)
-	p.mutex.Unlock()
-	await(t, func() bool {
-		list, err := store.List(t.Context(), "")
-		return err == nil && len(list.Values) == 0
-	})
-}
-
 // The texts of a step complete at the same moment. Scored all at once, they take every slot of
 // the scoring service, and requests of other callers queue behind them.
 func TestConcurrentScoresAreBounded(t *testing.T) {
@@ -414,7 +395,7 @@
 	await(t, func() bool {
 		p.mutex.Lock()
 		defer p.mutex.Unlock()
-		return p.ended["b1"]
+		return p.ended["b1"] != 0
 	})
 	list, err := store.List(t.Context(), Prefix)
 	must.NoError(t, err)
--- a/internal/batch/changes.go
+++ b/internal/batch/changes.go
@@ -46,10 +46,13 @@
 		b.resume(id)
 		return
 	}
-	b.ended[id] = b.open[id] || b.ended[id] || b.stored[id] != 0
+	if b.ended[id] == 0 && (b.open[id] || b.stored[id] != 0) {
+		b.ended[id] = clock.Now()
+	}
 	delete(b.open, id)
 	delete(b.openRevisions, id)
 	delete(b.unowned, id)
+	delete(b.unloaded, id)
 	b.endOwned(id)
 }
 
@@ -71,12 +74,7 @@
 // batch is removed from memory too, because every gateway watches every batch.
 func (b *Board) applyStored(id string, change platform.Value) {
 	if change.Deleted {
-		delete(b.stored, id)
-		delete(b.accounts, id)
-		delete(b.ended, id)
-		delete(b.ownerRevisions, id)
-		delete(b.unshown, openKey(id))
-		delete(b.unshown, ownerKey(id))
+		b.forget(id)
 		return
 	}
 	b.accounts[id] = string(change.Data)
@@ -141,7 +139,7 @@
 // A restarted process sees the keys of all batches it owned before, most of which have ended;
 // loading the ended ones would delay the open ones.
 func (b *Board) resume(id string) {
-	if b.owners[id] != b.Process || b.owned[id] != nil || !b.open[id] || b.claiming[id] {
+	if b.owners[id] != b.Process || b.owned[id] != nil || !b.open[id] || b.claiming[id] || b.unloaded[id] {
 		return
 	}
 	b.claiming[id] = true
--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -30,7 +30,7 @@
 	}
 	var ids []string
 	for id, unowned := range b.unowned {
-		if b.claiming[id] || !b.open[id] {
+		if b.claiming[id] || !b.open[id] || b.unloaded[id] {
 			continue
 		}
 		if now.Sub(unowned.since) >= b.claimDelay(id, unowned.lastOwner) {
@@ -203,6 +203,10 @@
 		b.resume(id)
 		return
 	}
+	if len(listed) == len(batch.GetItems()) && b.isPastRetention(batch) {
+		b.unloaded[id] = true
+		return
+	}
 	klog.InfoS("batch: taken over", "batch", id, "owner", ownership.Revision, "listed", len(listed), "partly", len(partials))
 	b.recordOwner(id, ownership)
 	delete(b.unowned, id)
--- a/internal/batch/earlyrun.go
+++ b/internal/batch/earlyrun.go
@@ -137,7 +137,9 @@
 	owned, early := b.owned[id], b.earlyRunLocked(id)
 	if hasEnded {
 		b.applyOpen(id, platform.Value{Key: openKey(id), Deleted: true})
-		b.ended[id] = true // The watch may not have shown the batch at all.
+		if b.ended[id] == 0 {
+			b.ended[id] = clock.Now() // The watch may not have shown the batch at all.
+		}
 	}
 	if early == nil {
 		return
--- a/internal/batch/ownwrites.go
+++ b/internal/batch/ownwrites.go
@@ -13,7 +13,7 @@
 	if b.open[id] {
 		return true
 	}
-	if b.ended[id] || asOf <= b.listed {
+	if b.ended[id] != 0 || asOf <= b.listed {
 		klog.InfoS("batch: ended before the store's answer arrived", "batch", id, "asOf", asOf, "listed", b.listed)
 		b.endOwned(id)
 		return false
--- a/internal/batch/ownwrites_test.go
+++ b/internal/batch/ownwrites_test.go
@@ -103,7 +103,7 @@
 		await(t, func() bool {
 			p.mutex.Lock()
 			defer p.mutex.Unlock()
-			return p.ended["b1"]
+			return p.ended["b1"] != 0
 		})
 	}
 	mustNotRun := func(t *testing.T, p *process) {
@@ -155,7 +155,7 @@
 	await(t, func() bool {
 		second.mutex.Lock()
 		defer second.mutex.Unlock()
-		return second.ended["b1"]
+		return second.ended["b1"] != 0
 	})
 	must.False(t, second.ownsBatch())
 }
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -183,7 +183,7 @@
 func (b *Board) isEnded(id string) bool {
 	b.lock()
 	defer b.mutex.Unlock()
-	return b.ended[id]
+	return b.ended[id] != 0
 }
 
 // StopOwned stops the runs of a batch if this process owns it, and reports whether it does.
