--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/zeromicro/go-zero/rest/httpc"
+	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
@@ -105,7 +106,12 @@
 // if no byte of the request can have reached the backend server: no connection was obtained,
 // or it ended before anything was written to it.
 func (s *Server) exchange(ctx context.Context, call call) (*watchedResponse, error) {
-	target, err := s.targetURL(call.path)
+	base, err := url.Parse(s.Address)
+	if err != nil {
+		klog.InfoS("backend: the address of a server can't be used", "server", s.Name, "err", err.Error())
+		return nil, s.refuse(err, false)
+	}
+	target, err := targetURL(base, call.path)
 	if err != nil {
 		return nil, refusal.NotRun(http.StatusBadRequest, "bad_path", "%v", err)
 	}
@@ -172,11 +178,7 @@
 func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
 
 // targetURL joins the base URL with a path and query, and rejects paths that contain a host.
-func (s *Server) targetURL(path string) (*url.URL, error) {
-	base, err := url.Parse(s.Address)
-	if err != nil {
-		return nil, err
-	}
+func targetURL(base *url.URL, path string) (*url.URL, error) {
 	if len(path) == 0 || path[0] != '/' {
 		return nil, errors.New("path doesn't start with a slash")
 	}
--- a/internal/backend/direct_test.go
+++ b/internal/backend/direct_test.go
@@ -147,3 +147,14 @@
 	_, err = events.Next()
 	must.Eq(t, "backend_silent", refusal.Of(err).Code)
 }
+
+// Guards against a request that is rejected as malformed because its server's address can't be used.
+func TestUnusableAddress(t *testing.T) {
+	for _, address := range []string{"http://[::1%lo]:80", "http://127.0.0.1:x", "http://127.0.0.1:70000"} {
+		t.Run(address, func(t *testing.T) {
+			_, err := post(t, &backend.Direct{Server: backend.Server{Address: address, Name: "s1"}, Wire: platform.Wire{}}, "r1")
+			mustEnd(t, peerpb.Outcome_OUTCOME_NOT_RUN, backend.CodeUnreachable, err)
+			must.Eq(t, http.StatusServiceUnavailable, refusal.Of(err).Status)
+		})
+	}
+}
--- a/internal/backend/fuzz_test.go
+++ b/internal/backend/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"net/url"
 	"slices"
 	"strings"
 	"testing"
@@ -19,9 +20,8 @@
 	for _, seed := range []string{"/records/1", "//evil/x", "http://evil/", "/a?b=c#d", "/%2f%2fevil", "*", "", "/\\evil", "/a b", "//u:p@evil"} {
 		f.Add(seed)
 	}
-	server := &Server{Address: "http://127.0.0.1:8080"}
 	f.Fuzz(func(t *testing.T, path string) {
-		target, err := server.targetURL(path)
+		target, err := targetURL(&url.URL{Scheme: "http", Host: "127.0.0.1:8080"}, path)
 		if err != nil {
 			return
 		}
