platform: an entry that can't be decoded hides no other

What callers could see: a gateway that starts never becomes ready, and one that runs hears of no further registration (LOST, DRAIN, CONFIG), since the store lists one item whose value is no base64, or whose lease or revision has another type. On entries and sidecars, one odd entry of the platform's lists of servers or hosts stopped a zone's orders. Reported by operators of systems like ours.

Cause: lists and watches were decoded as a whole, and the call was repeated with the same result.

Change: elements are decoded one by one; one that can't be is logged and left out. It isn't taken for missing: copies keep what they knew of its key, and outcomes are read whole or not at all.

--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -283,6 +283,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(reply.Unreadable) > 0 {
+		return nil, &platform.UnavailableError{Operation: "read " + reply.Unreadable[0]}
+	}
 	// Keys sort chunks by their first position; pages of a list may come in any order.
 	slices.SortFunc(reply.Values, func(a, b platform.Value) int { return strings.Compare(a.Key, b.Key) })
 	var listed []*statepb.Outcome
--- a/internal/batch/read_test.go
+++ b/internal/batch/read_test.go
@@ -1,12 +1,14 @@
 package batch
 
 import (
+	"errors"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform/platformtest"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
@@ -55,3 +57,25 @@
 		mustRefuse(t, http.StatusNotFound, board.End(t.Context(), "b2", ""))
 	})
 }
+
+// Guards against a page that lacks outcomes and looks whole: the store's answer holds a chunk that can't be
+// decoded.
+func TestUnreadableChunk(t *testing.T) {
+	store := &platformtest.Store{}
+	p := startProcess(t, store, "g1", "g1")
+	must.NoError(t, p.Accept(t.Context(), newBatch(10, 20)))
+	listFirst(t, p)
+	store.SetUnreadable(chunkKey("b1", 0), true)
+	_, err := p.ReadStored(t.Context(), "b1", "", 0)
+	must.Eq(t, http.StatusServiceUnavailable, refusal.Of(err).Status)
+	t.Run("is removed with its batch", func(t *testing.T) {
+		must.NoError(t, p.End(t.Context(), "b1", ""))
+		await(t, func() bool { return p.isEnded("b1") })
+		p.passRetention()
+		await(t, func() bool {
+			_, err := store.Get(t.Context(), chunkKey("b1", 0))
+			var missing *platform.NotFoundError
+			return errors.As(err, &missing)
+		})
+	})
+}
--- a/internal/batch/remove.go
+++ b/internal/batch/remove.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	var keys []string
+	keys := reply.Unreadable
 	for _, value := range reply.Values {
 		keys = append(keys, value.Key)
 	}
--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -76,6 +76,9 @@
 	for _, value := range list.Values {
 		present[value.Key] = true
 	}
+	for _, key := range list.Unreadable {
+		present[key] = true
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	var missing []platform.Value
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -110,6 +110,22 @@
 	awaitValue(t, values, "p/a", "")
 }
 
+// Guards against a value that counts as removed because a list can't decode it.
+func TestUnreadableValueIsNotRemoved(t *testing.T) {
+	store := &platformtest.Store{}
+	put(t, store, "p/a", "1")
+	put(t, store, "p/b", "1")
+	_, values := run(t, store, nil)
+	awaitValue(t, values, "p/b", "1")
+	store.SetUnreadable("p/a", true)
+	store.SetWatchesSilent(true)
+	put(t, store, "p/b", "2")
+	store.Compact()
+	store.SetWatchesSilent(false)
+	awaitValue(t, values, "p/b", "2")
+	must.Eq(t, "1", values.get("p/a"))
+}
+
 func TestOutage(t *testing.T) {
 	store := &platformtest.Store{}
 	var mutex sync.Mutex
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -1,5 +1,10 @@
 package platform
 
+import (
+	"encoding/json"
+	"slices"
+)
+
 // Paths of the platform's API.
 const (
 	PathValue  = "/v1/kv"
@@ -45,6 +50,27 @@
 	Values []Value `json:"values"`
 	// Revision is the newest revision of the service.
 	Revision uint64 `json:"revision"`
+	// Unreadable holds the keys that exist and whose values could not be decoded.
+	Unreadable []string `json:"-"`
+}
+
+// UnmarshalJSON decodes the values one by one.
+func (l *ListReply) UnmarshalJSON(text []byte) error {
+	var reply struct {
+		Values   []json.RawMessage `json:"values"`
+		Revision uint64            `json:"revision"`
+	}
+	if err := json.Unmarshal(text, &reply); err != nil {
+		return err
+	}
+	*l = ListReply{Revision: reply.Revision}
+	values := DecodeElements[Value]("list", reply.Values, func(element json.RawMessage) {
+		if key := ElementKey(element); key != "" {
+			l.Unreadable = append(l.Unreadable, key)
+		}
+	})
+	l.Values = slices.DeleteFunc(values, func(value Value) bool { return value.Key == "" })
+	return nil
 }
 
 // LeaseRequest is the body of POST /v1/leases, and of PUT /v1/leases to renew a lease.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -139,9 +140,10 @@
 
 // Hosts returns the platform's list of hosts, which may be stale.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
-	var hosts []Host
+	var hosts []json.RawMessage
 	err := c.call(ctx, http.MethodGet, PathHost, nil, "hosts", nil, &hosts)
-	return hosts, err
+	isUnusable := func(host Host) bool { return host.Address == "" }
+	return slices.DeleteFunc(DecodeElements[Host]("hosts", hosts, nil), isUnusable), err
 }
 
 // List returns all values whose key has the prefix.
@@ -171,9 +173,10 @@
 
 // Servers returns the platform's list of the backend servers in a zone.
 func (c *Client) Servers(ctx context.Context, zone string) ([]Server, error) {
-	var servers []Server
+	var servers []json.RawMessage
 	err := c.call(ctx, http.MethodGet, PathServer, url.Values{"zone": {zone}}, "servers", nil, &servers)
-	return servers, err
+	isUnusable := func(server Server) bool { return server.ID == "" || server.Pool == "" }
+	return slices.DeleteFunc(DecodeElements[Server]("servers", servers, nil), isUnusable), err
 }
 
 // CompareAndSwap writes a value if the key has the expected revision, and returns the new revision.
--- /dev/null
+++ b/internal/platform/elements.go
@@ -0,0 +1,45 @@
+package platform
+
+import (
+	"encoding/json"
+
+	"k8s.io/klog/v2"
+)
+
+// DecodeElements decodes the elements of a JSON array one by one. It logs an element that can't be
+// decoded and passes it to onUnreadable, which may be nil; the other elements hold.
+//
+// The platform's lists have many writers. Decoded as a whole, a list with one odd entry would have no
+// entries.
+func DecodeElements[T any](operation string, elements []json.RawMessage, onUnreadable func(element json.RawMessage)) []T {
+	decoded := make([]T, 0, len(elements))
+	for _, element := range elements {
+		var next T
+		if err := json.Unmarshal(element, &next); err != nil {
+			klog.InfoS("platform: an entry can't be decoded and is left out", "operation", operation, "entry", excerpt(element), "err", err.Error())
+			if onUnreadable != nil {
+				onUnreadable(element)
+			}
+			continue
+		}
+		decoded = append(decoded, next)
+	}
+	return decoded
+}
+
+// maxExcerptBytes bounds what the log shows of an entry.
+const maxExcerptBytes = 200
+
+func excerpt(text []byte) string { return string(text[:min(len(text), maxExcerptBytes)]) }
+
+// ElementKey returns the key of an element that can't be decoded as a whole, or "".
+func ElementKey(element json.RawMessage) string {
+	var keyed struct {
+		Key json.RawMessage `json:"key"`
+	}
+	var key string
+	if json.Unmarshal(element, &keyed) != nil || json.Unmarshal(keyed.Key, &key) != nil {
+		return ""
+	}
+	return key
+}
--- a/internal/platform/platformtest/store.go
+++ b/internal/platform/platformtest/store.go
@@ -30,6 +30,8 @@
 	// compacted is the revision up to which changes were discarded.
 	compacted uint64
 	leases    map[uint64]*time.Timer
+	// unreadable holds the keys whose values can't be decoded.
+	unreadable map[string]bool
 }
 
 // Commit changes several keys atomically if all have the expected revisions.
@@ -198,10 +200,14 @@
 		return platform.Value{}, err
 	}
 	value, found := s.values[key]
-	if !found {
+	switch {
+	case !found:
 		return platform.Value{}, &platform.NotFoundError{Key: key}
+	case s.unreadable[key]:
+		return platform.Value{}, &platform.UnavailableError{Operation: "read " + key}
+	default:
+		return value, nil
 	}
-	return value, nil
 }
 
 // List returns the values whose key has the prefix.
@@ -229,6 +235,16 @@
 	s.notifyWatchers()
 }
 
+// SetUnreadable makes a key one whose value can't be decoded, or ends that.
+func (s *Store) SetUnreadable(key string, unreadable bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.unreadable == nil {
+		s.unreadable = map[string]bool{}
+	}
+	s.unreadable[key] = unreadable
+}
+
 // SetWatchesSilent makes watches return no events although values change.
 func (s *Store) SetWatchesSilent(silent bool) {
 	s.mutex.Lock()
@@ -313,7 +329,11 @@
 func (s *Store) list(prefix string, after uint64) platform.ListReply {
 	reply := platform.ListReply{Revision: s.revision}
 	for key, value := range s.values {
-		if strings.HasPrefix(key, prefix) && value.Revision > after {
+		switch {
+		case !strings.HasPrefix(key, prefix) || value.Revision <= after:
+		case s.unreadable[key]:
+			reply.Unreadable = append(reply.Unreadable, key)
+		default:
 			reply.Values = append(reply.Values, value)
 		}
 	}
--- a/test/gateway/registrations_test.go
+++ b/test/gateway/registrations_test.go
@@ -79,6 +79,32 @@
 	}
 }
 
+// Guards against an item of the store that can't be decoded and hides the items beside it, from a gateway
+// that lists them at its start or follows their changes.
+func TestUnreadableItems(t *testing.T) {
+	for name, item := range map[string]string{
+		"value that isn't base64":  `{"key":"servers/odd","value":"{","mod-rev":%d,"lease":0}`,
+		"value of another type":    `{"key":"servers/odd","value":{"a":[1]},"mod-rev":%d,"lease":0}`,
+		"lease over 64 bits":       `{"key":"servers/odd","value":"","mod-rev":%d,"lease":1e30}`,
+		"lease below zero":         `{"key":"servers/odd","value":"","mod-rev":%d,"lease":-1}`,
+		"revision below zero":      `{"key":"servers/odd","value":"","mod-rev":-%d,"lease":0}`,
+		"revision of another type": `{"key":"servers/odd","value":"","mod-rev":"%d","lease":0}`,
+		"key of another type":      `{"key":%d,"value":"","mod-rev":7,"lease":0}`,
+		"array":                    `[%d]`,
+		"null":                     `null`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkOddRegistration(t, func(t *testing.T, d *deployment) {
+				if strings.Contains(item, "%d") {
+					item = fmt.Sprintf(item, 9)
+				}
+				d.PutRawItem(t, "servers/odd", item)
+			})
+		})
+	}
+}
+
 // checkOddRegistration checks that a gateway serves requests and batches beside an odd registration, which it
 // lists at its start or hears of later.
 func checkOddRegistration(t *testing.T, put func(t *testing.T, d *deployment)) {
