usage: a stored window that can't be decoded doesn't end all reports

What operators could see: no usage window is reported any more, in this term and all later ones, since one value under usage/ can't be decoded.

Cause: the list of windows failed as a whole. Change: such a window is neither closed nor reported, since it may have been, and the others are. The operator's list of windows leaves it out, unless it was asked for.

Evidence: TestUnreadableWindow fails if the list fails, if the window isn't remembered (both parts), and if it is closed anew: it was then reported with other figures.

--- a/internal/operator/usage.go
+++ b/internal/operator/usage.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/lists"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/operatorpb"
@@ -52,8 +53,12 @@
 	var windows []*statepb.Window
 	for _, value := range reply.Values {
 		window, err := usage.ParseWindow(value)
-		if err != nil {
+		switch {
+		case err != nil && value.Key == usage.WindowKey(start):
 			return nil, err
+		case err != nil:
+			klog.ErrorS(err, "operator: a stored window can't be decoded and is left out", "key", value.Key)
+			continue
 		}
 		if start == 0 || window.GetStart() == start {
 			windows = append(windows, window)
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -111,6 +111,8 @@
 type storedWindow struct {
 	window   *statepb.Window
 	revision uint64
+	// isUnreadable is true if the value can't be decoded. Such a window may have been reported.
+	isUnreadable bool
 }
 
 // WindowKey returns the key of a window in the store.
@@ -182,10 +184,15 @@
 	}
 	klog.InfoS("usage: windows listed", "count", len(reply.Values), "revision", reply.Revision, "term", r.term.Fence())
 	windows := map[int64]storedWindow{}
+	for _, key := range reply.Unreadable {
+		recordUnreadable(windows, platform.Value{Key: key})
+	}
 	for _, value := range reply.Values {
 		window, err := ParseWindow(value)
 		if err != nil {
-			return err
+			klog.ErrorS(err, "usage: a stored window can't be decoded and isn't reported", "key", value.Key, "revision", value.Revision)
+			recordUnreadable(windows, value)
+			continue
 		}
 		if err := r.checkFence(window); err != nil {
 			return err
@@ -195,13 +202,22 @@
 	r.windows = windows
 	newest := r.newestReported()
 	for start, stored := range windows {
-		if !stored.window.GetReported() {
+		if !stored.isUnreadable && !stored.window.GetReported() {
 			klog.InfoS("usage: a stored window is not reported", "window", start, "writtenInTerm", stored.window.GetFence(), "revision", stored.revision, "newestReported", newest, "ignored", start < newest)
 		}
 	}
 	return nil
 }
 
+// recordUnreadable records a window whose value can't be decoded. Its key tells its start.
+func recordUnreadable(windows map[int64]storedWindow, value platform.Value) {
+	start, err := strconv.ParseInt(strings.TrimPrefix(value.Key, KeyPrefix), 10, 64)
+	if err != nil {
+		return
+	}
+	windows[start] = storedWindow{revision: value.Revision, isUnreadable: true}
+}
+
 // noWindow is the start of the newest reported window if none is reported.
 const noWindow = math.MinInt64
 
@@ -246,7 +262,9 @@
 	oldest := newest - maxCatchUp*length
 	var due []int64
 	for start := max(next, oldest, r.newestReported()+length); start <= newest; start += length {
-		due = append(due, start)
+		if !r.windows[start].isUnreadable {
+			due = append(due, start)
+		}
 	}
 	return due
 }
@@ -410,7 +428,7 @@
 	oldest := now.Add(-max(r.WindowRetention, r.MaxLateness+2*r.Window+2*r.Settle)).Unix()
 	deleted, reported := 0, r.newestReported()
 	for start, stored := range r.windows {
-		if start >= oldest || start >= reported || deleted == maxDeletes {
+		if start >= oldest || start >= reported || deleted == maxDeletes || stored.revision == 0 {
 			continue
 		}
 		if err := r.Platform.Delete(ctx, WindowKey(start), stored.revision); err != nil {
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/duty"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
@@ -230,6 +231,63 @@
 	})
 }
 
+// markUnreported makes a stored window one whose report got no answer.
+func markUnreported(t *testing.T, fleet *fleet, start int64) {
+	t.Helper()
+	value, err := fleet.Get(t.Context(), usage.WindowKey(start))
+	must.NoError(t, err)
+	window, err := usage.ParseWindow(value)
+	must.NoError(t, err)
+	window.SetReported(false)
+	data, err := proto.Marshal(window)
+	must.NoError(t, err)
+	_, err = fleet.Commit(t.Context(), platform.Commit{Writes: []platform.Write{{Key: value.Key, Data: data}}})
+	must.NoError(t, err)
+}
+
+// Guards against a stored window that can't be decoded and ends all reports, or is reported again with other
+// figures.
+func TestUnreadableWindow(t *testing.T) {
+	for name, spoil := range map[string]func(t *testing.T, fleet *fleet, key string){
+		"by the store's client": func(_ *testing.T, fleet *fleet, key string) { fleet.SetUnreadable(key, true) },
+		"by the reporter": func(t *testing.T, fleet *fleet, key string) {
+			_, err := fleet.Commit(t.Context(), platform.Commit{Writes: []platform.Write{{Key: key, Data: []byte{0xff}}}})
+			must.NoError(t, err)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newFleet(entry("e1", "a"), entry("e2", "b"))
+				counter := newCounter()
+				stop := start(t, newReporter(fleet, fleet, "e1"), 1)
+				for range 4 {
+					countResponse(fleet, counter, "e1", "e2")
+					time.Sleep(length)
+				}
+				stop()
+				before := fleet.receivedReports()
+				must.SliceNotEmpty(t, before)
+				last := before[len(before)-1].Start
+				markUnreported(t, fleet, last-int64(length/time.Second))
+				spoil(t, fleet, usage.WindowKey(last))
+				fleet.ledgers["e2"].Merge(counter.Add("a", "m", time.Unix(last, 0), 1, 1))
+				stop = start(t, newReporter(fleet, fleet, "e2"), 2)
+				for range 80 {
+					countResponse(fleet, counter, "e1", "e2")
+					time.Sleep(length)
+				}
+				stop()
+				reports := fleet.receivedReports()
+				must.Greater(t, last+int64(70*length/time.Second), reports[len(reports)-1].Start)
+				mustReportEachWindowOnce(t, reports)
+				stored, err := fleet.List(t.Context(), usage.KeyPrefix)
+				must.NoError(t, err)
+				must.Less(t, 70, len(stored.Values))
+			})
+		})
+	}
+}
+
 // Guards against lost and duplicate reports: the store is unavailable while
 // windows end, and responses of writes and reports are lost before and after.
 func TestReportsThroughOutage(t *testing.T) {
