--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -58,8 +58,9 @@
 	repeat string
 	pause  time.Duration
 	hold   bool
-	// keepAlive keeps the connection open for the next request.
+	// keepAlive keeps the connection open for the next request; reset resets it.
 	keepAlive bool
+	reset     bool
 }
 
 func newFakeServer(t *testing.T, replies ...reply) *fakeServer {
@@ -101,6 +102,9 @@
 		if reply.hold {
 			<-s.closed
 		}
+		if tcp, isTCP := connection.(*net.TCPConn); isTCP && reply.reset {
+			_ = tcp.SetLinger(0)
+		}
 		if !reply.keepAlive {
 			return
 		}
