entry: the claim of an idempotency key outlives its run

Cause: the time for which ended requests are remembered was counted from the beginning of a run, which may take 10 min (maxRunTime). A sidecar that was started again took its knowledge for complete after the same time.

Change: claims count for at least maxRunTime everywhere.

--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -61,6 +61,10 @@
 	restored atomic.Bool
 }
 
+// retryPeriod returns how long after it was recorded a claim may meet a retry. It is at least the time that a run may
+// take: a claim that ended before its run would let a retry run beside it.
+func (c *Claims) retryPeriod() time.Duration { return max(c.Retention, maxRunTime) }
+
 // acquire records a request's claim or returns the local run that holds it. It returns
 // nil and no refusal if the request itself or another sidecar holds the claim.
 func (c *Claims) acquire(request *peerpb.RunRequest, findRun func(id string) *run) (*run, *refusal.Error) {
@@ -145,7 +149,7 @@
 		return refused
 	}
 	query.epoch = fleet.GetEpoch()
-	plan := claim.NewPlan(query.request.GetClaim(), fleet, now, c.Retention)
+	plan := claim.NewPlan(query.request.GetClaim(), fleet, now, c.retryPeriod())
 	return c.toRefusal(plan.Check(func(server string) claim.Answer { return query.ask(ctx, server) }))
 }
 
@@ -220,7 +224,7 @@
 }
 
 func (c *Claims) recordClaim(key string, record claim.Record) (claim.Record, bool, error) {
-	c.journal.Retention = claim.Window(c.Retention)
+	c.journal.Retention = claim.Window(c.retryPeriod())
 	return c.journal.Add(key, record, time.Now())
 }
 
@@ -228,13 +232,13 @@
 // have run within the window. A restarted process lacks its predecessor's claims until it
 // has restored them from other sidecars or they have expired.
 func (c *Claims) isComplete(now time.Time) bool {
-	return c.restored.Load() || now.Sub(c.Started) >= claim.Window(c.Retention) || c.Members.IsFirstProcess()
+	return c.restored.Load() || now.Sub(c.Started) >= claim.Window(c.retryPeriod()) || c.Members.IsFirstProcess()
 }
 
 // isCompleteSince reports whether a witness that has recorded claims since a
 // time knows every claim of the window; 0 means since its server began.
 func (c *Claims) isCompleteSince(since uint64) bool {
-	return since == 0 || time.Since(time.Unix(0, int64(since))) >= claim.Window(c.Retention)
+	return since == 0 || time.Since(time.Unix(0, int64(since))) >= claim.Window(c.retryPeriod())
 }
 
 func keptAnswer(isComplete bool) claim.Answer {
--- a/internal/entry/restore.go
+++ b/internal/entry/restore.go
@@ -40,7 +40,7 @@
 	if now.Sub(c.Started) < claim.MaxFleetLag {
 		return eris.New("the local fleet may still be out of date")
 	}
-	partners, isComplete := claim.Partners(c.Server, c.Members.Fleet(c.Pool), now, c.Retention)
+	partners, isComplete := claim.Partners(c.Server, c.Members.Fleet(c.Pool), now, c.retryPeriod())
 	if !isComplete {
 		return eris.New("a server that recorded the same claims has been removed")
 	}
