rollout: a former holder doesn't delete the prompts of the next step

What a trainer could see: its step is never whole once its holder is lost, since no process can load it.

Cause: a holder that opens a step deletes the prompts of all others. Paused before that, and woken after its successor has opened the next step, it deletes those too: it lists them after the pause, so that their revision is no fence.

Change: only prompts of steps with a lower number are deleted.

Evidence: TestPausedHolderKeepsNewerPrompts failed before (no step loaded within 10 s), 20 of 20 with this; internal/rollout passes twice with -race.

--- a/internal/rollout/holder_test.go
+++ b/internal/rollout/holder_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
+	"github.com/bramleyhatch/bramleyhatch/internal/platform"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
@@ -278,6 +279,47 @@
 	return s.fakeStore.CompareAndSwap(ctx, key, expect, data, lease)
 }
 
+// listPausingStore blocks its first list.
+type listPausingStore struct {
+	*fakeStore
+	hasPaused atomic.Bool
+	paused    chan struct{}
+	resume    chan struct{}
+}
+
+func (s *listPausingStore) List(ctx context.Context, prefix string) (platform.ListReply, error) {
+	if s.hasPaused.CompareAndSwap(false, true) {
+		close(s.paused)
+		<-s.resume
+	}
+	return s.fakeStore.List(ctx, prefix)
+}
+
+// Guards against a step that no process can load: a former holder, paused while it opened a step, deletes the prompts of
+// the next step, which its successor has opened.
+func TestPausedHolderKeepsNewerPrompts(t *testing.T) {
+	store := &listPausingStore{fakeStore: newFakeStore(), paused: make(chan struct{}), resume: make(chan struct{})}
+	replicator := newFakeReplicator("b", "c")
+	first := newTestHolder("a", store, &fakeRunner{version: 1}, replicator)
+	runHolder(t, first, 1)
+	opened := make(chan struct{})
+	go func() {
+		_, _ = first.Open(context.Background(), openRequest(1, 1, 4, 1))
+		close(opened)
+	}()
+	<-store.paused
+	second := newTestHolder("b", store.fakeStore, &fakeRunner{version: 1}, replicator)
+	kill := runHolder(t, second, 2)
+	mustDeliverOnce(t, pullAll(t, second, 0), 4, 0)
+	mustOpen(t, second, openRequest(2, 1, 4, 1))
+	close(store.resume)
+	<-opened
+	kill()
+	third := newTestHolder("c", store.fakeStore, &fakeRunner{version: 1}, replicator)
+	runHolder(t, third, 3)
+	mustDeliverOnce(t, pullAll(t, third, 4), 4, 4)
+}
+
 // A resume omits tokens of an engine's answer. The sample would name versions for
 // tokens that were never generated, so its slot must run again.
 func TestShortAnswerRunsAgain(t *testing.T) {
--- a/internal/rollout/open.go
+++ b/internal/rollout/open.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -143,15 +145,18 @@
 	h.Decisions.Record(h.Trainer, "step", "step %d is open with %d slots from place %d on", step.Number(), step.Slots(), step.FirstPlace())
 }
 
-// deleteOldPrompts deletes the prompts of other steps. A failed deletion is retried
+// deleteOldPrompts deletes the prompts of earlier steps. A failed deletion is retried
 // when the next step opens.
+//
+// Prompts of a later step belong to a successor that has taken over while this process was paused.
 func (h *Holder) deleteOldPrompts(ctx context.Context, open uint64) {
 	reply, err := h.Store.List(ctx, promptsPrefix(h.Trainer))
 	if err != nil {
 		return
 	}
 	for _, value := range reply.Values {
-		if value.Key == PromptsKey(h.Trainer, open) {
+		step, err := strconv.ParseUint(strings.TrimPrefix(value.Key, promptsPrefix(h.Trainer)), 10, 64)
+		if err != nil || step >= open {
 			continue
 		}
 		if err := h.Store.Delete(ctx, value.Key, value.Revision); err != nil {
