fleet: a server whose entry can't be decoded isn't removed

What callers could see: since an entry of the platform's list of servers that can't be decoded is left out (entries, sidecars), and a live server that is left out counts as removed: it gets no request until its entry can be read.

Change: a server whose ID can be read is listed with nothing else known, and keeps its state.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,6 +59,10 @@
 	}
 	listed := map[string]bool{}
 	for _, server := range view.Listed {
+		if server.IsUnreadable {
+			listed[server.ID] = true
+			continue
+		}
 		if server.Pool != pool || server.Zone != zone {
 			continue
 		}
--- a/internal/fleet/zone.go
+++ b/internal/fleet/zone.go
@@ -172,6 +172,9 @@
 // server in the zone.
 func (z *Zone) poolNames(listed []platform.Server) []string {
 	for _, server := range listed {
+		if server.IsUnreadable {
+			continue
+		}
 		z.knownPools[server.Pool] = true
 		if server.State == stateStopping {
 			z.stopping[server.ID] = true
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -109,6 +109,8 @@
 	Zone string `json:"zone"`
 	// State is starting, live or stopping.
 	State string `json:"state"`
+	// IsUnreadable is true if only the ID could be decoded: the server exists, and nothing else is known.
+	IsUnreadable bool `json:"-"`
 }
 
 // Usage is the body of POST /v1/usage: the usage in one window.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -171,12 +171,17 @@
 	return c.sendGuarded(ctx, PathUsage, "usage", usage, guard)
 }
 
-// Servers returns the platform's list of the backend servers in a zone.
+// Servers returns the platform's list of the backend servers in a zone. It includes a server whose entry can't be
+// decoded, but for its ID.
 func (c *Client) Servers(ctx context.Context, zone string) ([]Server, error) {
 	var servers []json.RawMessage
 	err := c.call(ctx, http.MethodGet, PathServer, url.Values{"zone": {zone}}, "servers", nil, &servers)
-	isUnusable := func(server Server) bool { return server.ID == "" || server.Pool == "" }
-	return slices.DeleteFunc(DecodeElements[Server]("servers", servers, nil), isUnusable), err
+	var unreadable []Server
+	decoded := DecodeElements[Server]("servers", servers, func(element json.RawMessage) {
+		unreadable = append(unreadable, Server{ID: elementText(element, "id"), IsUnreadable: true})
+	})
+	isUnusable := func(server Server) bool { return server.ID == "" || server.Pool == "" && !server.IsUnreadable }
+	return slices.DeleteFunc(append(decoded, unreadable...), isUnusable), err
 }
 
 // CompareAndSwap writes a value if the key has the expected revision, and returns the new revision.
--- a/internal/platform/elements.go
+++ b/internal/platform/elements.go
@@ -33,13 +33,14 @@
 func excerpt(text []byte) string { return string(text[:min(len(text), maxExcerptBytes)]) }
 
 // ElementKey returns the key of an element that can't be decoded as a whole, or "".
-func ElementKey(element json.RawMessage) string {
-	var keyed struct {
-		Key json.RawMessage `json:"key"`
-	}
-	var key string
-	if json.Unmarshal(element, &keyed) != nil || json.Unmarshal(keyed.Key, &key) != nil {
+func ElementKey(element json.RawMessage) string { return elementText(element, "key") }
+
+// elementText returns a text of an element that can't be decoded as a whole, or "".
+func elementText(element json.RawMessage, field string) string {
+	var fields map[string]json.RawMessage
+	var text string
+	if json.Unmarshal(element, &fields) != nil || json.Unmarshal(fields[field], &text) != nil {
 		return ""
 	}
-	return key
+	return text
 }
--- a/internal/platform/elements_test.go
+++ b/internal/platform/elements_test.go
@@ -38,9 +38,9 @@
 		must.Eq(t, []platform.Host{{Name: "h1", Address: "a:1"}}, hosts)
 	})
 	t.Run("of the servers", func(t *testing.T) {
-		servers, err := newClient(t, surround(`{"id":"s1","pool":"p"}`)).Servers(t.Context(), "z")
+		servers, err := newClient(t, surround(`{"id":"s1","pool":"p"},{"id":"s2","pool":7}`)).Servers(t.Context(), "z")
 		must.NoError(t, err)
-		must.Eq(t, []platform.Server{{ID: "s1", Pool: "p"}}, servers)
+		must.Eq(t, []platform.Server{{ID: "s1", Pool: "p"}, {ID: "s2", IsUnreadable: true}}, servers)
 	})
 	text := `{"revision":9,"values":` + surround(`{"key":"k","value":"dg==","revision":8}`) + "}"
 	want := platform.ListReply{Revision: 9, Values: []platform.Value{{Key: "k", Data: []byte("v"), Revision: 8}}, Unreadable: []string{"odd", "odd", "odd"}}
