--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -32,8 +32,15 @@
 // stateStopping is the platform's state of a server that was ordered to stop.
 const stateStopping = "stopping"
 
-// maxRemoved is the maximum number of removed servers kept for a pool.
-const maxRemoved = 64
+const (
+	// minRemovedRetention is how long a removed server is kept: longer than the claims of idempotency keys, whose
+	// sidecars look back on the servers that may have run a request.
+	minRemovedRetention = 20 * time.Minute
+	// minRemoved is the number of removed servers of a pool that are kept longer, maxRemoved the largest number
+	// that is kept at all: 100 bytes each, in a value of at most a megabyte.
+	minRemoved = 64
+	maxRemoved = 4096
+)
 
 // ZoneView is the state of a zone's backend servers as observed in one round of the zone's duty.
 type ZoneView struct {
@@ -74,7 +81,7 @@
 			setState(server, StateRemoved, now)
 		}
 	}
-	next.SetServers(sortServers(servers))
+	next.SetServers(sortServers(servers, now))
 	if proto.Equal(known, next) {
 		return next, false
 	}
@@ -126,9 +133,8 @@
 	}
 }
 
-// sortServers returns the servers sorted by ID, including only the newest maxRemoved removed
-// servers.
-func sortServers(servers map[string]*statepb.Server) []*statepb.Server {
+// sortServers returns the servers sorted by ID, without those that were removed long ago.
+func sortServers(servers map[string]*statepb.Server, now time.Time) []*statepb.Server {
 	var present, removed []*statepb.Server
 	for _, server := range servers {
 		if server.GetState() == StateRemoved {
@@ -140,7 +146,11 @@
 	slices.SortFunc(removed, func(a, b *statepb.Server) int {
 		return cmp.Or(cmp.Compare(b.GetSince(), a.GetSince()), strings.Compare(a.GetId(), b.GetId()))
 	})
-	present = append(present, removed[:min(len(removed), maxRemoved)]...)
+	kept := 0
+	for kept < min(len(removed), maxRemoved) && (kept < minRemoved || now.Sub(time.Unix(removed[kept].GetSince(), 0)) <= minRemovedRetention) {
+		kept++
+	}
+	present = append(present, removed[:kept]...)
 	slices.SortFunc(present, func(a, b *statepb.Server) int { return strings.Compare(a.GetId(), b.GetId()) })
 	return present
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -30,3 +30,20 @@
 	must.Eq(t, fleet.StateLive, next.GetServers()[0].GetState())
 	must.Eq(t, fleet.StateRemoved, next.GetServers()[1].GetState())
 }
+
+// Guards against a posting that runs twice after many servers of a pool were replaced: the sidecars don't ask for a
+// removed server that may have run it.
+func TestRecentlyRemovedServersAreKept(t *testing.T) {
+	now := time.Now()
+	removed, _ := fleet.Update(newLiveFleet(200), "p", "a", fleet.ZoneView{}, now)
+	kept := func(fleetBefore *statepb.Fleet, at time.Time) int {
+		next, _ := fleet.Update(fleetBefore, "p", "a", fleet.ZoneView{Listed: []platform.Server{{ID: "new", Pool: "p", Zone: "a"}}}, at)
+		return len(next.GetServers()) - 1
+	}
+	must.Eq(t, 200, kept(removed, now.Add(15*time.Minute)))
+	must.Eq(t, 64, kept(removed, now.Add(25*time.Minute)))
+	t.Run("up to a number", func(t *testing.T) {
+		many, _ := fleet.Update(newLiveFleet(5000), "p", "a", fleet.ZoneView{}, now)
+		must.Eq(t, 4096, kept(many, now))
+	})
+}
