batch: an unloaded batch drops its texts at the keepers

Found in reading the diff: the end of a batch drops its texts at its owner only, and an unloaded batch has none in memory. Its keepers held the texts until they had been idle for two minutes, and the list of its keepers stayed in memory for good. A complete batch needs no texts, so they go when it is unloaded. The log says when a complete batch is left in the store by its next owner.

Evidence: TestCompleteOpenBatchIsUnloaded fails without it.

--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -204,6 +204,7 @@
 		return
 	}
 	if len(listed) == len(batch.GetItems()) && b.isPastRetention(batch) {
+		klog.InfoS("batch: left in the store, since its outcomes are all listed and it is past its retention", "batch", id, "owner", ownership.Revision)
 		b.unloaded[id] = true
 		return
 	}
--- a/internal/batch/remove_test.go
+++ b/internal/batch/remove_test.go
@@ -1,10 +1,12 @@
 package batch
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,6 +149,14 @@
 	must.NoError(t, second.End(t.Context(), "b1", ""))
 }
 
+// droppingKeeper counts the batches whose texts are dropped.
+type droppingKeeper struct {
+	noopPeer
+	dropped atomic.Int32
+}
+
+func (k *droppingKeeper) Drop(context.Context, string) { k.dropped.Add(1) }
+
 // Guards against a process that exceeds its memory by complete batches that their trainers never end.
 func TestCompleteOpenBatchIsUnloaded(t *testing.T) {
 	isUnloaded := func(p *process) bool {
@@ -154,14 +164,17 @@
 		defer p.mutex.Unlock()
 		return p.unloaded["b1"] && p.owned["b1"] == nil
 	}
-	store := &platformtest.Store{}
+	store, keeper := &platformtest.Store{}, &droppingKeeper{}
 	first := startProcess(t, store, "g1", "g1")
+	first.mutex.Lock()
+	first.Keeper = keeper
+	first.mutex.Unlock()
 	must.NoError(t, first.Accept(t.Context(), newBatch(10)))
 	listFirst(t, first)
 	awaitStored(t, first)
 	must.False(t, isUnloaded(first))
 	first.passRetention()
-	await(t, func() bool { return isUnloaded(first) })
+	await(t, func() bool { return isUnloaded(first) && keeper.dropped.Load() == 1 })
 	mustKeep(t, first)
 	t.Run("and is not loaded again", func(t *testing.T) {
 		mustStayUnloaded := func() {
--- a/internal/batch/unload.go
+++ b/internal/batch/unload.go
@@ -26,6 +26,7 @@
 		b.unloaded[id] = true
 		owned.cancel()
 		delete(b.owned, id)
+		b.startTask(func() { b.Keeper.Drop(b.ctx, id) })
 	}
 }
 
