platform: entries are decoded one by one only where the list can't be

Decoding each element by itself takes two more passes over each list and watch. Now the whole list is tried first, as before.

--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -57,8 +57,8 @@
 // UnmarshalJSON decodes the values one by one.
 func (l *ListReply) UnmarshalJSON(text []byte) error {
 	var reply struct {
-		Values   []json.RawMessage `json:"values"`
-		Revision uint64            `json:"revision"`
+		Values   json.RawMessage `json:"values"`
+		Revision uint64          `json:"revision"`
 	}
 	if err := json.Unmarshal(text, &reply); err != nil {
 		return err
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -140,7 +140,7 @@
 
 // Hosts returns the platform's list of hosts, which may be stale.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
-	var hosts []json.RawMessage
+	var hosts json.RawMessage
 	err := c.call(ctx, http.MethodGet, PathHost, nil, "hosts", nil, &hosts)
 	isUnusable := func(host Host) bool { return host.Address == "" }
 	return slices.DeleteFunc(DecodeElements[Host]("hosts", hosts, nil), isUnusable), err
@@ -174,7 +174,7 @@
 // Servers returns the platform's list of the backend servers in a zone. It includes a server whose entry can't be
 // decoded, but for its ID.
 func (c *Client) Servers(ctx context.Context, zone string) ([]Server, error) {
-	var servers []json.RawMessage
+	var servers json.RawMessage
 	err := c.call(ctx, http.MethodGet, PathServer, url.Values{"zone": {zone}}, "servers", nil, &servers)
 	var unreadable []Server
 	decoded := DecodeElements[Server]("servers", servers, func(element json.RawMessage) {
--- a/internal/platform/elements.go
+++ b/internal/platform/elements.go
@@ -6,12 +6,20 @@
 	"k8s.io/klog/v2"
 )
 
-// DecodeElements decodes the elements of a JSON array one by one. It logs an element that can't be
-// decoded and passes it to onUnreadable, which may be nil; the other elements hold.
+// DecodeElements decodes the elements of a JSON array. It logs an element that can't be decoded and
+// passes it to onUnreadable, which may be nil; the other elements hold.
 //
 // The platform's lists have many writers. Decoded as a whole, a list with one odd entry would have no
 // entries.
-func DecodeElements[T any](operation string, elements []json.RawMessage, onUnreadable func(element json.RawMessage)) []T {
+func DecodeElements[T any](operation string, array json.RawMessage, onUnreadable func(element json.RawMessage)) []T {
+	var whole []T
+	if len(array) == 0 || json.Unmarshal(array, &whole) == nil {
+		return whole
+	}
+	var elements []json.RawMessage
+	if err := json.Unmarshal(array, &elements); err != nil {
+		klog.InfoS("platform: a list can't be decoded", "operation", operation, "list", excerpt(array), "err", err.Error())
+	}
 	decoded := make([]T, 0, len(elements))
 	for _, element := range elements {
 		var next T
