backend: a request that was given up isn't sent later

Cause: the request was sent over a link that was cut, got no answer, and its connection was closed. The operating system went on sending what had been written, and succeeded 3 s after the link was back.

Change: a connection whose request has no byte of an answer yet is reset when it is closed, so that nothing of it is sent any more. Its outcome stays unknown.

Evidence: the three parts of TestAbandonedRequestIsNotSentLater fail without the reset, over real connections.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -17,6 +17,8 @@
 	net.Conn
 
 	sent atomic.Int64
+	// isUnanswered is true from a write until bytes are received.
+	isUnanswered atomic.Bool
 
 	mutex sync.Mutex
 	// recent holds the IDs of the latest requests, oldest first.
@@ -30,12 +32,33 @@
 // Write implements net.Conn. Bytes count before they are written, so that a concurrent check never misses any; those
 // that were not written are subtracted.
 func (c *tracedConn) Write(data []byte) (int, error) {
+	c.isUnanswered.Store(true)
 	c.sent.Add(int64(len(data)))
 	n, err := c.Conn.Write(data)
 	c.sent.Add(int64(n - len(data)))
 	return n, err
 }
 
+// Read implements net.Conn.
+func (c *tracedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if n > 0 {
+		c.isUnanswered.Store(false)
+	}
+	return n, err
+}
+
+// Close implements net.Conn. It resets a connection whose request has no answer yet.
+//
+// The operating system goes on sending what was written before a close, for minutes if the link is cut. A request that
+// was given up would reach its server when the link works again.
+func (c *tracedConn) Close() error {
+	if tcp, isTCP := c.Conn.(*net.TCPConn); isTCP && c.isUnanswered.Load() {
+		_ = tcp.SetLinger(0)
+	}
+	return c.Conn.Close()
+}
+
 // accept records a request that is about to be sent. It returns false if one with the same ID was sent before: a second
 // answer to that one could not be distinguished from the answer to this one. It also returns false for an abandoned
 // connection, which net/http may hand out before it notices that it is closed.
