backend: the test of endless engine events isn't decided by a read timeout

Traced: the engine of the tests has a read timeout of 0.3 s, and 256 KB of empty lines take longer than that to read on a busy machine with -race.

The test of callers' events has a read timeout of a minute for the same reason; this one has it now. The check is as strict: the end by size, and the bound on the bytes; without the bound in eventlines.go it fails.

--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -58,7 +58,10 @@
 			server := newFakeServer(t, reply{text: "HTTP/1.1 200 OK\r\n\r\n", repeat: repeated})
 			request := generation()
 			request.SetIdempotent(false)
-			_, _, end, err := run(newEngine(server.url()), request)
+			engine := newEngine(server.url())
+			// The size of the bytes has to end the answer, also where reading them takes long.
+			engine.ReadTimeout = time.Minute
+			_, _, end, err := run(engine, request)
 			must.Nil(t, end)
 			mustEnd(t, unknown, backend.CodeInterrupted, err)
 			must.Less(t, maxAcceptedBytes, server.repeated.Load())
