listen: heads are bounded in size, time and sum

Callers saw a process end, out of memory. net/http reads up to 1 MB of a head for each connection, and a line of three bytes becomes an entry of a map, so 600 heads without end took a gateway to 1390 MB; max-header-bytes of the configuration was decoded and used nowhere, header-timeout-ms not decoded.

A head over the limit gets 431, one that has no room 503 or its connection closed, and one that isn't whole in time is closed, however its bytes come. Readiness and metrics have budgets of their own, so that they answer while the one for requests is full.

go-zero's server can't be given a listener, so listen runs an http.Server with go-zero's router. HTTP/2 is off for callers with TLS: it has buffers and heads of its own. New settings: [process] memory and descriptors, [caller] max_header_bytes and header; a gateway uses the configuration's limits.

The tests' settings now name the memory and descriptors of the host; crowds and bounds are as they were.

--- a/internal/bramleyhatch/entrycallers.go
+++ b/internal/bramleyhatch/entrycallers.go
@@ -16,6 +16,8 @@
 	admission := &caller.Admission{Peers: e.members}
 	e.AddTask("limit", admission.Run)
 	settings := e.Settings.GetCaller()
+	e.limits.MaxHeaderBytes = settings.GetMaxHeaderBytes
+	e.limits.HeaderTimeout = settings.GetHeader().AsDuration
 	handler := &caller.Handler{
 		Grants:       e.view,
 		Runner:       e.pool,
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	store "github.com/bramleyhatch/bramleyhatch/internal/platform"
 	"github.com/bramleyhatch/bramleyhatch/internal/poison"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 	"github.com/bramleyhatch/bramleyhatch/internal/roster"
 	"github.com/bramleyhatch/bramleyhatch/internal/table"
 	"github.com/bramleyhatch/bramleyhatch/internal/usage"
@@ -330,6 +331,17 @@
 		Metrics:       g.Metrics,
 	}
 	g.notFound = g.closeIfDraining(handler)
+	g.refuse = refusal.WriteFractional
+	g.limits.MaxHeaderBytes = func() int64 { return g.clientLimits().MaxHeaderBytes }
+	g.limits.HeaderTimeout = func() time.Duration { return g.clientLimits().HeaderTimeout }
+}
+
+// clientLimits returns the limits on clients that are in force; zero values mean the defaults.
+func (g *Gateway) clientLimits() table.Limits {
+	if current := g.view.Current(); current != nil {
+		return current.Limits
+	}
+	return table.Limits{}
 }
 
 // addGauges adds the gauges of membership, configuration, drains and the log.
@@ -419,7 +431,7 @@
 }
 
 func (g *Gateway) addListener(name, address string, routes ...rest.Route) {
-	server := &listen.HTTP{Address: address, Routes: routes}
+	server := &listen.HTTP{Address: address, Routes: routes, Limits: controlLimits(), Metrics: g.listenMetrics}
 	g.AddTask(name, func(ctx context.Context) error { return server.Run(ctx, time.Second) })
 }
 
--- a/internal/bramleyhatch/process.go
+++ b/internal/bramleyhatch/process.go
@@ -58,6 +58,12 @@
 	notFound   http.Handler
 	notAllowed http.Handler
 
+	// limits bound what clients make the process hold; refuse answers those for which there is no memory, nil means the
+	// default.
+	limits        listen.Limits
+	listenMetrics *listen.Metrics
+	refuse        func(http.ResponseWriter, error)
+
 	addresses Addresses
 
 	// identity is nil if processes connect without TLS.
@@ -75,13 +81,15 @@
 
 // newProcess returns a process without routes, services or tasks.
 func newProcess(process *settingspb.Process, secure *settingspb.Secure) *Process {
-	return &Process{
+	p := &Process{
 		Settings:    process,
 		Secure:      secure,
 		Decisions:   &decision.Log{},
 		Metrics:     prometheus.NewRegistry(),
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
+	p.addLimits()
+	return p
 }
 
 // Addresses returns the addresses in use; they are known before any task runs.
@@ -245,6 +253,9 @@
 	}
 	callers := make(chan string, 1)
 	callerServer := &listen.HTTP{
+		Limits:      p.limits,
+		Metrics:     p.listenMetrics,
+		Refuse:      p.refuse,
 		Address:     caller.GetListen(),
 		Routes:      p.routes,
 		NotFound:    p.notFound,
--- a/internal/bramleyhatch/sidecar.go
+++ b/internal/bramleyhatch/sidecar.go
@@ -48,5 +48,6 @@
 		rest.Route{Method: http.MethodGet, Path: "/healthz", Handler: answerOK},
 		rest.Route{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP},
 	)
+	s.limits = controlLimits()
 	return settingspb.Caller_builder{Listen: address}.Build()
 }
--- /dev/null
+++ b/internal/listen/conn.go
@@ -0,0 +1,132 @@
+package listen
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/budget"
+)
+
+const (
+	// bufferBytes is the size of net/http's read buffer. A read for a head may return as many bytes of what follows.
+	bufferBytes = 4 << 10
+	// tlsBytes is what a connection with TLS may read beyond a head: the handshake and the rest of a record.
+	tlsBytes = 32 << 10
+)
+
+// conn is a client's connection. It bounds the heads of its requests, and accounts for them.
+type conn struct {
+	net.Conn
+
+	listener *listener
+	lease    *budget.Lease
+	isTLS    bool
+
+	mutex sync.Mutex
+	// isBusy is true from the end of a request's head until its answer is sent.
+	isBusy bool
+	// headBytes were read since the end of the last request, the first of them at headStart.
+	headBytes int64
+	headStart time.Time
+	// readDeadline is the one that net/http and handlers have set.
+	readDeadline time.Time
+}
+
+type connKey struct{}
+
+// connOf returns the connection of a request, or nil outside a server of this package.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
+// unwrap returns the conn beneath TLS.
+func unwrap(outer net.Conn) *conn {
+	if secured, ok := outer.(*tls.Conn); ok {
+		outer = secured.NetConn()
+	}
+	c, _ := outer.(*conn)
+	return c
+}
+
+// LeaseOf returns the memory that a request holds. It is nil, which has no bound, outside an HTTP server of this package.
+func LeaseOf(ctx context.Context) *budget.Lease {
+	if c := connOf(ctx); c != nil {
+		return c.lease
+	}
+	return nil
+}
+
+// Read reads from the client. Bytes of a head are taken from the budget before they are parsed.
+func (c *conn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if n == 0 || !c.isReadingHead() {
+		return n, err
+	}
+	if refused := c.addHead(n); refused != nil {
+		c.rejectHead(refused)
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+func (c *conn) isReadingHead() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return !c.isBusy
+}
+
+// SetReadDeadline sets the deadline of reads. That of a head that has begun stays.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.readDeadline = deadline
+	return c.applyReadDeadline()
+}
+
+// applyReadDeadline applies the earliest deadline of reads. The mutex must be held.
+func (c *conn) applyReadDeadline() error {
+	deadline := c.readDeadline
+	if !c.isBusy && c.headBytes > 0 {
+		end := c.headStart.Add(c.listener.limits.headerTimeout())
+		if deadline.IsZero() || end.Before(deadline) {
+			deadline = end
+		}
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// setState follows the states of net/http.
+func (c *conn) setState(state http.ConnState) {
+	switch state {
+	case http.StateActive:
+		c.beginRequest()
+	case http.StateIdle:
+		c.endRequest()
+	case http.StateClosed, http.StateHijacked:
+		c.lease.Release()
+	case http.StateNew:
+	}
+}
+
+// beginRequest ends the head of a request.
+func (c *conn) beginRequest() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.isBusy = true
+	_ = c.applyReadDeadline()
+	c.lease.Keep()
+}
+
+// endRequest gives back all that a request held.
+func (c *conn) endRequest() {
+	c.lease.Release()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.isBusy, c.headBytes = false, 0
+}
--- a/internal/listen/http.go
+++ b/internal/listen/http.go
@@ -7,26 +7,30 @@
 import (
 	"context"
 	"crypto/tls"
-	"fmt"
+	"log"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/handler"
+	"github.com/zeromicro/go-zero/rest/router"
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 	_ "github.com/bramleyhatch/bramleyhatch/internal/stop" // handles SIGTERM and SIGINT in place of go-zero
 )
 
 const (
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// noMemoryRetryAfter is the Retry-After of requests that find no memory: requests that are being received yield at
+	// once, and most others end within some tenths of a second.
+	noMemoryRetryAfter = 500 * time.Millisecond
 	// maxProcessTime is longer than the lifetime of any process. By default go-zero shuts
 	// its servers down one second after SIGTERM and kills the process after 5.5 s, which
 	// interrupts long streams; with this value only the drain of the process itself ends
@@ -63,102 +67,120 @@
 	NotFound http.Handler
 	// NotAllowed answers methods without a route; nil means a plain 405.
 	NotAllowed http.Handler
-	// TLS enables TLS if it is not nil; Certificate and Key are then PEM file names,
-	// without which go-zero would serve plain HTTP regardless of TLS.
+	// TLS enables TLS if it is not nil; Certificate and Key are then PEM file names.
 	TLS         *tls.Config
 	Certificate string
 	Key         string
 	// OnListening is called once with the actual address.
 	OnListening func(address string)
 
-	mutex  sync.Mutex
-	server *http.Server
+	// Limits bound what clients make the process hold.
+	Limits Limits
+	// Metrics counts what the server rejects; nil counts nothing.
+	Metrics *Metrics
+	// Refuse answers requests for which there is no memory; nil means refusal.Write.
+	Refuse func(http.ResponseWriter, error)
 }
 
 // Run serves until the context ends, then waits for open requests for up to grace.
 func (h *HTTP) Run(ctx context.Context, grace time.Duration) error {
-	server, err := h.build()
+	handler, err := h.handler()
 	if err != nil {
 		return err
 	}
+	inner, err := (&net.ListenConfig{}).Listen(ctx, "tcp", h.Address)
+	if err != nil {
+		return &Error{Address: h.Address, Problem: err.Error()}
+	}
+	server := h.newServer(handler)
+	listener := newListener(inner, h.Limits.withDefaults(), h.TLS != nil, h.Metrics)
+	if h.OnListening != nil {
+		h.OnListening(inner.Addr().String())
+	}
 	failed := make(chan error, 1)
-	go h.serve(server, failed)
+	go func() { failed <- h.serve(server, listener) }()
 	select {
 	case err := <-failed:
-		return err
+		return &Error{Address: h.Address, Problem: err.Error()}
 	case <-ctx.Done():
 	}
-	return h.shutdown(grace)
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	return eris.Wrapf(server.Shutdown(ctx), "shut down %s", h.Address)
 }
 
-func (h *HTTP) build() (*rest.Server, error) {
-	host, portText, err := net.SplitHostPort(h.Address)
-	if err != nil {
-		return nil, &Error{Address: h.Address, Problem: err.Error()}
-	}
-	port, err := strconv.Atoi(portText)
-	if err != nil {
-		return nil, &Error{Address: h.Address, Problem: err.Error()}
+// handler returns the router of the routes. go-zero's own server can't bound its connections.
+func (h *HTTP) handler() (http.Handler, error) {
+	logx.SetWriter(klogWriter{})
+	routes := router.NewRouter()
+	for _, route := range h.Routes {
+		if err := routes.Handle(route.Method, route.Path, handler.RecoverHandler(route.Handler)); err != nil {
+			return nil, eris.Wrapf(err, "listen on %s: route %s %s", h.Address, route.Method, route.Path)
+		}
 	}
-	options := []rest.RunOption{}
 	if h.NotFound != nil {
-		options = append(options, rest.WithNotFoundHandler(h.NotFound))
+		routes.SetNotFoundHandler(h.NotFound)
 	}
 	if h.NotAllowed != nil {
-		options = append(options, rest.WithNotAllowedHandler(h.NotAllowed))
+		routes.SetNotAllowedHandler(h.NotAllowed)
 	}
-	if h.TLS != nil {
-		options = append(options, rest.WithTLSConfig(h.TLS))
+	return routes, nil
+}
+
+func (h *HTTP) newServer(next http.Handler) *http.Server {
+	// HTTP/2 has its own buffers, streams and heads, which Limits don't bound.
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	return &http.Server{
+		Handler:           h.withLimits(next),
+		TLSConfig:         h.TLS,
+		Protocols:         protocols,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          newErrorLog(),
+		ConnContext: func(ctx context.Context, outer net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, unwrap(outer))
+		},
+		ConnState: func(outer net.Conn, state http.ConnState) { unwrap(outer).setState(state) },
 	}
-	conf := rest.RestConf{Host: host, Port: port, CertFile: h.Certificate, KeyFile: h.Key}
-	conf.Middlewares = rest.MiddlewaresConf{Recover: true}
-	server, err := rest.NewServer(conf, options...)
-	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", h.Address)
+}
+
+func (h *HTTP) serve(server *http.Server, listener net.Listener) error {
+	if h.TLS == nil {
+		return server.Serve(listener)
 	}
-	logx.SetWriter(klogWriter{})
-	server.AddRoutes(h.Routes)
-	return server, nil
+	return server.ServeTLS(listener, h.Certificate, h.Key)
 }
 
-// serve runs the server. go-zero panics if it cannot listen; serve sends the panic as an
-// error.
-func (h *HTTP) serve(server *rest.Server, failed chan<- error) {
-	defer func() {
-		if fault := recover(); fault != nil {
-			failed <- &Error{Address: h.Address, Problem: fmt.Sprint(fault)}
-		}
-	}()
-	server.StartWithOpts(func(s *http.Server) {
-		s.ReadHeaderTimeout = headerTimeout
-		s.ReadTimeout = 0
-		s.WriteTimeout = 0
-		s.IdleTimeout = idleTimeout
-		s.Handler = withController(s.Handler)
-		h.mutex.Lock()
-		h.server = s
-		h.mutex.Unlock()
-		// http.Server passes its listener to BaseContext, the only way to get the port that
-		// the system chose.
-		s.BaseContext = func(listener net.Listener) context.Context {
-			if h.OnListening != nil {
-				h.OnListening(listener.Addr().String())
-			}
-			return context.Background()
+// withLimits accounts for each request, and gives handlers a response controller.
+func (h *HTTP) withLimits(next http.Handler) http.Handler {
+	refuse := h.Refuse
+	if refuse == nil {
+		refuse = refusal.Write
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), controllerKey{}, http.NewResponseController(w))
+		r = r.WithContext(ctx)
+		c := connOf(ctx)
+		if err := c.accountForHead(r); err != nil {
+			w.Header().Set("Connection", "close")
+			refuse(w, refuseNoMemory())
+			return
 		}
+		next.ServeHTTP(w, r)
 	})
 }
 
-func (h *HTTP) shutdown(grace time.Duration) error {
-	h.mutex.Lock()
-	server := h.server
-	h.mutex.Unlock()
-	if server == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
-	defer cancel()
-	return eris.Wrapf(server.Shutdown(ctx), "shut down %s", h.Address)
+// newErrorLog returns a log for what net/http reports of its connections.
+func newErrorLog() *log.Logger { return log.New(errorLogWriter{}, "", 0) }
+
+// errorLogWriter writes net/http's lines to klog. Clients cause most of them.
+type errorLogWriter struct{}
+
+// Write writes one line.
+func (errorLogWriter) Write(line []byte) (int, error) {
+	klog.InfoS("listen: net/http reports", "message", strings.TrimSpace(string(line)))
+	return len(line), nil
 }
 
 // klogWriter writes go-zero's log lines to klog.
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -111,6 +111,8 @@
 type Limits struct {
 	MaxHeaderBytes int64
 	MaxBodyBytes   int64
+	// HeaderTimeout is the time in which a head has to arrive.
+	HeaderTimeout time.Duration
 	// IdleTimeout is how long a connection may be idle.
 	IdleTimeout time.Duration
 }
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -72,8 +73,8 @@
 	usage := stop()
 	t.Logf("%s: %d MB, %d descriptors", p.name, usage.Memory>>20, usage.Descriptors)
 	must.True(t, p.lives(), must.Sprint("the process has ended"))
-	must.LessEq(t, int64(hostMemory), usage.Memory, must.Sprint("memory with unread bytes"))
-	must.LessEq(t, p.descriptors, usage.Descriptors, must.Sprint("open descriptors"))
+	must.LessEq(t, p.host.memory, usage.Memory, must.Sprint("memory with unread bytes"))
+	must.LessEq(t, p.host.descriptors, usage.Descriptors, must.Sprint("open descriptors"))
 }
 
 func (p *target) awaitAnswer(t *testing.T, what string) {
@@ -104,10 +105,13 @@
 }
 
 // Guards against a head without end, or with many short lines, that the front holds in memory.
-func TestFrontHeadOneLine(t *testing.T)    { testFront(t, endlessHeads("/look/x")["line"]) }
-func TestFrontHeadManyLines(t *testing.T)  { testFront(t, endlessHeads("/look/x")["lines"]) }
+func TestFrontHeadOneLine(t *testing.T) { testFront(t, endlessHeads("/look/x")["line"]) }
+
+func TestFrontHeadManyLines(t *testing.T) { testFront(t, endlessHeads("/look/x")["lines"]) }
+
 func TestFrontHeadShortLines(t *testing.T) { testFront(t, endlessHeads("/look/x")["short lines"]) }
-func TestFrontHeadTarget(t *testing.T)     { testFront(t, endlessHeads("/look/x")["target"]) }
+
+func TestFrontHeadTarget(t *testing.T) { testFront(t, endlessHeads("/look/x")["target"]) }
 
 // Guards against empty lines without end before a request.
 func TestFrontEmptyLines(t *testing.T) { testFront(t, endlessHeads("/look/x")["empty lines"]) }
@@ -126,9 +130,11 @@
 }
 
 func TestFrontBodiesCut(t *testing.T) { testFront(t, bodies(frontHead("/look/x"))["cut"]) }
+
 func TestFrontBodiesLargeChunks(t *testing.T) {
 	testFront(t, bodies(frontHead("/look/x"))["large chunks"])
 }
+
 func TestFrontBodiesSmallChunks(t *testing.T) {
 	testFront(t, bodies(frontHead("/look/x"))["small chunks"])
 }
@@ -149,6 +155,21 @@
 	testFront(t, answersUnread(frontHead("/look/x")))
 }
 
+// Guards against reads of an ended batch, each of which loads it from the store, whose answers aren't read.
+func TestFrontStoredReads(t *testing.T) {
+	g := newGateway(t, hostDescriptors)
+	await(t, "the batch is accepted", func() bool {
+		status, _ := request(http.MethodPost, g.frontAddress+"/batch/b1", batchOfSmallItems(5000), "Attempt-Id", "b1", "Authorization", "Bearer key-acme")
+		return status == http.StatusAccepted
+	})
+	await(t, "the batch is ended", func() bool {
+		status, _ := request(http.MethodDelete, g.frontAddress+"/bramleyhatch/lots/b1", "", "Authorization", "Bearer key-acme")
+		return status == http.StatusOK
+	})
+	read := "GET /bramleyhatch/lots/b1?after=0 HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-acme\r\n\r\n"
+	g.front().mustWithstand(t, listentest.Repeat("", read, 20))
+}
+
 // Guards against bytes behind a waiting request that nobody reads.
 func TestFrontBytesBehindRequest(t *testing.T) {
 	g := newGateway(t, hostDescriptors)
@@ -175,12 +196,15 @@
 func TestReadyHeads(t *testing.T) {
 	newGateway(t, hostDescriptors).readiness().mustWithstand(t, endlessHeads("/bramleyhatch/ready")["line"])
 }
+
 func TestReadyShortLines(t *testing.T) {
 	newGateway(t, hostDescriptors).readiness().mustWithstand(t, endlessHeads("/bramleyhatch/ready")["short lines"])
 }
+
 func TestReadySilent(t *testing.T) {
 	newGateway(t, fewDescriptors).readiness().mustWithstand(t, silent)
 }
+
 func TestReadyBodiesCut(t *testing.T) {
 	newGateway(t, hostDescriptors).readiness().mustWithstand(t, bodies("GET /bramleyhatch/ready HTTP/1.1\r\nHost: h.example\r\n")["cut"])
 }
@@ -192,17 +216,23 @@
 
 // Guards against heads without end, and bodies that stop short of their end, at an entry.
 func TestEntryHeadOneLine(t *testing.T) { testEntry(t, endlessHeads("/v1/completions")["line"]) }
+
 func TestEntryHeadShortLines(t *testing.T) {
 	testEntry(t, endlessHeads("/v1/completions")["short lines"])
 }
+
 func TestEntryBodiesCut(t *testing.T) { testEntry(t, bodies(entryHead("/v1/completions"))["cut"]) }
+
 func TestEntryBodiesSmallChunks(t *testing.T) {
 	testEntry(t, bodies(entryHead("/v1/completions"))["small chunks"])
 }
+
 func TestEntryTrainerBodiesCut(t *testing.T) {
 	testEntry(t, bodies(entryHead("/v1/trainers/drafter/steps"))["cut"])
 }
+
 func TestEntryOperatorBodiesCut(t *testing.T) { testEntry(t, bodies(operatorHead)["cut"]) }
+
 func TestEntrySilent(t *testing.T) {
 	newEntry(t, fewDescriptors).callers().mustWithstand(t, silent)
 }
@@ -212,6 +242,11 @@
 	newEntry(t, hostDescriptors).callers().mustWithstand(t, send)
 }
 
+// Guards against metrics that are asked for without being read.
+func TestEntryMetricsUnread(t *testing.T) {
+	testEntry(t, listentest.Repeat("", "GET /metrics HTTP/1.1\r\nHost: h.example\r\n\r\n", 400))
+}
+
 // Guards against heads without end at a sidecar's listener of metrics.
 func TestSidecarHeads(t *testing.T) {
 	newEntry(t, hostDescriptors).sidecarMetrics().mustWithstand(t, endlessHeads("/metrics")["line"])
@@ -222,6 +257,7 @@
 	g := newGateway(t, hostDescriptors)
 	(&target{process: g.process, address: g.peer, ask: g.askFront}).mustWithstand(t, endlessHeads("/x")["line"])
 }
+
 func TestKeeperHeads(t *testing.T) {
 	g := newGateway(t, hostDescriptors)
 	(&target{process: g.keeper, address: g.keeper.peer, ask: g.askFront}).mustWithstand(t, endlessHeads("/x")["line"])
@@ -237,13 +273,18 @@
 // operatorHead is the head of a request of an operator.
 const operatorHead = "PUT /operator/v1/config HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer " + operatorToken + "\r\n"
 
-// batches sends a batch of many small items, with the ID that newID returns.
-func batches(newID func() string) listentest.Send {
+// batchOfSmallItems returns a batch of about the given size.
+func batchOfSmallItems(size int) string {
 	var items strings.Builder
-	for i := 0; items.Len() < maxBodyBytes-100; i++ {
+	for i := 0; items.Len() < size; i++ {
 		fmt.Fprintf(&items, `{"id":"%d","path":"/"},`, i)
 	}
-	body := `{"step":1,"model":"m","min-version":1,"desired":1,"items":[` + strings.TrimSuffix(items.String(), ",") + `]}`
+	return `{"step":1,"model":"m","min-version":1,"desired":1,"items":[` + strings.TrimSuffix(items.String(), ",") + `]}`
+}
+
+// batches sends a batch of many small items, with the ID that newID returns.
+func batches(newID func() string) listentest.Send {
+	body := batchOfSmallItems(maxBodyBytes - 100)
 	return func(conn net.Conn) error {
 		id := newID()
 		head := strings.Replace(frontHead("/batch/"+id), "Attempt-Id: crowd", "Attempt-Id: "+id, 1)
--- a/test/crowd/fixture_test.go
+++ b/test/crowd/fixture_test.go
@@ -60,9 +60,8 @@
 	name    string
 	command *exec.Cmd
 	peer    string
-	// descriptors is the number of descriptors of the process's host.
-	descriptors int
-	ended       chan struct{}
+	host    host
+	ended   chan struct{}
 }
 
 // startProcess starts a program with arguments; it is killed at the end of the test.
@@ -89,15 +88,21 @@
 	return p
 }
 
+// host is what a process has of its host.
+type host struct {
+	memory      int64
+	descriptors int
+}
+
 // startWith starts a program with a settings file.
-func startWith(t *testing.T, kind, name string, descriptors int, settings string) *process {
+func startWith(t *testing.T, kind, name string, h host, settings string) *process {
 	t.Helper()
 	peer := listentest.FreeAddress(t)
-	settings = fmt.Sprintf("[process]\nname = %s\nregion = r\nzone = z1\npeer = %s\ngrace = 3s\n", name, peer) + settings
+	settings = fmt.Sprintf("[process]\nname = %s\nregion = r\nzone = z1\npeer = %s\ngrace = 3s\nmemory = %d\ndescriptors = %d\n", name, peer, h.memory>>20, h.descriptors) + settings
 	file := filepath.Join(t.TempDir(), name+".ini")
 	must.NoError(t, os.WriteFile(file, []byte(settings), 0o600))
 	p := startProcess(t, name, "bramleyhatch", kind, "--settings", file)
-	p.peer, p.descriptors = peer, descriptors
+	p.peer, p.host = peer, h
 	return p
 }
 
@@ -163,14 +168,19 @@
 
 func newGateway(t *testing.T, descriptors int) *gateway {
 	t.Helper()
-	platform := wiretest.NewPlatform()
+	return newGatewayOn(t, host{memory: hostMemory, descriptors: descriptors}, wiretest.NewPlatform())
+}
+
+// newGatewayOn starts a gateway on a host with a configuration of the platform.
+func newGatewayOn(t *testing.T, h host, platform *wiretest.Platform) *gateway {
+	t.Helper()
 	platform.PutTable(t, 2, []string{"acme", "other"}, wiretest.Routes()...)
 	g := &gateway{app: platform.NewSampler(t, "a1", "app", "")}
 	platform.NewSampler(t, "m1", "lm", "m")
 	g.frontAddress, g.readyAddress, g.meterAddress = listentest.FreeAddress(t), listentest.FreeAddress(t), listentest.FreeAddress(t)
 	store := fmt.Sprintf("[store]\naddress = %s\n", platform.NewEndpoint(t).Address)
-	g.keeper = startWith(t, "keeper", "k1", descriptors, fmt.Sprintf("data = %s\n", t.TempDir())+store)
-	g.process = startWith(t, "gateway", "g1", descriptors, store+fmt.Sprintf("[front]\nlisten = %s\nready = %s\nmetrics = %s\nadmit = true\n[batches]\ngroup = 50ms\n", g.frontAddress, g.readyAddress, g.meterAddress))
+	g.keeper = startWith(t, "keeper", "k1", h, fmt.Sprintf("data = %s\n", t.TempDir())+store)
+	g.process = startWith(t, "gateway", "g1", h, store+fmt.Sprintf("[front]\nlisten = %s\nready = %s\nmetrics = %s\nadmit = true\n[batches]\ngroup = 50ms\n", g.frontAddress, g.readyAddress, g.meterAddress))
 	await(t, "the gateway serves", g.askFront)
 	return g
 }
@@ -220,12 +230,13 @@
 
 func newEntry(t *testing.T, descriptors int) *entry {
 	t.Helper()
+	h := host{memory: hostMemory, descriptors: descriptors}
 	store := startPlatform(t)
 	e := &entry{callerAddress: listentest.FreeAddress(t), meterAddress: listentest.FreeAddress(t)}
 	common := fmt.Sprintf("[platform]\naddress = http://%s\n", store)
-	e.process = startWith(t, "entry", "e1", descriptors, common+fmt.Sprintf("[caller]\nlisten = %s\nmax_body_bytes = %d\n[operator]\ntokens = op:%s\n", e.callerAddress, maxBodyBytes, lists.HashKey(operatorToken)))
+	e.process = startWith(t, "entry", "e1", h, common+fmt.Sprintf("[caller]\nlisten = %s\nmax_body_bytes = %d\n[operator]\ntokens = op:%s\n", e.callerAddress, maxBodyBytes, lists.HashKey(operatorToken)))
 	await(t, "the entry serves", e.ask())
-	e.sidecar = startWith(t, "sidecar", "s1", descriptors, common+fmt.Sprintf("[backend]\nserver = x\nkind = engine\npool = assistant\naddress = http://%s\nmetrics = %s\n", listentest.FreeAddress(t), e.meterAddress))
+	e.sidecar = startWith(t, "sidecar", "s1", h, common+fmt.Sprintf("[backend]\nserver = x\nkind = engine\npool = assistant\naddress = http://%s\nmetrics = %s\n", listentest.FreeAddress(t), e.meterAddress))
 	await(t, "the sidecar serves", e.sidecarMetrics().ask)
 	return e
 }
