listen: connections are bounded in number

Silent connections took all descriptors of a process: 600 of them stood at 512 descriptors on a host with 400, and lived for two minutes.

A listener now has a largest number of connections, half of the descriptors that are for sockets or a quarter of the memory. When it is reached, the connection that has waited for its client for the longest time, idle or with a head that isn't whole, is closed for the new one, so that an ordinary client gets in. Connections whose requests run stay; if all do, the new one is closed. Listeners for readiness and metrics have 32 connections of their own.

--- a/internal/bramleyhatch/limits.go
+++ b/internal/bramleyhatch/limits.go
@@ -8,34 +8,46 @@
 )
 
 const (
-	// requestShare is the divisor of the process's memory for the requests of clients.
+	// requestShare and connShare are the divisors of the process's memory for the requests and the connections of
+	// clients.
 	requestShare = 3
+	connShare    = 4
 	// minRequestBytes has room for the largest body of 32 MB while it is copied from a buffer of half its size, beside the
 	// part for small requests.
 	minRequestBytes = 64 << 20
 	// heapPercent is the part of the memory that the garbage collector tries to stay within. The rest is for stacks of
 	// the system, unread bytes and the program itself.
 	heapPercent = 80
-	megabyte    = 1 << 20
-	// controlBytes bounds a listener that only serves readiness or metrics. It doesn't share the memory for requests, so
-	// that a process without memory still answers there.
-	controlBytes = 4 << 20
+	// reservedDescriptors aren't for sockets.
+	reservedDescriptors = 200
+	// descriptorShare is the divisor of the other descriptors for connections of clients. A request needs another one to a
+	// backend server.
+	descriptorShare = 2
+	megabyte        = 1 << 20
+	// maxControlConns and controlBytes bound a listener that only serves readiness or metrics. It doesn't share the memory
+	// for requests, so that a process without memory still answers there.
+	maxControlConns = 32
+	controlBytes    = 4 << 20
 )
 
-// addLimits sets what clients may make the process hold, from the memory that it has.
+// addLimits sets what clients may make the process hold, from the memory and descriptors that it has.
 func (p *Process) addLimits() {
 	p.listenMetrics = listen.NewMetrics(p.Metrics)
 	memory := p.Settings.GetMemory() * megabyte
-	if memory == 0 {
+	descriptors := p.Settings.GetDescriptors()
+	if memory == 0 || descriptors == 0 {
 		return
 	}
 	debug.SetMemoryLimit(memory / 100 * heapPercent)
 	requests := &budget.Budget{Bytes: max(minRequestBytes, memory/requestShare)}
 	p.Metrics.MustRegister(requests)
-	p.limits = listen.Limits{Budget: requests}
+	p.limits = listen.Limits{
+		Budget:   requests,
+		MaxConns: int(min((descriptors-reservedDescriptors)/descriptorShare, memory/connShare/listen.ConnBytes)),
+	}
 }
 
 // controlLimits returns the limits of a listener that only serves readiness or metrics.
 func controlLimits() listen.Limits {
-	return listen.Limits{Budget: &budget.Budget{Bytes: controlBytes}}
+	return listen.Limits{Budget: &budget.Budget{Bytes: controlBytes}, MaxConns: maxControlConns}
 }
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -26,10 +26,12 @@
 	listener *listener
 	lease    *budget.Lease
 	isTLS    bool
+	once     sync.Once
 
 	mutex sync.Mutex
-	// isBusy is true from the end of a request's head until its answer is sent.
+	// isBusy is true from the end of a request's head until its answer is sent; since is the last change.
 	isBusy bool
+	since  time.Time
 	// headBytes were read since the end of the last request, the first of them at headStart.
 	headBytes int64
 	headStart time.Time
@@ -110,6 +112,7 @@
 		c.endRequest()
 	case http.StateClosed, http.StateHijacked:
 		c.lease.Release()
+		c.listener.remove(c)
 	case http.StateNew:
 	}
 }
@@ -118,7 +121,7 @@
 func (c *conn) beginRequest() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.isBusy = true
+	c.isBusy, c.since = true, time.Now()
 	_ = c.applyReadDeadline()
 	c.lease.Keep()
 }
@@ -128,5 +131,18 @@
 	c.lease.Release()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.isBusy, c.headBytes = false, 0
+	c.isBusy, c.headBytes, c.since = false, 0, time.Now()
+}
+
+// idleSince returns since when the connection waits for its client; ok is false while a request runs.
+func (c *conn) idleSince() (since time.Time, ok bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.since, !c.isBusy
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.once.Do(func() { c.listener.remove(c) })
+	return c.Conn.Close()
 }
--- a/internal/listen/head.go
+++ b/internal/listen/head.go
@@ -19,7 +19,7 @@
 	c.headBytes += int64(n)
 	isTooLarge := c.headBytes > limit
 	if isFirst {
-		c.headStart = time.Now()
+		c.headStart, c.since = time.Now(), time.Now()
 		_ = c.applyReadDeadline()
 	}
 	c.mutex.Unlock()
--- a/internal/listen/limits.go
+++ b/internal/listen/limits.go
@@ -7,8 +7,11 @@
 )
 
 const (
+	defaultMaxConns       = 4096
 	defaultMaxHeaderBytes = 64 << 10
 	defaultBudgetBytes    = 256 << 20
+	// ConnBytes is the memory of a connection beside its requests: buffers and goroutine.
+	ConnBytes = 24 << 10
 	// headCost is the memory of a head for each of its bytes while it is received: a line of three bytes becomes an
 	// entry of a map, which is copied.
 	headCost = 32
@@ -20,6 +23,8 @@
 type Limits struct {
 	// Budget is the memory of all requests together; nil means 256 MB.
 	Budget *budget.Budget
+	// MaxConns is the largest number of connections; 0 means 4096.
+	MaxConns int
 	// MaxHeaderBytes returns the largest size of a head, and HeaderTimeout the time in which it has to arrive; 0 means
 	// the default of 64 KB or 10 s. Both may be nil.
 	MaxHeaderBytes func() int64
@@ -31,6 +36,9 @@
 	if limits.Budget == nil {
 		limits.Budget = &budget.Budget{Bytes: defaultBudgetBytes}
 	}
+	if limits.MaxConns == 0 {
+		limits.MaxConns = defaultMaxConns
+	}
 	return limits
 }
 
--- a/internal/listen/limits_test.go
+++ b/internal/listen/limits_test.go
@@ -29,27 +29,31 @@
 	headTimeout   = 300 * time.Millisecond
 )
 
-// limitedServer is a server with small limits. It answers /read with the length of the body, and other paths
-// not at all.
+// limitedServer is a server with small limits. It answers /read with the length of the body, /wait once it is released,
+// and other paths not at all.
 type limitedServer struct {
 	*budget.Budget
 
 	address string
+	// started receives a value for each request to /wait.
+	started  chan struct{}
+	released chan struct{}
 }
 
-func serveLimited(t *testing.T) *limitedServer {
+func serveLimited(t *testing.T, maxConns int) *limitedServer {
 	t.Helper()
-	s := &limitedServer{Budget: &budget.Budget{Bytes: 8 << 20}}
+	s := &limitedServer{Budget: &budget.Budget{Bytes: 8 << 20}, started: make(chan struct{}, 1), released: make(chan struct{})}
 	listening := make(chan string, 1)
 	server := &listen.HTTP{
 		Address: "127.0.0.1:0",
 		Routes: []rest.Route{
 			{Method: http.MethodPost, Path: "/read", Handler: s.read},
+			{Method: http.MethodGet, Path: "/wait", Handler: func(http.ResponseWriter, *http.Request) { s.started <- struct{}{}; <-s.released }},
 		},
 		NotFound:    http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }),
 		OnListening: func(address string) { listening <- address },
 		Limits: listen.Limits{
-			Budget:         s.Budget,
+			Budget: s.Budget, MaxConns: maxConns,
 			MaxHeaderBytes: func() int64 { return maxHead },
 			HeaderTimeout:  func() time.Duration { return headTimeout },
 		},
@@ -119,9 +123,13 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return s.Held() == 0 }), wait.Timeout(answerTimeout), wait.Gap(10*time.Millisecond)))
 }
 
+func post(path string, length int) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", path, length)
+}
+
 // Guards against heads without end, and against limits that a head within them meets.
 func TestHeadLimit(t *testing.T) {
-	s := serveLimited(t)
+	s := serveLimited(t, 10)
 	const fixed = len("POST /read HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nX: \r\n\r\n")
 	c := s.dial(t)
 	for range 3 {
@@ -140,7 +148,7 @@
 
 // Guards against a head whose bytes come one by one for ever.
 func TestSlowHead(t *testing.T) {
-	s := serveLimited(t)
+	s := serveLimited(t, 10)
 	c := s.dial(t)
 	c.send(t, "GET /wait HTTP/1.1\r\nHost: h\r\nX: ")
 	go func() {
@@ -157,13 +165,41 @@
 
 // Guards against memory that an aborted answer keeps.
 func TestAbortedAnswer(t *testing.T) {
-	s := serveLimited(t)
+	s := serveLimited(t, 10)
 	c := s.dial(t)
 	c.send(t, "GET /none HTTP/1.1\r\nHost: h\r\n\r\n")
 	c.mustBeClosed(t)
 	s.mustHoldNothing(t)
 }
 
+// Guards against silent connections that lock out new ones, and against requests that are closed for new connections.
+func TestConnectionLimit(t *testing.T) {
+	s := serveLimited(t, 2)
+	running := s.dial(t)
+	running.send(t, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	silent := s.dial(t)
+	<-s.started
+	for range 5 {
+		c := s.dial(t)
+		c.send(t, post("/read", 2)+"ok")
+		c.mustAnswer(t, http.StatusOK, "2")
+	}
+	silent.mustBeClosed(t)
+	close(s.released)
+	running.mustAnswer(t, http.StatusOK, "")
+}
+
+// Guards against new connections that are held open although none can be served.
+func TestNewConnectionIsClosed(t *testing.T) {
+	s := serveLimited(t, 1)
+	running := s.dial(t)
+	running.send(t, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-s.started
+	s.dial(t).mustBeClosed(t)
+	close(s.released)
+	running.mustAnswer(t, http.StatusOK, "")
+}
+
 // Guards against TLS connections whose heads are not bounded, or whose handshake counts as a head that is too large.
 func TestHeadLimitWithTLS(t *testing.T) {
 	certified := httptest.NewTLSServer(http.NotFoundHandler())
--- a/internal/listen/listener.go
+++ b/internal/listen/listener.go
@@ -3,37 +3,113 @@
 import (
 	"net"
 	"strconv"
+	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
+	"k8s.io/klog/v2"
 )
 
-// listener accepts the connections of an HTTP server.
+// logInterval is the interval between log lines about rejected and closed connections.
+const logInterval = time.Second
+
+// listener accepts the connections of an HTTP server and bounds their number.
 type listener struct {
 	net.Listener
 
 	limits  Limits
 	isTLS   bool
 	metrics *Metrics
+
+	mutex   sync.Mutex
+	conns   map[*conn]bool
+	logRate *rate.Limiter
+	// silent counts the lines that were not logged.
+	silent int
 }
 
 func newListener(inner net.Listener, limits Limits, isTLS bool, metrics *Metrics) *listener {
-	return &listener{Listener: inner, limits: limits, isTLS: isTLS, metrics: metrics}
+	return &listener{Listener: inner, limits: limits, isTLS: isTLS, metrics: metrics, conns: map[*conn]bool{}, logRate: rate.NewLimiter(rate.Every(logInterval), 1)}
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection. If there are too many, the one that has waited for its client for the longest
+// time is closed. If all of them run requests, the new one is closed.
 func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: accepted, listener: l, lease: l.limits.Budget.NewLease(), isTLS: l.isTLS, since: time.Now()}
+		if l.add(c) {
+			return c, nil
+		}
+		l.metrics.countClosed("refused")
+		l.log("closed a new connection; all others run requests", accepted)
+		_ = accepted.Close()
+	}
+}
+
+func (l *listener) add(c *conn) bool {
+	l.mutex.Lock()
+	isFull := len(l.conns) >= l.limits.MaxConns
+	var oldest *conn
+	if isFull {
+		oldest = l.oldestIdle()
+	}
+	if !isFull || oldest != nil {
+		l.conns[c] = true
+	}
+	l.mutex.Unlock()
+	if oldest != nil {
+		l.metrics.countClosed("evicted")
+		l.log("closed a connection that waited for its client, for a new one", oldest)
+		_ = oldest.Close()
+	}
+	return !isFull || oldest != nil
+}
+
+// oldestIdle returns the connection that has waited for its client for the longest time, or nil. The mutex must be held.
+func (l *listener) oldestIdle() *conn {
+	var oldest *conn
+	var oldestSince time.Time
+	for c := range l.conns {
+		since, isIdle := c.idleSince()
+		if isIdle && (oldest == nil || since.Before(oldestSince)) {
+			oldest, oldestSince = c, since
+		}
 	}
-	return &conn{Conn: accepted, listener: l, lease: l.limits.Budget.NewLease(), isTLS: l.isTLS}, nil
+	return oldest
+}
+
+func (l *listener) remove(c *conn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.conns, c)
 }
 
 func (l *listener) countRejected(status int) { l.metrics.countRejected(status) }
 
+// log logs at most one line an interval.
+func (l *listener) log(text string, c net.Conn) {
+	l.mutex.Lock()
+	isLogged := l.logRate.Allow()
+	silent := l.silent
+	l.silent++
+	if isLogged {
+		l.silent = 0
+	}
+	l.mutex.Unlock()
+	if isLogged {
+		klog.InfoS("listen: "+text, "address", l.Addr().String(), "client", c.RemoteAddr().String(), "maxConns", l.limits.MaxConns, "alike", silent)
+	}
+}
+
 // Metrics counts what servers reject. All servers of a process share it.
 type Metrics struct {
 	rejected *prometheus.CounterVec
+	closed   *prometheus.CounterVec
 }
 
 // NewMetrics returns registered metrics.
@@ -43,8 +119,12 @@
 			Name: "bramleyhatch_listen_rejected_heads_total",
 			Help: "Heads of requests that were rejected before they were whole, by HTTP status: 431 too large, 503 no memory.",
 		}, []string{"status"}),
+		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleyhatch_listen_closed_connections_total",
+			Help: "Connections that were closed since there were too many: evicted ones waited for their client, refused ones were new.",
+		}, []string{"reason"}),
 	}
-	registerer.MustRegister(m.rejected)
+	registerer.MustRegister(m.rejected, m.closed)
 	return m
 }
 
@@ -53,3 +133,9 @@
 		m.rejected.WithLabelValues(strconv.Itoa(status)).Inc()
 	}
 }
+
+func (m *Metrics) countClosed(reason string) {
+	if m != nil {
+		m.closed.WithLabelValues(reason).Inc()
+	}
+}
