listen: bodies are bounded in time and sum

Callers saw a process end, out of memory: each of 600 bodies of legal size, whole or just short of its end, was read into a buffer without a bound on their sum or in time, and refused requests waited for bodies that never came, for as long as their clients liked.

ReadBody takes the buffer from the budget before it is allocated and gives it back at every end. A body has to arrive by the request's deadline, or within [caller] body, else 408; one that finds no room, or yields to others while it is received, gets 503 with Retry-After: it was never whole, so it never ran. A body larger than the process can hold gets 413 at once. The rest of a body that no handler wants is read for one second before the answer is sent. It replaces the readers of gateways, callers, trainers and operators.

--- a/internal/bramleyhatch/entrycallers.go
+++ b/internal/bramleyhatch/entrycallers.go
@@ -26,6 +26,7 @@
 		Decisions:    e.Decisions,
 		Metrics:      e.Metrics,
 		MaxBodyBytes: settings.GetMaxBodyBytes(),
+		BodyTimeout:  settings.GetBody().AsDuration(),
 		Timeout:      settings.GetTimeout().AsDuration(),
 	}
 	handler.RegisterMetrics()
--- a/internal/bramleyhatch/entrytrainers.go
+++ b/internal/bramleyhatch/entrytrainers.go
@@ -63,6 +63,7 @@
 		Grants:       e.view,
 		Steps:        &rollout.Client{Locate: t.locate, Peers: t.peers, HolderTimeout: maxHandoverWait},
 		MaxBodyBytes: e.Settings.GetCaller().GetMaxBodyBytes(),
+		BodyTimeout:  e.Settings.GetCaller().GetBody().AsDuration(),
 		MaxPullWait:  e.Settings.GetTrainer().GetPoll().AsDuration(),
 	}
 	e.AddRoutes(handler.Routes()...)
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -7,7 +7,9 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
@@ -110,21 +112,18 @@
 	return nil
 }
 
+// bodyCodes are the codes of requests whose bodies can't be read.
+var bodyCodes = listen.BodyCodes{TooLarge: "body_too_large", Cut: "invalid_request"}
+
 func invalidRequest(format string, arguments ...any) error {
 	return refusal.NotRun(http.StatusBadRequest, "invalid_request", format, arguments...)
 }
 
-// readBody reads a request's body of at most maxBytes.
-func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	if err == nil {
-		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, refusal.NotRun(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than %d bytes", maxBytes)
-	}
-	return nil, invalidRequest("the body can't be read")
+// readBody reads the request's body and takes the memory that it needs until the end of the request.
+func (c *call) readBody() ([]byte, error) {
+	listen.LeaseOf(c.ctx).Assign(c.grant.Account())
+	body, err := listen.ReadBody(c.request, c.handler.MaxBodyBytes, time.Now().Add(c.handler.bodyTimeout()))
+	return body, listen.RefuseBody(err, bodyCodes)
 }
 
 // decode decodes the body, a single JSON value, into each target.
--- a/internal/caller/engine.go
+++ b/internal/caller/engine.go
@@ -19,7 +19,7 @@
 
 // completion serves POST /v1/completions.
 func (h *Handler) completion(c *call) error {
-	body, err := readBody(c.writer, c.request, h.MaxBodyBytes)
+	body, err := c.readBody()
 	if err != nil {
 		return err
 	}
@@ -32,7 +32,7 @@
 
 // chat serves POST /v1/chat/completions.
 func (h *Handler) chat(c *call) error {
-	body, err := readBody(c.writer, c.request, h.MaxBodyBytes)
+	body, err := c.readBody()
 	if err != nil {
 		return err
 	}
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -55,6 +55,8 @@
 	Metrics    prometheus.Registerer
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int64
+	// BodyTimeout is the time in which a body has to arrive; 0 means Timeout.
+	BodyTimeout time.Duration
 	// Timeout limits the duration of a request.
 	Timeout time.Duration
 
@@ -96,7 +98,6 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		c := newCall(h, w, r)
 		w.Header().Set(HeaderRequest, c.id)
-		w.Header().Del("Traceparent")
 		ctx, cancel := context.WithTimeout(r.Context(), h.Timeout)
 		defer cancel()
 		err := c.serveAuthorized(ctx, serve)
@@ -107,6 +108,13 @@
 	}
 }
 
+func (h *Handler) bodyTimeout() time.Duration {
+	if h.BodyTimeout > 0 {
+		return h.BodyTimeout
+	}
+	return h.Timeout
+}
+
 func newID() string {
 	return uuid.NewString()
 }
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -43,7 +43,7 @@
 	if err := c.checkPlan("the service", service, c.grant.Plan().GetServices()); err != nil {
 		return err
 	}
-	body, err := readBody(c.writer, c.request, h.MaxBodyBytes)
+	body, err := c.readBody()
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/errors_test.go
+++ b/internal/gateway/errors_test.go
@@ -21,7 +21,7 @@
 	// These codes end a run of an item or of its scorer and are not sent to callers.
 	notForCallers := map[string]bool{"unfit": true, "not_judged": true}
 	found := 0
-	for _, pattern := range []string{"*.go", "../batch/*.go", "../forward/*.go", "../backend/direct*.go"} {
+	for _, pattern := range []string{"*.go", "../batch/*.go", "../forward/*.go", "../backend/direct*.go", "../listen/refuse.go"} {
 		files, err := filepath.Glob(pattern)
 		must.NoError(t, err)
 		for _, file := range files {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,6 +17,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/batch"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/forward"
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/lists"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
@@ -34,6 +33,9 @@
 	maxWait = time.Second
 )
 
+// bodyCodes are the codes of requests whose bodies can't be read.
+var bodyCodes = listen.BodyCodes{TooLarge: "large_body", Cut: "cut_body"}
+
 // CallKind is the kind of a request to the gateway.
 type CallKind int
 
@@ -106,6 +108,8 @@
 	account table.Account
 	route   *table.Route
 	began   clock.Boot
+	// needsKey reports whether the configuration has accounts. Callers of public routes then count as one.
+	needsKey bool
 }
 
 // ServeHTTP serves one request.
@@ -124,6 +128,9 @@
 		h.refuse(w, r, err)
 		return
 	}
+	if admitted.needsKey {
+		listen.LeaseOf(r.Context()).Assign(admitted.account.Name)
+	}
 	switch {
 	case call.Kind == CallRead:
 		err = h.read(w, r, admitted, call)
@@ -148,7 +155,7 @@
 	if current == nil {
 		return nil, refusal.NoConfiguration(h.NoConfigRetry)
 	}
-	admitted := &admittedRequest{id: h.Wire.ID(r), began: began}
+	admitted := &admittedRequest{id: h.Wire.ID(r), began: began, needsKey: current.NeedsKeys()}
 	if call.Kind == CallRun {
 		admitted.route = current.Route(hostOf(r), r.URL.Path)
 		if admitted.route == nil {
@@ -174,22 +181,15 @@
 	return strings.ToLower(host)
 }
 
-// readBody reads the request body, up to the configured limit.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads the request body, up to the configured limit and the request's deadline.
+func (h *Handler) readBody(r *http.Request, admitted *admittedRequest) ([]byte, error) {
 	maxBytes := int64(defaultMaxBodyBytes)
 	if current := h.View.Current(); current != nil && current.Limits.MaxBodyBytes > 0 {
 		maxBytes = current.Limits.MaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, refusal.NotRun(http.StatusRequestEntityTooLarge, "large_body", "the body has more than %d bytes", maxBytes)
-	case err != nil:
-		return nil, refusal.NotRun(http.StatusBadRequest, "cut_body", "the body ended before it was whole")
-	default:
-		return body, nil
-	}
+	left := admitted.began.Add(h.requestTimeout(r, admitted.route)).Sub(clock.Now())
+	body, err := listen.ReadBody(r, maxBytes, time.Now().Add(left))
+	return body, listen.RefuseBody(err, bodyCodes)
 }
 
 // accept stores a new batch.
@@ -197,7 +197,7 @@
 	if r.Method != http.MethodPost {
 		return refusal.NotRun(http.StatusMethodNotAllowed, "bad_method", "batches are posted")
 	}
-	body, err := h.readBody(w, r)
+	body, err := h.readBody(r, admitted)
 	if err != nil {
 		return err
 	}
@@ -219,7 +219,7 @@
 
 // run forwards a request to a backend server.
 func (h *Handler) run(w http.ResponseWriter, r *http.Request, admitted *admittedRequest) error {
-	body, err := h.readBody(w, r)
+	body, err := h.readBody(r, admitted)
 	if err != nil {
 		return err
 	}
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -27,16 +27,22 @@
 	lease    *budget.Lease
 	isTLS    bool
 	once     sync.Once
+	// answerHeader is the header of the answer to the request that runs.
+	answerHeader http.Header
 
 	mutex sync.Mutex
-	// isBusy is true from the end of a request's head until its answer is sent; since is the last change.
-	isBusy bool
-	since  time.Time
+	// isBusy is true from the end of a request's head until its answer is sent. A busy connection whose request is being
+	// received isn't needed by any backend server yet. since is the last progress.
+	isBusy      bool
+	isReceiving bool
+	isReceived  bool
+	since       time.Time
 	// headBytes were read since the end of the last request, the first of them at headStart.
 	headBytes int64
 	headStart time.Time
 	// readDeadline is the one that net/http and handlers have set.
-	readDeadline time.Time
+	readDeadline  time.Time
+	isInterrupted bool
 }
 
 type connKey struct{}
@@ -100,9 +106,26 @@
 			deadline = end
 		}
 	}
+	if c.isInterrupted {
+		deadline = time.Unix(1, 0)
+	}
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// interrupt ends the read of a body.
+func (c *conn) interrupt() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.isInterrupted = true
+	_ = c.applyReadDeadline()
+}
+
+func (c *conn) hasBeenInterrupted() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.isInterrupted
+}
+
 // setState follows the states of net/http.
 func (c *conn) setState(state http.ConnState) {
 	switch state {
@@ -131,14 +154,41 @@
 	c.lease.Release()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.isBusy, c.headBytes, c.since = false, 0, time.Now()
+	c.isBusy, c.isReceiving, c.isReceived, c.headBytes, c.since = false, false, false, 0, time.Now()
+}
+
+// beginBody marks that the body of a request is being received.
+func (c *conn) beginBody() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.isReceiving, c.since = true, time.Now()
+}
+
+// touch marks that the client makes progress.
+func (c *conn) touch() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.since = time.Now()
+}
+
+// endBody marks that the body of a request has been received.
+func (c *conn) endBody() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.isReceiving, c.isReceived = false, true
+}
+
+func (c *conn) hasWholeBody() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.isReceived
 }
 
 // idleSince returns since when the connection waits for its client; ok is false while a request runs.
 func (c *conn) idleSince() (since time.Time, ok bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.since, !c.isBusy
+	return c.since, !c.isBusy || c.isReceiving
 }
 
 // Close closes the connection.
--- a/internal/listen/head.go
+++ b/internal/listen/head.go
@@ -60,10 +60,11 @@
 }
 
 // accountForHead takes the memory of a request and its parsed head, and gives back what the head took while it was read.
-func (c *conn) accountForHead(r *http.Request) error {
+func (c *conn) accountForHead(w http.ResponseWriter, r *http.Request) error {
 	if c == nil {
 		return nil
 	}
+	c.answerHeader = w.Header()
 	parsed, taken := headBytes(r), c.takenForHead()
 	c.lease.Shrink(max(0, taken-parsed))
 	return c.lease.Grow(r.Context(), requestBytes+max(0, parsed-taken))
--- a/internal/listen/http.go
+++ b/internal/listen/http.go
@@ -162,7 +162,8 @@
 		ctx := context.WithValue(r.Context(), controllerKey{}, http.NewResponseController(w))
 		r = r.WithContext(ctx)
 		c := connOf(ctx)
-		if err := c.accountForHead(r); err != nil {
+		defer c.boundDiscard(r)
+		if err := c.accountForHead(w, r); err != nil {
 			w.Header().Set("Connection", "close")
 			refuse(w, refuseNoMemory())
 			return
--- a/internal/listen/limits_test.go
+++ b/internal/listen/limits_test.go
@@ -24,13 +24,14 @@
 
 const (
 	maxHead = 4 << 10
+	maxBody = 1 << 20
 	// answerTimeout bounds the wait for an answer, far above any timeout of the tests' servers.
 	answerTimeout = 30 * time.Second
-	headTimeout   = 300 * time.Millisecond
+	bodyTimeout   = 300 * time.Millisecond
 )
 
-// limitedServer is a server with small limits. It answers /read with the length of the body, /wait once it is released,
-// and other paths not at all.
+// limitedServer is a server with small limits. It answers /read with the length of the body, /ignore without reading it,
+// /panic not at all, and /wait once it is released.
 type limitedServer struct {
 	*budget.Budget
 
@@ -38,16 +39,19 @@
 	// started receives a value for each request to /wait.
 	started  chan struct{}
 	released chan struct{}
+	// problems receives why bodies couldn't be read.
+	problems chan listen.BodyProblem
 }
 
 func serveLimited(t *testing.T, maxConns int) *limitedServer {
 	t.Helper()
-	s := &limitedServer{Budget: &budget.Budget{Bytes: 8 << 20}, started: make(chan struct{}, 1), released: make(chan struct{})}
+	s := &limitedServer{Budget: &budget.Budget{Bytes: 8 << 20}, started: make(chan struct{}, 1), released: make(chan struct{}), problems: make(chan listen.BodyProblem, 1)}
 	listening := make(chan string, 1)
 	server := &listen.HTTP{
 		Address: "127.0.0.1:0",
 		Routes: []rest.Route{
 			{Method: http.MethodPost, Path: "/read", Handler: s.read},
+			{Method: http.MethodPost, Path: "/ignore", Handler: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusForbidden) }},
 			{Method: http.MethodGet, Path: "/wait", Handler: func(http.ResponseWriter, *http.Request) { s.started <- struct{}{}; <-s.released }},
 		},
 		NotFound:    http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }),
@@ -55,7 +59,7 @@
 		Limits: listen.Limits{
 			Budget: s.Budget, MaxConns: maxConns,
 			MaxHeaderBytes: func() int64 { return maxHead },
-			HeaderTimeout:  func() time.Duration { return headTimeout },
+			HeaderTimeout:  func() time.Duration { return bodyTimeout },
 		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -70,7 +74,13 @@
 }
 
 func (s *limitedServer) read(w http.ResponseWriter, r *http.Request) {
-	body, _ := io.ReadAll(r.Body)
+	body, err := listen.ReadBody(r, maxBody, time.Now().Add(bodyTimeout))
+	var problem *listen.BodyError
+	if errors.As(err, &problem) {
+		s.problems <- problem.Problem
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	_, _ = fmt.Fprint(w, len(body))
 }
 
@@ -156,13 +166,78 @@
 			if _, err := io.WriteString(c, "x"); err != nil {
 				return
 			}
-			time.Sleep(headTimeout / 10)
+			time.Sleep(bodyTimeout / 10)
 		}
 	}()
 	c.mustBeClosed(t)
 	s.mustHoldNothing(t)
 }
 
+// Guards against bodies that are read for ever, and against memory that isn't given back.
+func TestBodies(t *testing.T) {
+	tests := map[string]struct {
+		send    string
+		leaves  bool
+		problem listen.BodyProblem
+	}{
+		"late":                   {send: post("/read", 10) + "x", problem: listen.BodyLate},
+		"late, in chunks":        {send: "POST /read HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", problem: listen.BodyLate},
+		"cut":                    {send: post("/read", 10) + "x", leaves: true, problem: listen.BodyCut},
+		"too large":              {send: post("/read", maxBody+1), problem: listen.BodyTooLarge},
+		"too large, in chunks":   {send: "POST /read HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n200000\r\n" + strings.Repeat("x", 0x200000) + "\r\n0\r\n\r\n", problem: listen.BodyTooLarge},
+		"chunks that are no hex": {send: "POST /read HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", problem: listen.BodyCut},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := serveLimited(t, 10)
+			c := s.dial(t)
+			_, _ = io.WriteString(c, test.send)
+			if test.leaves {
+				must.NoError(t, c.Close())
+			}
+			must.Eq(t, test.problem, <-s.problems)
+			s.mustHoldNothing(t)
+		})
+	}
+}
+
+// Guards against bodies that lose or add bytes at the steps in which the buffer grows.
+func TestBodyLengths(t *testing.T) {
+	s := serveLimited(t, 10)
+	c := s.dial(t)
+	for _, length := range []int{0, 1, 4095, 4096, 4097, 8192, 65536, 100000, maxBody - 1, maxBody} {
+		body := strings.Repeat("x", length)
+		c.send(t, post("/read", length)+body)
+		c.mustAnswer(t, http.StatusOK, fmt.Sprint(length))
+		if length == 0 {
+			continue
+		}
+		c.send(t, fmt.Sprintf("POST /read HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", length, body))
+		c.mustAnswer(t, http.StatusOK, fmt.Sprint(length))
+	}
+	s.mustHoldNothing(t)
+}
+
+// Guards against a refusal that waits for a body that never comes.
+func TestRefusalWithoutBody(t *testing.T) {
+	s := serveLimited(t, 10)
+	c := s.dial(t)
+	c.send(t, post("/ignore", 10))
+	c.mustAnswer(t, http.StatusForbidden, "")
+	c.mustBeClosed(t)
+	s.mustHoldNothing(t)
+}
+
+// Guards against a connection that is closed after a refusal although the body came in time.
+func TestRefusalKeepsConnection(t *testing.T) {
+	s := serveLimited(t, 10)
+	c := s.dial(t)
+	c.send(t, post("/ignore", 2)+"ok")
+	c.mustAnswer(t, http.StatusForbidden, "")
+	c.send(t, post("/read", 2)+"ok")
+	c.mustAnswer(t, http.StatusOK, "2")
+}
+
 // Guards against memory that an aborted answer keeps.
 func TestAbortedAnswer(t *testing.T) {
 	s := serveLimited(t, 10)
@@ -172,12 +247,25 @@
 	s.mustHoldNothing(t)
 }
 
+// Guards against a deadline of a body that ends the request after it, or a later one of the connection.
+func TestRequestLongerThanBodyTimeout(t *testing.T) {
+	s := serveLimited(t, 10)
+	c := s.dial(t)
+	c.send(t, post("/read", 2)+"ok")
+	c.mustAnswer(t, http.StatusOK, "2")
+	time.Sleep(2 * bodyTimeout)
+	c.send(t, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	time.AfterFunc(2*bodyTimeout, func() { close(s.released) })
+	c.mustAnswer(t, http.StatusOK, "")
+}
+
 // Guards against silent connections that lock out new ones, and against requests that are closed for new connections.
 func TestConnectionLimit(t *testing.T) {
-	s := serveLimited(t, 2)
+	s := serveLimited(t, 3)
 	running := s.dial(t)
 	running.send(t, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
-	silent := s.dial(t)
+	silent, partial := s.dial(t), s.dial(t)
+	partial.send(t, post("/read", 10)+"x")
 	<-s.started
 	for range 5 {
 		c := s.dial(t)
@@ -187,6 +275,11 @@
 	silent.mustBeClosed(t)
 	close(s.released)
 	running.mustAnswer(t, http.StatusOK, "")
+	for len(s.problems) > 0 {
+		<-s.problems
+	}
+	must.NoError(t, running.Close())
+	must.NoError(t, partial.Close())
 }
 
 // Guards against new connections that are held open although none can be served.
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -14,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/lists"
 	"github.com/bramleyhatch/bramleyhatch/internal/member"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/listpb"
@@ -42,6 +42,9 @@
 // maxBodyBytes fits the largest lists that the store accepts, as JSON.
 const maxBodyBytes = 4 << 20
 
+// bodyTimeout is the time in which a body has to arrive.
+const bodyTimeout = time.Minute
+
 // Editor reads and changes the configuration in the store.
 type Editor interface {
 	Config(ctx context.Context) (*listpb.Config, uint64, error)
@@ -158,7 +161,11 @@
 }
 
 func readBody(r *http.Request, message proto.Message) error {
-	text, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
+	text, err := listen.ReadBody(r, maxBodyBytes, time.Now().Add(bodyTimeout))
+	var body *listen.BodyError
+	if errors.As(err, &body) && body.Problem == listen.BodyNoMemory {
+		return err
+	}
 	if err != nil {
 		return &lists.InvalidError{Problem: "read body: " + err.Error()}
 	}
--- a/internal/trainer/handler.go
+++ b/internal/trainer/handler.go
@@ -42,6 +42,8 @@
 	Steps  Steps
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
+	// BodyTimeout is the time in which a body has to arrive.
+	BodyTimeout time.Duration
 	// MaxPullWait is the maximum wait of a pull.
 	MaxPullWait time.Duration
 }
--- a/internal/trainer/open.go
+++ b/internal/trainer/open.go
@@ -2,12 +2,12 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
+	"time"
 	"unicode/utf8"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
@@ -17,6 +17,9 @@
 	maxTemperature = 2
 )
 
+// bodyCodes are the codes of requests whose bodies can't be read.
+var bodyCodes = listen.BodyCodes{TooLarge: "body_too_large", Cut: "invalid_request"}
+
 // openBody is the body of POST /v1/trainers/TRAINER/steps.
 type openBody struct {
 	Step        *uint64     `json:"step"`
@@ -142,13 +145,10 @@
 // decodeBody decodes a body. It rejects a body that contains the caller's key, because
 // prompts go to backend servers, which must never see keys.
 func (h *Handler) decodeBody(c *call, body any) error {
-	data, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, h.MaxBodyBytes))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return refusal.NotRun(http.StatusRequestEntityTooLarge, "body_too_large", "the body has more than %d bytes", h.MaxBodyBytes)
-	}
+	listen.LeaseOf(c.ctx).Assign(c.grant.Account())
+	data, err := listen.ReadBody(c.request, h.MaxBodyBytes, time.Now().Add(h.BodyTimeout))
 	if err != nil {
-		return invalidRequest("the body can't be read")
+		return listen.RefuseBody(err, bodyCodes)
 	}
 	if strings.Contains(string(data), c.key) {
 		return invalidRequest("the body holds the key")
