listen: connections have small receive buffers

Bytes that have arrived unread count towards the memory of a process, and a client may send them behind a request that waits.

Accepted connections inherit a receive buffer of 32 KB, which Linux doubles. TestUnreadBytes fails without it: five connections hold 640 KB unread (320 KB allowed).

--- a/internal/listen/http.go
+++ b/internal/listen/http.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	inner, err := (&net.ListenConfig{}).Listen(ctx, "tcp", h.Address)
+	inner, err := listenTCP(ctx, h.Address)
 	if err != nil {
 		return &Error{Address: h.Address, Problem: err.Error()}
 	}
--- a/internal/listen/limits.go
+++ b/internal/listen/limits.go
@@ -10,8 +10,11 @@
 	defaultMaxConns       = 4096
 	defaultMaxHeaderBytes = 64 << 10
 	defaultBudgetBytes    = 256 << 20
-	// ConnBytes is the memory of a connection beside its requests: buffers and goroutine.
-	ConnBytes = 24 << 10
+	// receiveBufferBytes bounds the bytes of a connection that have arrived and were not read. The system doubles it
+	// for its own overhead.
+	receiveBufferBytes = 32 << 10
+	// ConnBytes is the memory of a connection beside its requests: buffers, goroutine and unread bytes.
+	ConnBytes = 24<<10 + receiveBufferBytes
 	// headCost is the memory of a head for each of its bytes while it is received: a line of three bytes becomes an
 	// entry of a map, which is copied.
 	headCost = 32
--- a/internal/listen/limits_test.go
+++ b/internal/listen/limits_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -20,6 +21,7 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/budget"
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/listen/listentest"
 )
 
 const (
@@ -293,6 +295,23 @@
 	running.mustAnswer(t, http.StatusOK, "")
 }
 
+// Guards against bytes behind a waiting request that fill the system's large buffers.
+func TestUnreadBytes(t *testing.T) {
+	const clients, maxUnread = 5, 64 << 10
+	s := serveLimited(t, clients)
+	for range clients {
+		c := s.dial(t)
+		c.send(t, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+		<-s.started
+		must.NoError(t, c.SetWriteDeadline(time.Now().Add(bodyTimeout)))
+		_, err := io.WriteString(c, strings.Repeat("x", 8<<20))
+		must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	}
+	unread := listentest.UnreadBytes(t, s.address)
+	close(s.released)
+	must.LessEq(t, clients*maxUnread, unread)
+}
+
 // Guards against TLS connections whose heads are not bounded, or whose handshake counts as a head that is too large.
 func TestHeadLimitWithTLS(t *testing.T) {
 	certified := httptest.NewTLSServer(http.NotFoundHandler())
--- a/internal/listen/listener.go
+++ b/internal/listen/listener.go
@@ -1,9 +1,11 @@
 package listen
 
 import (
+	"context"
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -29,6 +31,17 @@
 	silent int
 }
 
+// listenTCP listens on an address with small receive buffers, which accepted connections inherit.
+func listenTCP(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(descriptor uintptr) {
+			// Without the option, connections have the system's default buffers.
+			_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+		})
+	}}
+	return config.Listen(ctx, "tcp", address)
+}
+
 func newListener(inner net.Listener, limits Limits, isTLS bool, metrics *Metrics) *listener {
 	return &listener{Listener: inner, limits: limits, isTLS: isTLS, metrics: metrics, conns: map[*conn]bool{}, logRate: rate.NewLimiter(rate.Every(logInterval), 1)}
 }
--- a/internal/listen/listentest/usage.go
+++ b/internal/listen/listentest/usage.go
@@ -24,13 +24,25 @@
 	Descriptors int
 }
 
-// Watch samples the usage of a process that listens on the address until stop is called.
-func Watch(t testing.TB, pid int, address string) (stop func() Usage) {
+// UnreadBytes returns the bytes that have arrived for an address and were not read yet.
+func UnreadBytes(t testing.TB, address string) int64 {
+	t.Helper()
+	return unreadBytes(portOf(t, address))
+}
+
+func portOf(t testing.TB, address string) int {
 	t.Helper()
 	_, port, err := net.SplitHostPort(address)
 	must.NoError(t, err)
 	number, err := strconv.Atoi(port)
 	must.NoError(t, err)
+	return number
+}
+
+// Watch samples the usage of a process that listens on the address until stop is called.
+func Watch(t testing.TB, pid int, address string) (stop func() Usage) {
+	t.Helper()
+	number := portOf(t, address)
 	var largest Usage
 	ended := make(chan struct{})
 	var group sync.WaitGroup
