listen: an answer doesn't wait for ever for its client

A client that didn't read its answer kept it, its request and its connection for as long as it liked, and what was buffered of answers had no bound in sum.

Each 64 KB of an answer have to be written within 30 s, and the writes of an answer together may wait for 30 s and a second for each 8 KB. What is buffered of an answer is taken from the budget first; without memory it is passed on unbuffered, so that an answer that is ready is still delivered.

--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -85,7 +85,7 @@
 			forEachCut(t, text, func(t *testing.T, address string, isWhole bool) {
 				answer, err := do(t, address)
 				if err == nil {
-					_, _, err = answer.ReadAll(1000)
+					_, _, err = answer.ReadAll(1000, nil)
 				}
 				if isWhole {
 					must.NoError(t, err)
@@ -116,7 +116,7 @@
 			if err == nil && name == "events" {
 				err = readEvents(answer.Events())
 			} else if err == nil {
-				_, _, err = answer.ReadAll(1000)
+				_, _, err = answer.ReadAll(1000, nil)
 			}
 			mustBeUnknown(t, err)
 		})
--- a/internal/backend/direct.go
+++ b/internal/backend/direct.go
@@ -151,17 +151,41 @@
 	return refusal.Unknown(http.StatusBadGateway, CodeWrongRequest, "%s answered another request", d.Name)
 }
 
-// ReadAll reads the body up to limit bytes. It returns false if the body is larger; the body
-// then holds the bytes read so far, and the rest can still be read from the answer. The read
-// timeout applies to the body as a whole, or to the bytes up to the limit.
-func (a *Answer) ReadAll(limit int64) (body []byte, complete bool, err error) {
+// ReadAll reads the body up to limit bytes, for which it takes memory with reserve; nil takes none. It returns false if
+// the body is larger or there is no memory for it; the body then holds the bytes read so far, and the rest can still be
+// read from the answer. The read timeout applies to the body as a whole, or to the bytes up to the limit.
+func (a *Answer) ReadAll(limit int64, reserve func(bytes int64) bool) (body []byte, complete bool, err error) {
 	a.watchdog.ignoreBytes()
-	body, err = io.ReadAll(io.LimitReader(a.Body, limit+1))
+	body, complete, err = readUpTo(a.Body, limit, reserve)
 	if err != nil {
 		return nil, false, a.Interrupted()
 	}
 	a.watchdog.acceptBytes()
-	return body, int64(len(body)) <= limit, nil
+	return body, complete, nil
+}
+
+// readUpTo reads up to limit bytes and one more, which shows that there are more.
+func readUpTo(source io.Reader, limit int64, reserve func(bytes int64) bool) (read []byte, complete bool, err error) {
+	const firstBytes = 1 << 10
+	for {
+		if len(read) == cap(read) {
+			size := min(max(firstBytes, 2*int64(cap(read))), limit+1)
+			if int64(len(read)) > limit || reserve != nil && !reserve(size) {
+				return read, false, nil
+			}
+			larger := make([]byte, len(read), size)
+			copy(larger, read)
+			read = larger
+		}
+		n, err := source.Read(read[len(read):cap(read)])
+		read = read[:len(read)+n]
+		if errors.Is(err, io.EOF) {
+			return read, int64(len(read)) <= limit, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
 }
 
 // IsFramed reports whether the end of the body shows that it is whole. A body without a length or chunks ends with its
--- a/internal/backend/direct_test.go
+++ b/internal/backend/direct_test.go
@@ -44,7 +44,7 @@
 func mustBeServed(t *testing.T, answer *backend.Answer, err error) {
 	t.Helper()
 	must.NoError(t, err)
-	body, _, err := answer.ReadAll(100)
+	body, _, err := answer.ReadAll(100, nil)
 	must.NoError(t, err)
 	must.Eq(t, servedBody, string(body))
 	must.NoError(t, answer.Body.Close())
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -102,7 +102,7 @@
 		server = newFakeServer(t, bytes)
 		answer, err := post(t, newDirect(server), "r1")
 		must.NoError(t, err)
-		body, isComplete, err = answer.ReadAll(limit)
+		body, isComplete, err = answer.ReadAll(limit, nil)
 		must.NoError(t, answer.Body.Close())
 		return server, body, isComplete, err
 	}
@@ -207,19 +207,35 @@
 	must.Less(t, maxSlowWait, time.Since(began))
 }
 
+// Guards against an answer that is thrown away for lack of memory: it is passed on without a buffer.
+func TestAnswerWithoutMemory(t *testing.T) {
+	const length = 5000
+	answer := doSlow(t, reply{text: answerTo("r1", "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n", strings.Repeat("x", length))})
+	var taken int64
+	body, isComplete, err := answer.ReadAll(2*length, func(bytes int64) bool {
+		taken += bytes
+		return taken < length
+	})
+	must.NoError(t, err)
+	must.False(t, isComplete)
+	rest, err := io.ReadAll(answer.Body)
+	must.NoError(t, err)
+	must.Eq(t, length, len(body)+len(rest))
+}
+
 // Guards against a request that may be repeated, and waits for a body without end in place of going to another server.
 func TestSlowBodyWithoutEnd(t *testing.T) {
 	const limit = 1 << 10
 	chunked := answerTo("r1", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", "")
 	t.Run("within the limit", func(t *testing.T) {
-		_, isComplete, err := doSlow(t, reply{text: chunked, repeat: "1\r\nx\r\n"}).ReadAll(limit)
+		_, isComplete, err := doSlow(t, reply{text: chunked, repeat: "1\r\nx\r\n"}).ReadAll(limit, nil)
 		mustEnd(t, unknown, "backend_silent", err)
 		must.False(t, isComplete)
 	})
 	t.Run("passed on beyond the limit", func(t *testing.T) {
 		const more = 20
 		answer := doSlow(t, reply{text: chunked + "1000\r\n" + strings.Repeat("x", 4096) + "\r\n", repeat: "1\r\nx\r\n"})
-		_, isComplete, err := answer.ReadAll(limit)
+		_, isComplete, err := answer.ReadAll(limit, nil)
 		must.NoError(t, err)
 		must.False(t, isComplete)
 		_, err = io.CopyN(io.Discard, answer.Body, 4096-limit+more)
--- a/internal/caller/plainresponse.go
+++ b/internal/caller/plainresponse.go
@@ -5,6 +5,7 @@
 	"net/textproto"
 	"strconv"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
@@ -71,7 +72,8 @@
 		return refusal.Unknown(http.StatusBadGateway, "no_head", "the answer has no status")
 	}
 	data := frame.GetChunk().GetData()
-	if !r.started && len(r.buffer)+len(data) <= maxBufferedBytes {
+	// Without memory for the buffer, the response is streamed.
+	if !r.started && len(r.buffer)+len(data) <= maxBufferedBytes && listen.LeaseOf(r.call.ctx).TryGrow(2*int64(len(data))) {
 		r.buffer = append(r.buffer, data...)
 		return nil
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -227,7 +227,7 @@
 		r.observeBody(ctx, server, answer)
 		return result, nil
 	}
-	body, complete, err := answer.ReadAll(maxBufferedBytes)
+	body, complete, err := answer.ReadAll(maxBufferedBytes, r.request.Memory.TryGrow)
 	if err != nil {
 		_ = answer.Body.Close()
 		return nil, err
@@ -253,7 +253,7 @@
 	if answer.StatusCode == http.StatusOK {
 		return nil
 	}
-	if _, _, err := answer.ReadAll(maxBufferedBytes); err != nil {
+	if _, _, err := answer.ReadAll(maxBufferedBytes, r.request.Memory.TryGrow); err != nil {
 		_ = answer.Body.Close()
 		return err
 	}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/bramleyhatch/bramleyhatch/internal/admission"
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
+	"github.com/bramleyhatch/bramleyhatch/internal/budget"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/poison"
 	"github.com/bramleyhatch/bramleyhatch/internal/table"
@@ -18,7 +19,9 @@
 	// each attempt.
 	backend.Request
 
-	Route *table.Route
+	// Memory is taken for what is buffered of an answer; it may be nil.
+	Memory *budget.Lease
+	Route  *table.Route
 	// Class is the kind of sender.
 	Class admission.Class
 	// Deadline is the deadline of the caller or the route.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -235,6 +235,7 @@
 			Priority:  priority(admitted),
 			LastEvent: h.Wire.LastEvent(r),
 		},
+		Memory:   listen.LeaseOf(r.Context()),
 		Route:    admitted.route,
 		Deadline: admitted.began.Add(h.requestTimeout(r, admitted.route)),
 	}
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -17,6 +17,10 @@
 	bufferBytes = 4 << 10
 	// tlsBytes is what a connection with TLS may read beyond a head: the handshake and the rest of a record.
 	tlsBytes = 32 << 10
+	// writeBytes is the part of an answer that has to be written within the write timeout.
+	writeBytes = 64 << 10
+	// minWriteRate is the rate in bytes a second at which a client has to read an answer.
+	minWriteRate = 8 << 10
 )
 
 // conn is a client's connection. It bounds the heads of its requests, and accounts for them.
@@ -40,9 +44,13 @@
 	// headBytes were read since the end of the last request, the first of them at headStart.
 	headBytes int64
 	headStart time.Time
-	// readDeadline is the one that net/http and handlers have set.
+	// readDeadline and writeDeadline are those that net/http and handlers have set.
 	readDeadline  time.Time
+	writeDeadline time.Time
 	isInterrupted bool
+	// written is the size of the answer so far, and blocked the time for which its writes have waited.
+	written int64
+	blocked time.Duration
 }
 
 type connKey struct{}
@@ -89,6 +97,61 @@
 	return !c.isBusy
 }
 
+// Write writes to the client. It fails if a part, or all writes of an answer together, wait for the client for too long.
+func (c *conn) Write(data []byte) (int, error) {
+	defer c.lease.Send(func() { _ = c.Close() })()
+	written := 0
+	for {
+		part := data[written:min(len(data), written+writeBytes)]
+		n, err := c.writePart(part)
+		written += n
+		if err != nil || written == len(data) {
+			return written, err
+		}
+	}
+}
+
+func (c *conn) writePart(part []byte) (int, error) {
+	began := time.Now()
+	if err := c.beginWrite(began, len(part)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(part)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.blocked += time.Since(began)
+	return n, err
+}
+
+// beginWrite sets the deadline of a write.
+func (c *conn) beginWrite(now time.Time, length int) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.written += int64(length)
+	timeout := c.listener.limits.WriteTimeout
+	deadline := now.Add(min(timeout, timeout+time.Duration(c.written)*time.Second/minWriteRate-c.blocked))
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
+		deadline = c.writeDeadline
+	}
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// SetWriteDeadline sets the deadline of writes, also of one that has begun.
+func (c *conn) SetWriteDeadline(deadline time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.writeDeadline = deadline
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// SetDeadline sets the deadline of reads and writes.
+func (c *conn) SetDeadline(deadline time.Time) error {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(deadline)
+}
+
 // SetReadDeadline sets the deadline of reads. That of a head that has begun stays.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mutex.Lock()
@@ -155,6 +218,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.isBusy, c.isReceiving, c.isReceived, c.headBytes, c.since = false, false, false, 0, time.Now()
+	c.written, c.blocked = 0, 0
 }
 
 // beginBody marks that the body of a request is being received.
--- a/internal/listen/limits.go
+++ b/internal/listen/limits.go
@@ -10,6 +10,7 @@
 	defaultMaxConns       = 4096
 	defaultMaxHeaderBytes = 64 << 10
 	defaultBudgetBytes    = 256 << 20
+	defaultWriteTimeout   = 30 * time.Second
 	// receiveBufferBytes bounds the bytes of a connection that have arrived and were not read. The system doubles it
 	// for its own overhead.
 	receiveBufferBytes = 32 << 10
@@ -32,6 +33,9 @@
 	// the default of 64 KB or 10 s. Both may be nil.
 	MaxHeaderBytes func() int64
 	HeaderTimeout  func() time.Duration
+	// WriteTimeout bounds the time for which 64 KB of an answer wait for a client that doesn't read, and, beside a second
+	// for each 8 KB, that of a whole answer; 0 means 30 s.
+	WriteTimeout time.Duration
 }
 
 func (l *Limits) withDefaults() Limits {
@@ -42,6 +46,9 @@
 	if limits.MaxConns == 0 {
 		limits.MaxConns = defaultMaxConns
 	}
+	if limits.WriteTimeout == 0 {
+		limits.WriteTimeout = defaultWriteTimeout
+	}
 	return limits
 }
 
--- a/internal/listen/limits_test.go
+++ b/internal/listen/limits_test.go
@@ -33,7 +33,7 @@
 )
 
 // limitedServer is a server with small limits. It answers /read with the length of the body, /ignore without reading it,
-// /panic not at all, and /wait once it is released.
+// /long with more than buffers hold, /wait once it is released, and other paths not at all.
 type limitedServer struct {
 	*budget.Budget
 
@@ -43,17 +43,20 @@
 	released chan struct{}
 	// problems receives why bodies couldn't be read.
 	problems chan listen.BodyProblem
+	// written receives the end of each answer to /long.
+	written chan error
 }
 
 func serveLimited(t *testing.T, maxConns int) *limitedServer {
 	t.Helper()
-	s := &limitedServer{Budget: &budget.Budget{Bytes: 8 << 20}, started: make(chan struct{}, 1), released: make(chan struct{}), problems: make(chan listen.BodyProblem, 1)}
+	s := &limitedServer{Budget: &budget.Budget{Bytes: 8 << 20}, started: make(chan struct{}, 1), released: make(chan struct{}), problems: make(chan listen.BodyProblem, 1), written: make(chan error, 1)}
 	listening := make(chan string, 1)
 	server := &listen.HTTP{
 		Address: "127.0.0.1:0",
 		Routes: []rest.Route{
 			{Method: http.MethodPost, Path: "/read", Handler: s.read},
 			{Method: http.MethodPost, Path: "/ignore", Handler: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusForbidden) }},
+			{Method: http.MethodGet, Path: "/long", Handler: s.writeLong},
 			{Method: http.MethodGet, Path: "/wait", Handler: func(http.ResponseWriter, *http.Request) { s.started <- struct{}{}; <-s.released }},
 		},
 		NotFound:    http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }),
@@ -62,6 +65,7 @@
 			Budget: s.Budget, MaxConns: maxConns,
 			MaxHeaderBytes: func() int64 { return maxHead },
 			HeaderTimeout:  func() time.Duration { return bodyTimeout },
+			WriteTimeout:   bodyTimeout,
 		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -86,6 +90,19 @@
 	_, _ = fmt.Fprint(w, len(body))
 }
 
+// writeLong writes small parts, more than the buffers of the system hold.
+func (s *limitedServer) writeLong(w http.ResponseWriter, _ *http.Request) {
+	const parts = 4 << 10
+	part := make([]byte, 4<<10)
+	for range parts {
+		if _, err := w.Write(part); err != nil {
+			s.written <- err
+			return
+		}
+	}
+	s.written <- nil
+}
+
 // client is a connection to the server.
 type client struct {
 	net.Conn
@@ -312,6 +329,28 @@
 	must.LessEq(t, clients*maxUnread, unread)
 }
 
+// Guards against an answer that waits for ever for a client that doesn't read it.
+func TestUnreadAnswerEnds(t *testing.T) {
+	s := serveLimited(t, 10)
+	c := s.dial(t)
+	c.send(t, "GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.ErrorIs(t, <-s.written, os.ErrDeadlineExceeded)
+	s.mustHoldNothing(t)
+}
+
+// Guards against an answer that is cut although its client reads it.
+func TestLongAnswer(t *testing.T) {
+	s := serveLimited(t, 10)
+	c := s.dial(t)
+	c.send(t, "GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
+	response, err := http.ReadResponse(c.reader, nil)
+	must.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	must.NoError(t, err)
+	must.NoError(t, <-s.written)
+}
+
 // Guards against TLS connections whose heads are not bounded, or whose handshake counts as a head that is too large.
 func TestHeadLimitWithTLS(t *testing.T) {
 	certified := httptest.NewTLSServer(http.NotFoundHandler())
