batch: the batches that a gateway runs are bounded in memory

Each account may have 32 open batches of up to the largest value of the store, without a bound on what they take together where they run: 20,000 small items take 10.5 MB while their batch is open, so that many accounts, or one, could take a host's memory by batches alone.

A gateway accepts a batch only if its items and those that it runs fit into a quarter of its memory, at 1 KB an item beside the message, and those of one account into half of that beside a single batch. Otherwise the batch is refused, not run, before the store is asked: with 503, or with 413 if it can never fit. Batches that it takes over count, but are never refused.

TestBatchMemory fails without it.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -175,6 +175,9 @@
 	if len(data) > int(0.74*float64(b.ValueBytes)) {
 		return refusal.NotRun(http.StatusRequestEntityTooLarge, "large_batch", "the batch is larger than the store's values")
 	}
+	if err := b.checkMemory(batch); err != nil {
+		return err
+	}
 	lease := b.Lease()
 	if lease == 0 {
 		return refusal.NotRun(http.StatusServiceUnavailable, codeStoreUnavailable, "this process is not known to the store").WithRetryAfter(storeRetryAfter)
--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -100,6 +100,8 @@
 	GroupDelay time.Duration
 	// ValueBytes is the size of the largest value that the store takes.
 	ValueBytes int
+	// MaxBytes bounds the memory of the batches that this process runs; 0 sets no bound.
+	MaxBytes int64
 	// Speeds places and moves runs by the speed of servers, in pools whose servers differ lastingly.
 	Speeds bool
 	// Metrics registers the metrics of the board; with nil they are not exported.
@@ -167,6 +169,8 @@
 	// early is nil unless the batch was started before the store was known to hold it.
 	early *earlyRun
 	total uint64
+	// memory is about the memory that the batch takes here.
+	memory int64
 	// stopped is closed once the owner and its ledger have stopped.
 	stopped chan struct{}
 }
@@ -295,6 +299,7 @@
 		},
 		cancel:  cancel,
 		total:   uint64(len(batch.GetItems())),
+		memory:  memoryBytes(batch),
 		stopped: make(chan struct{}),
 	}
 	b.setPrecedence(owned.owner)
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -171,6 +171,7 @@
 		Retention:  settings.GetKeep().AsDuration(),
 		GroupDelay: settings.GetGroup().AsDuration(),
 		ValueBytes: int(g.Settings.GetStore().GetValueBytes()),
+		MaxBytes:   g.batchBytes,
 		Speeds:     settings.GetSpeeds(),
 	}
 	if g.admission != nil {
--- a/internal/bramleyhatch/limits.go
+++ b/internal/bramleyhatch/limits.go
@@ -15,6 +15,8 @@
 	// minRequestBytes has room for the largest body of 32 MB while it is copied from a buffer of half its size, beside the
 	// part for small requests.
 	minRequestBytes = 64 << 20
+	// batchShare is the divisor of the memory for batches.
+	batchShare = 4
 	// heapPercent is the part of the memory that the garbage collector tries to stay within. The rest is for stacks of
 	// the system, unread bytes and the program itself.
 	heapPercent = 80
@@ -41,6 +43,7 @@
 	debug.SetMemoryLimit(memory / 100 * heapPercent)
 	requests := &budget.Budget{Bytes: max(minRequestBytes, memory/requestShare)}
 	p.Metrics.MustRegister(requests)
+	p.batchBytes = memory / batchShare
 	p.limits = listen.Limits{
 		Budget:   requests,
 		MaxConns: int(min((descriptors-reservedDescriptors)/descriptorShare, memory/connShare/listen.ConnBytes)),
--- a/internal/bramleyhatch/process.go
+++ b/internal/bramleyhatch/process.go
@@ -62,7 +62,9 @@
 	// default.
 	limits        listen.Limits
 	listenMetrics *listen.Metrics
-	refuse        func(http.ResponseWriter, error)
+	// batchBytes is the memory for trainers' batches.
+	batchBytes int64
+	refuse     func(http.ResponseWriter, error)
 
 	addresses Addresses
 
