gateway, trainer: answers that are read from elsewhere count before they arrive

Their memory is now taken from the budget before the call, and that of the encoded answer before it is encoded. Metrics are encoded for four requests at a time.

--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -82,6 +82,13 @@
 	return page, nil
 }
 
+// Owns reports whether this process runs a batch, and so needs no store to read it.
+func (b *Board) Owns(id string) bool {
+	b.lock()
+	defer b.mutex.Unlock()
+	return b.owned[id] != nil
+}
+
 // Find returns a batch of an account. The *refusal.Error has status 404 if the batch does not
 // exist, and 503 if that is unknown.
 func (b *Board) Find(ctx context.Context, id, account string) (*statepb.Batch, error) {
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -426,7 +426,7 @@
 	ready := rest.Route{Method: http.MethodGet, Path: platform.PathReady, Handler: g.answerReady}
 	g.addListener("ready", g.Settings.GetFront().GetReady(), ready)
 	if address := g.Settings.GetFront().GetMetrics(); address != "" {
-		metrics := promhttp.HandlerFor(g.Metrics, promhttp.HandlerOpts{})
+		metrics := promhttp.HandlerFor(g.Metrics, metricsOptions)
 		g.addListener("metrics", address, rest.Route{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP})
 	}
 }
--- a/internal/bramleyhatch/health.go
+++ b/internal/bramleyhatch/health.go
@@ -10,9 +10,12 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 )
 
+// metricsOptions bound the requests that encode metrics at the same time.
+var metricsOptions = promhttp.HandlerOpts{MaxRequestsInFlight: 4}
+
 // healthRoutes returns the routes for the platform's load balancer and for Prometheus.
 func (e *Entry) healthRoutes() []rest.Route {
-	metrics := promhttp.HandlerFor(e.Metrics, promhttp.HandlerOpts{})
+	metrics := promhttp.HandlerFor(e.Metrics, metricsOptions)
 	return []rest.Route{
 		{Method: http.MethodGet, Path: "/healthz", Handler: answerOK},
 		{Method: http.MethodGet, Path: "/readyz", Handler: e.answerReady},
--- a/internal/bramleyhatch/sidecar.go
+++ b/internal/bramleyhatch/sidecar.go
@@ -43,11 +43,12 @@
 	if address == "" {
 		return nil
 	}
-	metrics := promhttp.HandlerFor(s.Metrics, promhttp.HandlerOpts{})
+	metrics := promhttp.HandlerFor(s.Metrics, metricsOptions)
 	s.AddRoutes(
 		rest.Route{Method: http.MethodGet, Path: "/healthz", Handler: answerOK},
 		rest.Route{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP},
 	)
+	// The memory for requests is for those of entries.
 	s.limits = controlLimits()
 	return settingspb.Caller_builder{Listen: address}.Build()
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -283,10 +283,13 @@
 
 // read responds with results of a batch.
 func (h *Handler) read(w http.ResponseWriter, r *http.Request, admitted *admittedRequest, call Call) error {
-	page, err := h.readPage(r.Context(), admitted, call)
+	page, err := h.readPage(r, admitted, call)
 	if err != nil {
 		return err
 	}
+	if err := listen.TakeMemory(r, pageBytes(page.Outcomes), bodyCodes); err != nil {
+		return err
+	}
 	text, err := h.Formats.EncodeOutcomes(page.Total, call.After, page.Outcomes)
 	if err != nil {
 		return err
@@ -295,8 +298,23 @@
 	return nil
 }
 
+// pageBytes returns the memory of encoded outcomes, which may grow by half and is copied once.
+func pageBytes(outcomes []*statepb.Outcome) int64 {
+	const outcomeBytes = 256
+	size := int64(0)
+	for _, outcome := range outcomes {
+		size += outcomeBytes + 3*int64(len(outcome.GetText()))
+	}
+	return size
+}
+
 // serveItem responds with the body of an item.
 func (h *Handler) serveItem(w http.ResponseWriter, r *http.Request, admitted *admittedRequest, call Call) error {
+	if !h.Board.Owns(call.Batch) {
+		if err := listen.TakeMemory(r, h.storedBytes(), bodyCodes); err != nil {
+			return err
+		}
+	}
 	found, err := h.Board.Find(r.Context(), call.Batch, admitted.account.Name)
 	if err != nil {
 		return err
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/batch"
 	"github.com/bramleyhatch/bramleyhatch/internal/detour"
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/mirror"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
@@ -30,14 +32,24 @@
 	acceptTimeout = 450 * time.Millisecond
 )
 
+// foreignPageBytes is the memory of the largest page that the owner of a batch returns.
+const foreignPageBytes = 1 << 20
+
+// storedBytes returns the memory of a batch that is read from the store: its value as text and as bytes, and decoded.
+func (h *Handler) storedBytes() int64 { return 4 * int64(h.Board.ValueBytes) }
+
 // readPage returns results of a batch: from this process if it owns the batch, else
 // from the owner, else from the store.
-func (h *Handler) readPage(ctx context.Context, admitted *admittedRequest, call Call) (batch.Page, error) {
+func (h *Handler) readPage(r *http.Request, admitted *admittedRequest, call Call) (batch.Page, error) {
+	ctx := r.Context()
 	wait := min(call.Wait, maxWait)
 	page, isOwn, err := h.Board.ReadOwned(ctx, call.Batch, admitted.account.Name, call.After, wait)
 	if isOwn && !page.MayBeIncomplete || err != nil {
 		return page, err
 	}
+	if err := listen.TakeMemory(r, foreignPageBytes, bodyCodes); err != nil {
+		return batch.Page{}, err
+	}
 	if client := h.Hosts.Client(h.Board.Owner(call.Batch)); client != nil {
 		callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 		defer cancel()
@@ -49,6 +61,9 @@
 		}
 		klog.V(1).InfoS("batch: reading results from the owner failed; reading them from the store", "batch", call.Batch, "owner", h.Board.Owner(call.Batch), "err", err)
 	}
+	if err := listen.TakeMemory(r, h.storedBytes(), bodyCodes); err != nil {
+		return batch.Page{}, err
+	}
 	return h.Board.ReadStored(ctx, call.Batch, admitted.account.Name, call.After)
 }
 
--- a/internal/trainer/pull.go
+++ b/internal/trainer/pull.go
@@ -5,14 +5,18 @@
 	"strconv"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 )
 
 const (
 	defaultPullSize = 64
 	maxPullSize     = 1024
+	// pullBytes is the memory of the largest reply of a step's holder.
+	pullBytes = 8 << 20
 )
 
 // pullAnswer is the response of GET /v1/trainers/TRAINER/samples.
@@ -56,11 +60,20 @@
 	if err != nil {
 		return err
 	}
+	listen.LeaseOf(c.ctx).Assign(c.grant.Account())
+	if err := listen.TakeMemory(c.request, pullBytes, bodyCodes); err != nil {
+		return err
+	}
 	reply, err := h.Steps.Pull(c.ctx, request)
 	if err != nil {
 		return err
 	}
 	answer := pullAnswer{Samples: []sample{}, Next: reply.GetNext(), Done: reply.GetDone(), Waiting: reply.GetWaiting()}
+	// Numbers and probabilities of tokens are longer as text, which is encoded into a buffer that grows.
+	const copies = 6
+	if err := listen.TakeMemory(c.request, copies*int64(proto.Size(reply)), bodyCodes); err != nil {
+		return err
+	}
 	for _, received := range reply.GetSamples() {
 		answer.Samples = append(answer.Samples, newSample(received))
 	}
