entry: the requests that wait at a sidecar are bounded in memory

A sidecar queues 256 requests beside those that run, and an entry sends bodies of up to 8 MB, so that waiting requests could take 2 GB of its host; entries bound what they send, each for itself only. Found by reading.

A sidecar takes the memory of a request from its budget until the request ends, and refuses one without room, not run, so that the entry asks another sidecar.

--- a/internal/bramleyhatch/sidecarbackend.go
+++ b/internal/bramleyhatch/sidecarbackend.go
@@ -24,6 +24,7 @@
 func (s *Sidecar) addBackend() {
 	settings := s.Settings.GetBackend()
 	server := &entry.Server{
+		Memory:            s.limits.Budget,
 		Claims:            s.newClaims(),
 		Counter:           s.counter,
 		OnDraining:        s.setDraining,
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -6,10 +6,16 @@
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/budget"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
+// requestOverheadBytes is the memory of a request beside its message.
+const requestOverheadBytes = 16 << 10
+
 // execute runs a request and ends its run with a complete answer or a refusal.
 func (s *Server) execute(ctx context.Context, run *run) {
 	end, err := s.runInSlot(ctx, run)
@@ -30,6 +36,11 @@
 // runInSlot waits for a slot and forwards the request.
 func (s *Server) runInSlot(ctx context.Context, run *run) (*peerpb.End, error) {
 	request := run.request
+	lease, refused := s.takeMemory(request)
+	if refused != nil {
+		return nil, refused
+	}
+	defer lease.Release()
 	start := time.Now()
 	queueRequest := newQueueRequest(request, start.Add(timeLeft(request)))
 	if refused := s.limiter.acquire(ctx, queueRequest); refused != nil {
@@ -41,6 +52,19 @@
 	return end, err
 }
 
+// takeMemory takes the memory of a request. Entries bound what they send, but many of them may send to one sidecar.
+func (s *Server) takeMemory(request *peerpb.RunRequest) (*budget.Lease, *refusal.Error) {
+	if s.Memory == nil {
+		return nil, nil
+	}
+	lease := s.Memory.NewLease()
+	lease.Assign(request.GetAccount())
+	if !lease.TryGrow(int64(proto.Size(request)) + requestOverheadBytes) {
+		return nil, refusal.NotRun(http.StatusServiceUnavailable, "no_memory", "other requests hold the memory of %s", s.Name).WithRetryAfter(retryDelay)
+	}
+	return lease, nil
+}
+
 // confirmAndForward forwards the request to the backend server. The witness must first
 // record the request's claim, if it has one; if another sidecar holds the claim, that
 // sidecar's answer is relayed instead.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
+	"github.com/bramleyhatch/bramleyhatch/internal/budget"
 	"github.com/bramleyhatch/bramleyhatch/internal/decision"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
@@ -69,6 +70,8 @@
 	Counter UsageCounter
 	// OnDraining is called when an order starts or ends a drain; it may be nil.
 	OnDraining func(draining bool)
+	// Memory bounds what requests hold until they end; nil sets no bound.
+	Memory *budget.Budget
 	// MaxRunning is the maximum number of concurrent requests to the backend server.
 	MaxRunning int
 	// MaxQueued is the maximum number of queued requests.
