logging: a line is bounded

4096 lines may wait for a reader that has stopped, and those about refused requests, which aren't limited in rate, quote paths of up to the size of a head: 64 MB. A line now has at most 4 KB. TestLongLine fails without it.

--- a/internal/logging/output.go
+++ b/internal/logging/output.go
@@ -20,6 +20,8 @@
 	// maxQueuedLines limits the lines that wait for the reader. It holds a few seconds
 	// of a busy gateway's log, about 1 MB.
 	maxQueuedLines = 4096
+	// maxLineBytes limits a line.
+	maxLineBytes = 4 << 10
 	// maxLinesPerSecond and maxBurstLines limit lines that are not about failures. A busy gateway
 	// writes a few dozen lines per second; ten times as many indicate a repeating fault.
 	maxLinesPerSecond = 400
@@ -82,13 +84,23 @@
 		return len(line), nil
 	}
 	select {
-	case o.queue <- bytes.Clone(line):
+	case o.queue <- shorten(line):
 	default:
 		o.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// shorten returns a copy of a line without what exceeds maxLineBytes. Lines quote paths and identities, which clients
+// choose.
+func shorten(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return bytes.Clone(line)
+	}
+	const end = "...\n"
+	return append(bytes.Clone(line[:maxLineBytes-len(end)]), end...)
+}
+
 // processOutput is the Output that Start set up for this process.
 var processOutput atomic.Pointer[Output]
 
--- a/internal/logging/output_test.go
+++ b/internal/logging/output_test.go
@@ -68,3 +68,15 @@
 	))
 	output.stop()
 }
+
+// Guards against lines that quote long paths or identities of clients, and fill the queue with megabytes.
+func TestLongLine(t *testing.T) {
+	written := &safeBuffer{}
+	output := NewOutput(written)
+	_, err := fmt.Fprintf(output, "E path=%s\n", strings.Repeat("x", 10*maxLineBytes))
+	must.NoError(t, err)
+	go output.run()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return strings.HasSuffix(written.String(), "x...\n") }), wait.Timeout(5*time.Second)))
+	must.Eq(t, maxLineBytes, len(written.String()))
+	output.stop()
+}
