listen: header fields between processes are bounded

gRPC's default is 16 MB for each call, and 120 s until a new connection can carry calls. Clients don't reach the listeners for other processes, but 600 connections with header frames without end took a gateway to 6815 MB.

Header fields of a call are limited to 16 KB, and a connection has 10 s. TestPeersHeaderFrames: 6815 MB before, 76 MB with this commit (216 allowed).

--- a/internal/listen/grpc.go
+++ b/internal/listen/grpc.go
@@ -14,7 +14,11 @@
 )
 
 const (
-	maxMessageBytes  = 16 << 20
+	maxMessageBytes = 16 << 20
+	// maxHeaderListBytes limits the header fields of a call. gRPC's default is 16 MB.
+	maxHeaderListBytes = 16 << 10
+	// handshakeTimeout is how long a new connection may take until it can carry calls.
+	handshakeTimeout = 10 * time.Second
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 3 * time.Second
 	minKeepaliveTime = time.Second
@@ -80,6 +84,8 @@
 	options := append([]grpc.ServerOption{
 		grpc.Creds(transport),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxHeaderListSize(maxHeaderListBytes),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveTime, PermitWithoutStream: true}),
 	}, g.Options...)
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -105,13 +105,10 @@
 }
 
 // Guards against a head without end, or with many short lines, that the front holds in memory.
-func TestFrontHeadOneLine(t *testing.T) { testFront(t, endlessHeads("/look/x")["line"]) }
-
-func TestFrontHeadManyLines(t *testing.T) { testFront(t, endlessHeads("/look/x")["lines"]) }
-
+func TestFrontHeadOneLine(t *testing.T)    { testFront(t, endlessHeads("/look/x")["line"]) }
+func TestFrontHeadManyLines(t *testing.T)  { testFront(t, endlessHeads("/look/x")["lines"]) }
 func TestFrontHeadShortLines(t *testing.T) { testFront(t, endlessHeads("/look/x")["short lines"]) }
-
-func TestFrontHeadTarget(t *testing.T) { testFront(t, endlessHeads("/look/x")["target"]) }
+func TestFrontHeadTarget(t *testing.T)     { testFront(t, endlessHeads("/look/x")["target"]) }
 
 // Guards against empty lines without end before a request.
 func TestFrontEmptyLines(t *testing.T) { testFront(t, endlessHeads("/look/x")["empty lines"]) }
@@ -130,11 +127,9 @@
 }
 
 func TestFrontBodiesCut(t *testing.T) { testFront(t, bodies(frontHead("/look/x"))["cut"]) }
-
 func TestFrontBodiesLargeChunks(t *testing.T) {
 	testFront(t, bodies(frontHead("/look/x"))["large chunks"])
 }
-
 func TestFrontBodiesSmallChunks(t *testing.T) {
 	testFront(t, bodies(frontHead("/look/x"))["small chunks"])
 }
@@ -196,15 +191,12 @@
 func TestReadyHeads(t *testing.T) {
 	newGateway(t, hostDescriptors).readiness().mustWithstand(t, endlessHeads("/bramleyhatch/ready")["line"])
 }
-
 func TestReadyShortLines(t *testing.T) {
 	newGateway(t, hostDescriptors).readiness().mustWithstand(t, endlessHeads("/bramleyhatch/ready")["short lines"])
 }
-
 func TestReadySilent(t *testing.T) {
 	newGateway(t, fewDescriptors).readiness().mustWithstand(t, silent)
 }
-
 func TestReadyBodiesCut(t *testing.T) {
 	newGateway(t, hostDescriptors).readiness().mustWithstand(t, bodies("GET /bramleyhatch/ready HTTP/1.1\r\nHost: h.example\r\n")["cut"])
 }
@@ -216,23 +208,17 @@
 
 // Guards against heads without end, and bodies that stop short of their end, at an entry.
 func TestEntryHeadOneLine(t *testing.T) { testEntry(t, endlessHeads("/v1/completions")["line"]) }
-
 func TestEntryHeadShortLines(t *testing.T) {
 	testEntry(t, endlessHeads("/v1/completions")["short lines"])
 }
-
 func TestEntryBodiesCut(t *testing.T) { testEntry(t, bodies(entryHead("/v1/completions"))["cut"]) }
-
 func TestEntryBodiesSmallChunks(t *testing.T) {
 	testEntry(t, bodies(entryHead("/v1/completions"))["small chunks"])
 }
-
 func TestEntryTrainerBodiesCut(t *testing.T) {
 	testEntry(t, bodies(entryHead("/v1/trainers/drafter/steps"))["cut"])
 }
-
 func TestEntryOperatorBodiesCut(t *testing.T) { testEntry(t, bodies(operatorHead)["cut"]) }
-
 func TestEntrySilent(t *testing.T) {
 	newEntry(t, fewDescriptors).callers().mustWithstand(t, silent)
 }
@@ -258,11 +244,29 @@
 	(&target{process: g.process, address: g.peer, ask: g.askFront}).mustWithstand(t, endlessHeads("/x")["line"])
 }
 
+// Guards against header frames without end, and silent connections, at the listener for other processes.
+func TestPeersHeaderFrames(t *testing.T) {
+	g := newGateway(t, hostDescriptors)
+	(&target{process: g.process, address: g.peer, ask: g.askFront}).mustWithstand(t, headerFrames())
+}
+
 func TestKeeperHeads(t *testing.T) {
 	g := newGateway(t, hostDescriptors)
 	(&target{process: g.keeper, address: g.keeper.peer, ask: g.askFront}).mustWithstand(t, endlessHeads("/x")["line"])
 }
 
+// headerFrames sends a request over HTTP/2 whose header frames have no end.
+func headerFrames() listentest.Send {
+	const frameBytes, typeHeaders, typeContinuation = 16384, 1, 9
+	fields := strings.Repeat("\x00\x01a\x01b", frameBytes/5)
+	frame := func(kind byte) string {
+		length := len(fields)
+		return string([]byte{byte(length >> 16), byte(length >> 8), byte(length), kind, 0, 0, 0, 0, 1}) + fields
+	}
+	preface := "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + string([]byte{0, 0, 0, 4, 0, 0, 0, 0, 0})
+	return listentest.Repeat(preface+frame(typeHeaders), frame(typeContinuation), endlessBytes/frameBytes)
+}
+
 // silent sends nothing.
 func silent(net.Conn) error { return nil }
 
