--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -38,7 +38,7 @@
 	mutex    sync.Mutex
 	held     int64
 	accounts map[string]int64
-	// interruptible holds the leases that may be interrupted, the one without progress for the longest time first.
+	// interruptible holds the reservations that may be interrupted, the one without progress for the longest time first.
 	interruptible list.List
 	// freed is closed when bytes are given back; nil if nobody waits.
 	freed     chan struct{}
@@ -46,8 +46,8 @@
 	evictions uint64
 }
 
-// NewLease returns a lease without bytes.
-func (b *Budget) NewLease() *Lease { return &Lease{budget: b} }
+// NewReservation returns a reservation without bytes.
+func (b *Budget) NewReservation() *Reservation { return &Reservation{budget: b} }
 
 // MaxRequest returns the largest number of bytes that one request can get.
 func (b *Budget) MaxRequest() int64 { return b.Bytes - b.Bytes/reserveShare }
@@ -67,37 +67,37 @@
 	return b.MaxRequest()
 }
 
-// take gives bytes to a lease if there is room. The mutex must be held.
-func (b *Budget) take(l *Lease, bytes int64) bool {
-	if b.held+bytes > b.limitFor(l.held+bytes) || !b.isWithinShare(l, bytes) {
+// take gives bytes to a reservation if there is room. The mutex must be held.
+func (b *Budget) take(r *Reservation, bytes int64) bool {
+	if b.held+bytes > b.limitFor(r.held+bytes) || !b.isWithinShare(r, bytes) {
 		return false
 	}
-	b.add(l, bytes)
+	b.add(r, bytes)
 	return true
 }
 
-// isWithinShare reports whether the lease's account may hold that many bytes more. The mutex must be held.
-func (b *Budget) isWithinShare(l *Lease, bytes int64) bool {
-	if !l.isAssigned {
+// isWithinShare reports whether the reservation's account may hold that many bytes more. The mutex must be held.
+func (b *Budget) isWithinShare(r *Reservation, bytes int64) bool {
+	if !r.isAssigned {
 		return true
 	}
-	others := b.accounts[l.account] - l.held
-	return others == 0 || others+l.held+bytes <= b.Bytes/accountShare
+	others := b.accounts[r.account] - r.held
+	return others == 0 || others+r.held+bytes <= b.Bytes/accountShare
 }
 
-// add changes the bytes of a lease. The mutex must be held.
-func (b *Budget) add(l *Lease, bytes int64) {
+// add changes the bytes of a reservation. The mutex must be held.
+func (b *Budget) add(r *Reservation, bytes int64) {
 	b.held += bytes
-	l.held += bytes
-	if !l.isAssigned {
+	r.held += bytes
+	if !r.isAssigned {
 		return
 	}
 	if b.accounts == nil {
 		b.accounts = map[string]int64{}
 	}
-	b.accounts[l.account] += bytes
-	if b.accounts[l.account] == 0 {
-		delete(b.accounts, l.account)
+	b.accounts[r.account] += bytes
+	if b.accounts[r.account] == 0 {
+		delete(b.accounts, r.account)
 	}
 }
 
@@ -117,27 +117,27 @@
 	return b.freed
 }
 
-// grow gives bytes to a lease, and interrupts other requests if there is no room without that.
-func (b *Budget) grow(ctx context.Context, l *Lease, bytes int64) error {
+// grow gives bytes to a reservation, and interrupts other requests if there is no room without that.
+func (b *Budget) grow(ctx context.Context, r *Reservation, bytes int64) error {
 	timer := time.NewTimer(evictionTimeout)
 	defer timer.Stop()
 	for {
 		b.mutex.Lock()
-		if l.isInterrupted {
+		if r.isInterrupted {
 			b.mutex.Unlock()
 			return &Error{Reason: Interrupted}
 		}
-		if b.take(l, bytes) {
+		if b.take(r, bytes) {
 			if bytes >= progressBytes {
-				l.markProgress()
+				r.markProgress()
 			}
 			b.mutex.Unlock()
 			return nil
 		}
-		if l.held+bytes > b.MaxRequest() {
+		if r.held+bytes > b.MaxRequest() {
 			return b.refuse(TooLarge)
 		}
-		victims, enough := b.chooseVictims(l, bytes, time.Now())
+		victims, enough := b.chooseVictims(r, bytes, time.Now())
 		if !enough {
 			return b.refuse(Full)
 		}
@@ -174,31 +174,31 @@
 	return &Error{Reason: reason}
 }
 
-// chooseVictims returns the requests to interrupt so that a lease can get bytes, and whether these and those that are
+// chooseVictims returns the requests to interrupt so that a reservation can get bytes, and whether these and those that are
 // already interrupted are enough. The mutex must be held.
-func (b *Budget) chooseVictims(l *Lease, bytes int64, now time.Time) (victims []*Lease, enough bool) {
-	wanted := l.held + bytes
+func (b *Budget) chooseVictims(r *Reservation, bytes int64, now time.Time) (victims []*Reservation, enough bool) {
+	wanted := r.held + bytes
 	missing := b.held + bytes - b.limitFor(wanted)
 	others := int64(0)
-	if l.isAssigned {
-		others = b.accounts[l.account] - l.held
+	if r.isAssigned {
+		others = b.accounts[r.account] - r.held
 	}
 	exceedsShare := func() bool { return others > 0 && others+wanted > b.Bytes/accountShare }
-	yield := func(victim *Lease) {
+	yield := func(victim *Reservation) {
 		missing -= victim.held
-		if victim.isSameAccount(l) {
+		if victim.isSameAccount(r) {
 			others -= victim.held
 		}
 	}
 	for element := b.interruptible.Front(); element != nil; element = element.Next() {
-		if victim, _ := element.Value.(*Lease); victim.isInterrupted {
+		if victim, _ := element.Value.(*Reservation); victim.isInterrupted {
 			yield(victim)
 		}
 	}
 	for element := b.interruptible.Front(); element != nil && (missing > 0 || exceedsShare()); element = element.Next() {
-		victim, _ := element.Value.(*Lease)
-		helps := victim.held > 0 && (missing > 0 || victim.isSameAccount(l))
-		if victim == l || victim.isInterrupted || !helps || !victim.yieldsTo(wanted, now) {
+		victim, _ := element.Value.(*Reservation)
+		helps := victim.held > 0 && (missing > 0 || victim.isSameAccount(r))
+		if victim == r || victim.isInterrupted || !helps || !victim.yieldsTo(wanted, now) {
 			continue
 		}
 		victims = append(victims, victim)
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -14,56 +14,56 @@
 
 func newBudget() *Budget { return &Budget{Bytes: size} }
 
-func mustGrow(t *testing.T, l *Lease, bytes int64) {
+func mustGrow(t *testing.T, r *Reservation, bytes int64) {
 	t.Helper()
-	must.NoError(t, l.Grow(t.Context(), bytes))
+	must.NoError(t, r.Grow(t.Context(), bytes))
 }
 
-func mustRefuse(t *testing.T, l *Lease, bytes int64, reason Reason) {
+func mustRefuse(t *testing.T, r *Reservation, bytes int64, reason Reason) {
 	t.Helper()
 	var refused *Error
-	must.True(t, errors.As(l.Grow(t.Context(), bytes), &refused))
+	must.True(t, errors.As(r.Grow(t.Context(), bytes), &refused))
 	must.Eq(t, reason, refused.Reason)
 }
 
-// receive returns a lease that gives its bytes back when it is interrupted.
-func receive(t *testing.T, b *Budget, bytes int64) (l *Lease, interrupted *bool) {
+// receive returns a reservation that gives its bytes back when it is interrupted.
+func receive(t *testing.T, b *Budget, bytes int64) (r *Reservation, interrupted *bool) {
 	t.Helper()
-	l, interrupted = b.NewLease(), new(bool)
-	l.Receive(func() {
+	r, interrupted = b.NewReservation(), new(bool)
+	r.Receive(func() {
 		*interrupted = true
-		l.Shrink(bytes)
+		r.Shrink(bytes)
 	})
-	mustGrow(t, l, bytes)
-	return l, interrupted
+	mustGrow(t, r, bytes)
+	return r, interrupted
 }
 
-// stall makes a lease look as if its request had made no progress for a time.
-func stall(l *Lease, waited time.Duration) {
-	l.budget.mutex.Lock()
-	defer l.budget.mutex.Unlock()
-	l.progressed = l.progressed.Add(-waited)
+// stall makes a reservation look as if its request had made no progress for a time.
+func stall(r *Reservation, waited time.Duration) {
+	r.budget.mutex.Lock()
+	defer r.budget.mutex.Unlock()
+	r.progressed = r.progressed.Add(-waited)
 }
 
 // Guards against large requests that take the memory of small ones.
 func TestSmallRequestsHaveReserve(t *testing.T) {
 	b := newBudget()
-	mustGrow(t, b.NewLease(), b.MaxRequest())
-	mustRefuse(t, b.NewLease(), SmallRequest+1, Full)
-	mustGrow(t, b.NewLease(), SmallRequest)
+	mustGrow(t, b.NewReservation(), b.MaxRequest())
+	mustRefuse(t, b.NewReservation(), SmallRequest+1, Full)
+	mustGrow(t, b.NewReservation(), SmallRequest)
 }
 
 // Guards against a request that waits for memory which it can never get.
 func TestTooLarge(t *testing.T) {
 	b := newBudget()
-	mustRefuse(t, b.NewLease(), b.MaxRequest()+1, TooLarge)
+	mustRefuse(t, b.NewReservation(), b.MaxRequest()+1, TooLarge)
 	must.Eq(t, 0, b.Held())
 }
 
 // Guards against an account that takes the memory of all others.
 func TestAccountShare(t *testing.T) {
 	b := newBudget()
-	first, second, other := b.NewLease(), b.NewLease(), b.NewLease()
+	first, second, other := b.NewReservation(), b.NewReservation(), b.NewReservation()
 	first.Assign("a")
 	second.Assign("a")
 	other.Assign("b")
@@ -81,9 +81,9 @@
 	stalled.Assign("a")
 	foreign, foreignInterrupted := receive(t, b, 1<<20)
 	foreign.Assign("b")
-	l := b.NewLease()
-	l.Assign("a")
-	mustGrow(t, l, 1<<10)
+	r := b.NewReservation()
+	r.Assign("a")
+	mustGrow(t, r, 1<<10)
 	must.True(t, *interrupted)
 	must.False(t, *foreignInterrupted)
 }
@@ -93,7 +93,7 @@
 	b := newBudget()
 	_, first := receive(t, b, 3<<20)
 	_, second := receive(t, b, 3<<20)
-	mustGrow(t, b.NewLease(), 2<<20)
+	mustGrow(t, b.NewReservation(), 2<<20)
 	must.True(t, *first)
 	must.False(t, *second)
 }
@@ -102,42 +102,42 @@
 func TestLargeDoesNotInterruptSmall(t *testing.T) {
 	b := newBudget()
 	small, interrupted := receive(t, b, 2<<20)
-	mustRefuse(t, b.NewLease(), 6<<20, Full)
+	mustRefuse(t, b.NewReservation(), 6<<20, Full)
 	must.False(t, *interrupted)
 	stall(small, stallTimeout)
-	mustGrow(t, b.NewLease(), 6<<20)
+	mustGrow(t, b.NewReservation(), 6<<20)
 	must.True(t, *interrupted)
 }
 
 // Guards against the interruption of requests that a backend server may run.
 func TestCompleteRequestsStay(t *testing.T) {
 	b := newBudget()
-	l, interrupted := receive(t, b, b.MaxRequest())
-	must.True(t, l.Keep())
-	stall(l, time.Hour)
-	mustRefuse(t, b.NewLease(), 1<<20, Full)
+	r, interrupted := receive(t, b, b.MaxRequest())
+	must.True(t, r.Keep())
+	stall(r, time.Hour)
+	mustRefuse(t, b.NewReservation(), 1<<20, Full)
 	must.False(t, *interrupted)
 }
 
 // Guards against requests that are interrupted although the bytes aren't enough.
 func TestNothingIsInterruptedInVain(t *testing.T) {
 	b := newBudget()
-	mustGrow(t, b.NewLease(), 5<<20)
+	mustGrow(t, b.NewReservation(), 5<<20)
 	_, interrupted := receive(t, b, 2<<20)
-	mustRefuse(t, b.NewLease(), 4<<20, Full)
+	mustRefuse(t, b.NewReservation(), 4<<20, Full)
 	must.False(t, *interrupted)
 }
 
 // Guards against answers that are thrown away although their client reads them, and against those that nobody reads.
 func TestUnreadAnswersYieldLate(t *testing.T) {
 	b := newBudget()
-	l, interrupted := b.NewLease(), false
-	mustGrow(t, l, b.MaxRequest())
-	done := l.Send(func() { interrupted = true; l.Shrink(b.MaxRequest()) })
-	stall(l, unreadTimeout-time.Second)
-	mustRefuse(t, b.NewLease(), 1<<20, Full)
-	stall(l, time.Second)
-	mustGrow(t, b.NewLease(), 1<<20)
+	r, interrupted := b.NewReservation(), false
+	mustGrow(t, r, b.MaxRequest())
+	done := r.Send(func() { interrupted = true; r.Shrink(b.MaxRequest()) })
+	stall(r, unreadTimeout-time.Second)
+	mustRefuse(t, b.NewReservation(), 1<<20, Full)
+	stall(r, time.Second)
+	mustGrow(t, b.NewReservation(), 1<<20)
 	must.True(t, interrupted)
 	done()
 }
@@ -145,60 +145,60 @@
 // Guards against an interrupted request that goes on, and against one that still waits for bytes itself.
 func TestInterruptedRequestGetsNothing(t *testing.T) {
 	b := newBudget()
-	l := b.NewLease()
-	l.Receive(func() {})
-	mustGrow(t, l, b.MaxRequest())
+	r := b.NewReservation()
+	r.Receive(func() {})
+	mustGrow(t, r, b.MaxRequest())
 	waiting := make(chan error)
-	go func() { waiting <- b.NewLease().Grow(context.Background(), 1<<20) }()
-	for !l.hasBeenInterrupted() {
+	go func() { waiting <- b.NewReservation().Grow(context.Background(), 1<<20) }()
+	for !r.hasBeenInterrupted() {
 		time.Sleep(time.Millisecond)
 	}
-	mustRefuse(t, l, 1, Interrupted)
-	must.False(t, l.Keep())
-	l.Release()
+	mustRefuse(t, r, 1, Interrupted)
+	must.False(t, r.Keep())
+	r.Release()
 	must.NoError(t, <-waiting)
 }
 
-func (l *Lease) hasBeenInterrupted() bool {
-	l.budget.mutex.Lock()
-	defer l.budget.mutex.Unlock()
-	return l.isInterrupted
+func (r *Reservation) hasBeenInterrupted() bool {
+	r.budget.mutex.Lock()
+	defer r.budget.mutex.Unlock()
+	return r.isInterrupted
 }
 
 // Guards against bytes that are lost or given back twice.
-func TestHeldIsSumOfLeases(t *testing.T) {
+func TestHeldIsSumOfReservations(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := newBudget()
-		leases := make([]*Lease, 4)
-		for i := range leases {
-			leases[i] = b.NewLease()
+		reservations := make([]*Reservation, 4)
+		for i := range reservations {
+			reservations[i] = b.NewReservation()
 		}
 		for range rapid.IntRange(0, 60).Draw(t, "steps") {
-			l := leases[rapid.IntRange(0, len(leases)-1).Draw(t, "lease")]
+			r := reservations[rapid.IntRange(0, len(reservations)-1).Draw(t, "reservation")]
 			bytes := rapid.Int64Range(1, 4<<20).Draw(t, "bytes")
 			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0, 1:
-				l.TryGrow(bytes)
+				r.TryGrow(bytes)
 			case 2:
-				l.Shrink(bytes)
+				r.Shrink(bytes)
 			case 3:
-				l.Release()
+				r.Release()
 			case 4:
-				l.Assign(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account"))
+				r.Assign(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account"))
 			case 5:
-				l.Receive(func() {})
+				r.Receive(func() {})
 			case 6:
-				l.Keep()
+				r.Keep()
 			}
 			sum := int64(0)
-			for _, other := range leases {
+			for _, other := range reservations {
 				sum += other.held
 			}
 			must.Eq(t, sum, b.Held())
 			must.LessEq(t, b.Bytes, b.Held())
 		}
-		for _, l := range leases {
-			l.Release()
+		for _, r := range reservations {
+			r.Release()
 		}
 		must.Eq(t, 0, b.Held())
 		must.MapEmpty(t, b.accounts)
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -122,13 +122,13 @@
 
 // readBody reads the request's body and takes the memory that it needs until the end of the request.
 func (c *call) readBody() ([]byte, error) {
-	listen.LeaseOf(c.ctx).Assign(c.grant.Account())
+	listen.ReservationOf(c.ctx).Assign(c.grant.Account())
 	body, err := listen.ReadBody(c.request, c.handler.MaxBodyBytes, time.Now().Add(c.handler.bodyTimeout()))
 	if err == nil {
 		// Beside the decoded body there are its encoded form for the engine, the message for the sidecar, and copies that
 		// are searched for the key.
 		const copies = 3
-		err = listen.LeaseOf(c.ctx).Grow(c.ctx, budget.JSONBytes(body)+copies*int64(len(body)))
+		err = listen.ReservationOf(c.ctx).Grow(c.ctx, budget.JSONBytes(body)+copies*int64(len(body)))
 	}
 	return body, listen.RefuseBody(err, bodyCodes)
 }
--- a/internal/caller/jsonresponse.go
+++ b/internal/caller/jsonresponse.go
@@ -48,7 +48,7 @@
 	ctx, cancel := context.WithTimeout(r.call.ctx, memoryTimeout)
 	defer cancel()
 	for {
-		err := listen.LeaseOf(ctx).Grow(ctx, responseCopies*bytes)
+		err := listen.ReservationOf(ctx).Grow(ctx, responseCopies*bytes)
 		var memory *budget.Error
 		isFull := errors.As(err, &memory) && memory.Reason == budget.Full
 		if err == nil {
--- a/internal/caller/plainresponse.go
+++ b/internal/caller/plainresponse.go
@@ -73,7 +73,7 @@
 	}
 	data := frame.GetChunk().GetData()
 	// Without memory for the buffer, the response is streamed.
-	if !r.started && len(r.buffer)+len(data) <= maxBufferedBytes && listen.LeaseOf(r.call.ctx).TryGrow(2*int64(len(data))) {
+	if !r.started && len(r.buffer)+len(data) <= maxBufferedBytes && listen.ReservationOf(r.call.ctx).TryGrow(2*int64(len(data))) {
 		r.buffer = append(r.buffer, data...)
 		return nil
 	}
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -36,11 +36,11 @@
 // runInSlot waits for a slot and forwards the request.
 func (s *Server) runInSlot(ctx context.Context, run *run) (*peerpb.End, error) {
 	request := run.request
-	lease, refused := s.takeMemory(request)
+	reservation, refused := s.takeMemory(request)
 	if refused != nil {
 		return nil, refused
 	}
-	defer lease.Release()
+	defer reservation.Release()
 	start := time.Now()
 	queueRequest := newQueueRequest(request, start.Add(timeLeft(request)))
 	if refused := s.limiter.acquire(ctx, queueRequest); refused != nil {
@@ -53,16 +53,16 @@
 }
 
 // takeMemory takes the memory of a request. Entries bound what they send, but many of them may send to one sidecar.
-func (s *Server) takeMemory(request *peerpb.RunRequest) (*budget.Lease, *refusal.Error) {
+func (s *Server) takeMemory(request *peerpb.RunRequest) (*budget.Reservation, *refusal.Error) {
 	if s.Memory == nil {
 		return nil, nil
 	}
-	lease := s.Memory.NewLease()
-	lease.Assign(request.GetAccount())
-	if !lease.TryGrow(int64(proto.Size(request)) + requestOverheadBytes) {
+	reservation := s.Memory.NewReservation()
+	reservation.Assign(request.GetAccount())
+	if !reservation.TryGrow(int64(proto.Size(request)) + requestOverheadBytes) {
 		return nil, refusal.NotRun(http.StatusServiceUnavailable, "no_memory", "other requests hold the memory of %s", s.Name).WithRetryAfter(retryDelay)
 	}
-	return lease, nil
+	return reservation, nil
 }
 
 // confirmAndForward forwards the request to the backend server. The witness must first
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -20,7 +20,7 @@
 	backend.Request
 
 	// Memory is taken for what is buffered of an answer; it may be nil.
-	Memory *budget.Lease
+	Memory *budget.Reservation
 	Route  *table.Route
 	// Class is the kind of sender.
 	Class admission.Class
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -130,7 +130,7 @@
 		return
 	}
 	if admitted.needsKey {
-		listen.LeaseOf(r.Context()).Assign(admitted.account.Name)
+		listen.ReservationOf(r.Context()).Assign(admitted.account.Name)
 	}
 	switch {
 	case call.Kind == CallRead:
@@ -239,7 +239,7 @@
 			Priority:  priority(admitted),
 			LastEvent: h.Wire.LastEvent(r),
 		},
-		Memory:   listen.LeaseOf(r.Context()),
+		Memory:   listen.ReservationOf(r.Context()),
 		Route:    admitted.route,
 		Deadline: admitted.began.Add(h.requestTimeout(r, admitted.route)),
 	}
--- a/internal/listen/body.go
+++ b/internal/listen/body.go
@@ -67,7 +67,7 @@
 	if r.ContentLength == 0 || r.Body == nil {
 		return nil, nil
 	}
-	body, err := readBody(r, min(maxBytes, LeaseOf(r.Context()).MaxRequest()), deadline)
+	body, err := readBody(r, min(maxBytes, ReservationOf(r.Context()).MaxRequest()), deadline)
 	if c := connOf(r.Context()); err != nil && c != nil {
 		c.answerHeader.Set("Connection", "close")
 	}
@@ -97,7 +97,7 @@
 		return
 	}
 	c.beginBody()
-	c.lease.Receive(func() { _ = c.Close() })
+	c.reservation.Receive(func() { _ = c.Close() })
 	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
 }
 
@@ -114,11 +114,11 @@
 	held int64
 }
 
-func (b *bodyReader) lease() *budget.Lease {
+func (b *bodyReader) reservation() *budget.Reservation {
 	if b.conn == nil {
 		return nil
 	}
-	return b.conn.lease
+	return b.conn.reservation
 }
 
 func (b *bodyReader) begin(deadline time.Time) {
@@ -126,7 +126,7 @@
 		return
 	}
 	b.conn.beginBody()
-	b.lease().Receive(b.conn.interrupt)
+	b.reservation().Receive(b.conn.interrupt)
 	_ = b.conn.SetReadDeadline(deadline)
 }
 
@@ -135,7 +135,7 @@
 	if b.conn == nil {
 		return true
 	}
-	if !b.lease().Keep() {
+	if !b.reservation().Keep() {
 		return false
 	}
 	b.conn.endBody()
@@ -172,7 +172,7 @@
 // markProgress notes that the client sends, for when others need memory or connections.
 func (b *bodyReader) markProgress() {
 	if b.conn != nil {
-		b.conn.lease.Progress()
+		b.conn.reservation.Progress()
 		b.conn.touch()
 	}
 }
@@ -180,13 +180,13 @@
 // grow replaces the buffer by a larger one. Both are held while the bytes are copied.
 func (b *bodyReader) grow() error {
 	size := b.nextSize()
-	if err := b.lease().Grow(b.ctx, size); err != nil {
+	if err := b.reservation().Grow(b.ctx, size); err != nil {
 		return err
 	}
 	larger := make([]byte, len(b.buffer), size)
 	copy(larger, b.buffer)
 	b.buffer = larger
-	b.lease().Shrink(b.held)
+	b.reservation().Shrink(b.held)
 	b.held = size
 	return nil
 }
@@ -206,7 +206,7 @@
 // discard gives the buffer back.
 func (b *bodyReader) discard() {
 	b.buffer = nil
-	b.lease().Shrink(b.held)
+	b.reservation().Shrink(b.held)
 }
 
 func (b *bodyReader) problem(err error) *BodyError {
@@ -216,7 +216,7 @@
 	case errors.As(err, &body):
 		return body
 	case errors.As(err, &memory) && memory.Reason == budget.TooLarge:
-		return &BodyError{Problem: BodyTooLarge, MaxBytes: b.lease().MaxRequest()}
+		return &BodyError{Problem: BodyTooLarge, MaxBytes: b.reservation().MaxRequest()}
 	case errors.As(err, &memory), b.conn != nil && b.conn.hasBeenInterrupted():
 		return &BodyError{Problem: BodyNoMemory}
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -27,10 +27,10 @@
 type conn struct {
 	net.Conn
 
-	listener *listener
-	lease    *budget.Lease
-	isTLS    bool
-	once     sync.Once
+	listener    *listener
+	reservation *budget.Reservation
+	isTLS       bool
+	once        sync.Once
 	// answerHeader is the header of the answer to the request that runs.
 	answerHeader http.Header
 
@@ -70,10 +70,10 @@
 	return c
 }
 
-// LeaseOf returns the memory that a request holds. It is nil, which has no bound, outside an HTTP server of this package.
-func LeaseOf(ctx context.Context) *budget.Lease {
+// ReservationOf returns the memory that a request holds. It is nil, which has no bound, outside an HTTP server of this package.
+func ReservationOf(ctx context.Context) *budget.Reservation {
 	if c := connOf(ctx); c != nil {
-		return c.lease
+		return c.reservation
 	}
 	return nil
 }
@@ -99,7 +99,7 @@
 
 // Write writes to the client. It fails if a part, or all writes of an answer together, wait for the client for too long.
 func (c *conn) Write(data []byte) (int, error) {
-	defer c.lease.Send(func() { _ = c.Close() })()
+	defer c.reservation.Send(func() { _ = c.Close() })()
 	written := 0
 	for {
 		part := data[written:min(len(data), written+writeBytes)]
@@ -197,7 +197,7 @@
 	case http.StateIdle:
 		c.endRequest()
 	case http.StateClosed, http.StateHijacked:
-		c.lease.Release()
+		c.reservation.Release()
 		c.listener.remove(c)
 	case http.StateNew:
 	}
@@ -209,12 +209,12 @@
 	defer c.mutex.Unlock()
 	c.isBusy, c.since = true, time.Now()
 	_ = c.applyReadDeadline()
-	c.lease.Keep()
+	c.reservation.Keep()
 }
 
 // endRequest gives back all that a request held.
 func (c *conn) endRequest() {
-	c.lease.Release()
+	c.reservation.Release()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.isBusy, c.isReceiving, c.isReceived, c.headBytes, c.since = false, false, false, 0, time.Now()
--- a/internal/listen/head.go
+++ b/internal/listen/head.go
@@ -27,9 +27,9 @@
 		return &headError{limit: limit}
 	}
 	if isFirst {
-		c.lease.Receive(func() { _ = c.Close() })
+		c.reservation.Receive(func() { _ = c.Close() })
 	}
-	return c.lease.Grow(context.Background(), headCost*int64(n))
+	return c.reservation.Grow(context.Background(), headCost*int64(n))
 }
 
 // headError means that a head is larger than the limit.
@@ -66,8 +66,8 @@
 	}
 	c.answerHeader = w.Header()
 	parsed, taken := headBytes(r), c.takenForHead()
-	c.lease.Shrink(max(0, taken-parsed))
-	return c.lease.Grow(r.Context(), requestBytes+max(0, parsed-taken))
+	c.reservation.Shrink(max(0, taken-parsed))
+	return c.reservation.Grow(r.Context(), requestBytes+max(0, parsed-taken))
 }
 
 // headBytes returns the memory of a parsed head and its copy for the backend server.
--- a/internal/listen/listener.go
+++ b/internal/listen/listener.go
@@ -54,7 +54,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: accepted, listener: l, lease: l.limits.Budget.NewLease(), isTLS: l.isTLS, since: time.Now()}
+		c := &conn{Conn: accepted, listener: l, reservation: l.limits.Budget.NewReservation(), isTLS: l.isTLS, since: time.Now()}
 		if l.add(c) {
 			return c, nil
 		}
--- a/internal/listen/refuse.go
+++ b/internal/listen/refuse.go
@@ -16,7 +16,7 @@
 
 // TakeMemory takes memory for a request beyond its body, until the request's end. The error is a *refusal.Error.
 func TakeMemory(r *http.Request, bytes int64, codes BodyCodes) error {
-	return RefuseBody(LeaseOf(r.Context()).Grow(r.Context(), bytes), codes)
+	return RefuseBody(ReservationOf(r.Context()).Grow(r.Context(), bytes), codes)
 }
 
 // RefuseBody returns the refusal of a request whose body can't be read, or for which there is no memory; nil for nil.
--- a/internal/trainer/open.go
+++ b/internal/trainer/open.go
@@ -146,7 +146,7 @@
 // decodeBody decodes a body. It rejects a body that contains the caller's key, because
 // prompts go to backend servers, which must never see keys.
 func (h *Handler) decodeBody(c *call, body any) error {
-	listen.LeaseOf(c.ctx).Assign(c.grant.Account())
+	listen.ReservationOf(c.ctx).Assign(c.grant.Account())
 	data, err := listen.ReadBody(c.request, h.MaxBodyBytes, time.Now().Add(h.BodyTimeout))
 	if err != nil {
 		return listen.RefuseBody(err, bodyCodes)
--- a/internal/trainer/pull.go
+++ b/internal/trainer/pull.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	listen.LeaseOf(c.ctx).Assign(c.grant.Account())
+	listen.ReservationOf(c.ctx).Assign(c.grant.Account())
 	if err := listen.TakeMemory(c.request, pullBytes, bodyCodes); err != nil {
 		return err
 	}
