--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -129,7 +129,7 @@
 	defer c.mutex.Unlock()
 	c.written += int64(length)
 	timeout := c.listener.limits.WriteTimeout
-	deadline := now.Add(min(timeout, timeout+time.Duration(c.written)*time.Second/minWriteRate-c.blocked))
+	deadline := now.Add(min(timeout, timeout+time.Duration(c.written/minWriteRate)*time.Second-c.blocked))
 	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
 		deadline = c.writeDeadline
 	}
--- a/internal/listen/limits_test.go
+++ b/internal/listen/limits_test.go
@@ -249,6 +249,23 @@
 	s.mustHoldNothing(t)
 }
 
+// Guards against the body of a pipelined request that is taken for a head, since its own head arrived with an earlier one.
+func TestPipelinedRequests(t *testing.T) {
+	s := serveLimited(t, 10)
+	c := s.dial(t)
+	const length = 10 * maxHead
+	large := post("/read", length)
+	c.send(t, post("/read", 2)+"ok"+large+strings.Repeat("x", 100))
+	c.mustAnswer(t, http.StatusOK, "2")
+	c.send(t, strings.Repeat("x", length-100))
+	c.mustAnswer(t, http.StatusOK, fmt.Sprint(length))
+	c.send(t, post("/read", 2)+"ok"+post("/work", 2)+"ok"+post("/read", 2)+"ok")
+	c.mustAnswer(t, http.StatusOK, "2")
+	c.mustAnswer(t, http.StatusOK, "")
+	c.mustAnswer(t, http.StatusOK, "2")
+	s.mustHoldNothing(t)
+}
+
 // Guards against a refusal that waits for a body that never comes.
 func TestRefusalWithoutBody(t *testing.T) {
 	s := serveLimited(t, 10)
