--- a/internal/listen/body.go
+++ b/internal/listen/body.go
@@ -130,7 +130,7 @@
 	_ = b.conn.SetReadDeadline(deadline)
 }
 
-// end returns false if the request was interrupted.
+// end returns false if the request was interrupted. net/http removes the deadline once the body is whole.
 func (b *bodyReader) end() bool {
 	if b.conn == nil {
 		return true
@@ -139,8 +139,6 @@
 		return false
 	}
 	b.conn.endBody()
-	// net/http reads on to notice that the client leaves. A deadline would look as if it had left.
-	_ = b.conn.SetReadDeadline(time.Time{})
 	return true
 }
 
