listen: a request whose connection is closed for another doesn't run

A connection that waited for its client was chosen to be closed, and its request could begin before it was: it ran although its client saw the connection end. The choice is now checked again under the connection's lock, and a request that begins afterwards is refused, not run. Found by reading; TestEvictedRequestDoesNotRun fails without the checks.

--- a/internal/listen/body.go
+++ b/internal/listen/body.go
@@ -135,10 +135,9 @@
 	if b.conn == nil {
 		return true
 	}
-	if !b.reservation().Keep() {
+	if !b.reservation().Keep() || !b.conn.endBody() {
 		return false
 	}
-	b.conn.endBody()
 	return true
 }
 
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -235,11 +235,16 @@
 	c.since = time.Now()
 }
 
-// endBody marks that the body of a request has been received.
-func (c *conn) endBody() {
+// endBody marks that the body of a request has been received. It returns false if the connection was closed for others
+// before.
+func (c *conn) endBody() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.isInterrupted {
+		return false
+	}
 	c.isReceiving, c.isReceived = false, true
+	return true
 }
 
 func (c *conn) hasWholeBody() bool {
@@ -255,6 +260,19 @@
 	return c.since, !c.isBusy || c.isReceiving
 }
 
+// evict closes the connection if it still waits for its client. No request that it has received runs then.
+func (c *conn) evict() bool {
+	c.mutex.Lock()
+	if c.isBusy && !c.isReceiving {
+		c.mutex.Unlock()
+		return false
+	}
+	c.isInterrupted = true
+	c.mutex.Unlock()
+	_ = c.Close()
+	return true
+}
+
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.once.Do(func() { c.listener.remove(c) })
--- a/internal/listen/conn_test.go
+++ b/internal/listen/conn_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"testing"
 	"time"
@@ -33,3 +35,32 @@
 	}
 	must.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
+
+// Guards against a request that runs although its connection was closed for another one.
+func TestEvictedRequestDoesNotRun(t *testing.T) {
+	newConn := func() *conn {
+		server, client := net.Pipe()
+		t.Cleanup(func() { _ = client.Close() })
+		l := &listener{limits: (&Limits{}).withDefaults(), conns: map[*conn]bool{}}
+		return &conn{Conn: server, listener: l, reservation: l.limits.Budget.NewReservation()}
+	}
+	t.Run("before its handler", func(t *testing.T) {
+		c := newConn()
+		must.True(t, c.evict())
+		c.beginRequest()
+		must.Error(t, c.accountForHead(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil)))
+	})
+	t.Run("with a body", func(t *testing.T) {
+		c := newConn()
+		c.beginRequest()
+		reader := &bodyReader{conn: c}
+		reader.begin(time.Time{})
+		must.True(t, c.evict())
+		must.False(t, reader.end())
+	})
+	t.Run("once it runs", func(t *testing.T) {
+		c := newConn()
+		c.beginRequest()
+		must.False(t, c.evict())
+	})
+}
--- a/internal/listen/head.go
+++ b/internal/listen/head.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/budget"
 )
 
 // addHead accounts for bytes of a head. The error is a *headError or a *budget.Error.
@@ -65,13 +67,16 @@
 		return nil
 	}
 	c.answerHeader = w.Header()
-	parsed, taken := headBytes(r), c.takenForHead()
+	if c.hasBeenInterrupted() {
+		return &budget.Error{Reason: budget.Interrupted}
+	}
+	parsed, taken := parsedBytes(r), c.takenForHead()
 	c.reservation.Shrink(max(0, taken-parsed))
 	return c.reservation.Grow(r.Context(), requestBytes+max(0, parsed-taken))
 }
 
-// headBytes returns the memory of a parsed head and its copy for the backend server.
-func headBytes(r *http.Request) int64 {
+// parsedBytes returns the memory of a parsed head and its copy for the backend server.
+func parsedBytes(r *http.Request) int64 {
 	const lineBytes, valueBytes = 320, 48
 	size := int64(4 * len(r.RequestURI))
 	for name, values := range r.Header {
--- a/internal/listen/listener.go
+++ b/internal/listen/listener.go
@@ -64,23 +64,25 @@
 	}
 }
 
+// add returns false if there are too many connections, and all of them run requests.
 func (l *listener) add(c *conn) bool {
-	l.mutex.Lock()
-	isFull := len(l.conns) >= l.limits.MaxConns
-	var oldest *conn
-	if isFull {
-		oldest = l.oldestIdle()
-	}
-	if !isFull || oldest != nil {
-		l.conns[c] = true
-	}
-	l.mutex.Unlock()
-	if oldest != nil {
-		l.metrics.countClosed("evicted")
-		l.log("closed a connection that waited for its client, for a new one", oldest)
-		_ = oldest.Close()
+	for {
+		l.mutex.Lock()
+		if len(l.conns) < l.limits.MaxConns {
+			l.conns[c] = true
+			l.mutex.Unlock()
+			return true
+		}
+		oldest := l.oldestIdle()
+		l.mutex.Unlock()
+		if oldest == nil {
+			return false
+		}
+		if oldest.evict() {
+			l.metrics.countClosed("evicted")
+			l.log("closed a connection that waited for its client, for a new one", oldest)
+		}
 	}
-	return !isFull || oldest != nil
 }
 
 // oldestIdle returns the connection that has waited for its client for the longest time, or nil. The mutex must be held.
