settings: memory and descriptors of small hosts are accepted

A process with settings below the former minimum of 96 MB or 232 descriptors wouldn't have started; it now serves with 16 connections at least.

--- a/internal/bramleyhatch/limits.go
+++ b/internal/bramleyhatch/limits.go
@@ -25,7 +25,9 @@
 	// descriptorShare is the divisor of the other descriptors for connections of clients. A request needs another one to a
 	// backend server.
 	descriptorShare = 2
-	megabyte        = 1 << 20
+	// minConns is the number of connections of a process with hardly any descriptors.
+	minConns = 16
+	megabyte = 1 << 20
 	// maxControlConns and controlBytes bound a listener that only serves readiness or metrics. It doesn't share the memory
 	// for requests, so that a process without memory still answers there.
 	maxControlConns = 32
@@ -46,7 +48,7 @@
 	p.batchBytes = memory / batchShare
 	p.limits = listen.Limits{
 		Budget:   requests,
-		MaxConns: int(min((descriptors-reservedDescriptors)/descriptorShare, memory/connShare/listen.ConnBytes)),
+		MaxConns: int(max(minConns, min((descriptors-reservedDescriptors)/descriptorShare, memory/connShare/listen.ConnBytes))),
 	}
 }
 
