--- a/internal/batch/memory_test.go
+++ b/internal/batch/memory_test.go
@@ -51,3 +51,11 @@
 	mustRefuse(newBatchOf("next", "c", items), http.StatusServiceUnavailable)
 	must.NoError(t, b.checkMemory(newBatchOf("a0", "a", items)))
 }
+
+// Guards against a batch that is stored although its gateway has no memory for it.
+func TestBatchWithoutMemoryIsNotStored(t *testing.T) {
+	b := &Board{MaxBytes: 1, ValueBytes: 1 << 20}
+	var refused *refusal.Error
+	must.True(t, errors.As(b.commitBatch(t.Context(), newBatchOf("b1", "a", 1)), &refused))
+	must.Eq(t, "large_batch", refused.Code)
+}
--- a/internal/bramleyhatch/limits.go
+++ b/internal/bramleyhatch/limits.go
@@ -2,6 +2,9 @@
 
 import (
 	"runtime/debug"
+	"syscall"
+
+	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/budget"
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
@@ -37,11 +40,14 @@
 // addLimits sets what clients may make the process hold, from the memory and descriptors that it has.
 func (p *Process) addLimits() {
 	p.listenMetrics = listen.NewMetrics(p.Metrics)
-	memory := p.Settings.GetMemory() * megabyte
 	descriptors := p.Settings.GetDescriptors()
-	if memory == 0 || descriptors == 0 {
+	if descriptors == 0 {
 		return
 	}
+	memory := p.Settings.GetMemory() * megabyte
+	if memory == 0 {
+		memory = hostMemory()
+	}
 	debug.SetMemoryLimit(memory / 100 * heapPercent)
 	requests := &budget.Budget{Bytes: max(minRequestBytes, memory/requestShare)}
 	p.Metrics.MustRegister(requests)
@@ -50,6 +56,18 @@
 		Budget:   requests,
 		MaxConns: int(max(minConns, min((descriptors-reservedDescriptors)/descriptorShare, memory/connShare/listen.ConnBytes))),
 	}
+	klog.InfoS("process: limits on clients", "memory", memory, "requests", requests.Bytes, "connections", p.limits.MaxConns, "batches", p.batchBytes)
+}
+
+// hostMemory returns the memory of the host.
+func hostMemory() int64 {
+	const assumed = 512 * megabyte
+	var info syscall.Sysinfo_t
+	if err := syscall.Sysinfo(&info); err != nil {
+		klog.ErrorS(err, "process: the memory of the host isn't known", "assumed", assumed)
+		return assumed
+	}
+	return int64(info.Totalram) * int64(info.Unit)
 }
 
 // controlLimits returns the limits of a listener that only serves readiness or metrics.
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -123,7 +123,8 @@
 func TestNothingIsInterruptedInVain(t *testing.T) {
 	b := newBudget()
 	mustGrow(t, b.NewReservation(), 5<<20)
-	_, interrupted := receive(t, b, 2<<20)
+	r, interrupted := receive(t, b, 2<<20)
+	stall(r, stallTimeout)
 	mustRefuse(t, b.NewReservation(), 4<<20, Full)
 	must.False(t, *interrupted)
 }
--- a/internal/listen/limits_test.go
+++ b/internal/listen/limits_test.go
@@ -187,6 +187,17 @@
 	s.mustHoldNothing(t)
 }
 
+// Guards against heads that are counted only once they are whole.
+func TestHeadCountsWhileReceived(t *testing.T) {
+	s := serveLimited(t, 10)
+	c := s.dial(t)
+	const length, bytesEach = 3000, 32
+	c.send(t, strings.Repeat("x", length))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return s.Held() >= length*bytesEach }), wait.Timeout(answerTimeout), wait.Gap(time.Millisecond)))
+	must.NoError(t, c.Close())
+	s.mustHoldNothing(t)
+}
+
 // Guards against a head whose bytes come one by one for ever.
 func TestSlowHead(t *testing.T) {
 	s := serveLimited(t, 10)
