batch: a batch that is too large for one gateway isn't refused for good

A gateway on a small host answered 413, which no trainer repeats, to a batch that the store takes and a larger host may have memory for. It answers 503, not run, and the trainer's next try reaches another gateway. Found by reading; TestBatchMemory and TestBatchWithoutMemoryIsNotStored ask for it.

--- a/internal/batch/memory.go
+++ b/internal/batch/memory.go
@@ -22,15 +22,13 @@
 }
 
 // checkMemory refuses a batch for which this process has no memory. Batches of other processes that it takes over count
-// towards the limit, but are never refused.
+// towards the limit, but are never refused. A batch that can't fit here may fit at a larger host, so none is refused for
+// good.
 func (b *Board) checkMemory(batch *statepb.Batch) error {
 	if b.MaxBytes == 0 {
 		return nil
 	}
 	size := memoryBytes(batch)
-	if size > b.MaxBytes {
-		return refusal.NotRun(http.StatusRequestEntityTooLarge, "large_batch", "the batch needs more memory than this process has for batches")
-	}
 	b.lock()
 	defer b.mutex.Unlock()
 	all, own := int64(0), int64(0)
