listen: malformed answers of servers are rejected

What callers saw, on with a stand-in whose first answer is malformed: with a status of 000 to 099 the connection ended without an answer, since net/http panics in WriteHeader, and neither a request that may be repeated nor a stream went to another server. With a blank in the name of a field, before or after it, the answer was passed on as 200. "Content-Length : 5" left the body to the end of the connection, so that it had other bytes. An item was listed with the text of such an answer, "Not-Executed" in one made a 503 "not run" of a posting that had run, and a sampler's report or an accepted order was believed.

Cause: everything that reads answers trusts what net/http parses, which is liberal: any three-digit status, blanks in names, continued lines, lines without a name, lengths beside chunks.

internal/http1 checks the bytes of an answer before net/http parses them: version, status (200 to 599, 1xx only before a final head), names and values of fields in heads before, the head and trailers, one statement of the length, and that the head came after its request. listen.ClientWithOptions puts it below all clients: of backend servers, sidecars' engines, scorers, orders and reports, the store, the platform and operators. The connection fails before net/http has a whole head, so it can't be used again. The outcome is unknown, whatever the answer states, so a request goes elsewhere only if it may be repeated. The new code malformed_answer doesn't count as a crash of the server (backend_cut does), but as its failure. Each is counted and logged with at most 64 bytes of it.

Heads of more than 64 KB were refused before; they are malformed now, so TestHeadWithoutEnd asks for that code.

TestSoundAnswers shows what stays accepted.

--- a/cmd/standin/internal/ledger/ledger.go
+++ b/cmd/standin/internal/ledger/ledger.go
@@ -3,6 +3,7 @@
 package ledger
 
 import (
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -19,6 +20,8 @@
 	Hang bool `json:"hang"`
 	// Slow delays each response, milliseconds.
 	Slow int64 `json:"slow"`
+	// Raw is sent in place of each response, without a check; "" sends the response.
+	Raw string `json:"raw"`
 }
 
 // Posting is the body of POST /postings.
@@ -63,7 +66,7 @@
 
 func (l *Ledger) handleRecord(w http.ResponseWriter, r *http.Request) {
 	l.countHeaders(r)
-	if l.wait(r) {
+	if l.wait(r) && !l.sendRaw(w) {
 		answer.JSON(w, http.StatusOK, map[string]any{"id": pathvar.Vars(r)["id"], "hours": 1})
 	}
 }
@@ -79,7 +82,7 @@
 	l.record.Total++
 	number := l.record.Total
 	l.mutex.Unlock()
-	if l.wait(r) {
+	if l.wait(r) && !l.sendRaw(w) {
 		answer.JSON(w, http.StatusCreated, map[string]any{"posting": number, "member": posting.Member})
 	}
 }
@@ -110,6 +113,23 @@
 	}
 }
 
+// sendRaw sends the raw text of the faults; it returns false if there is none.
+func (l *Ledger) sendRaw(w http.ResponseWriter) bool {
+	l.mutex.Lock()
+	text := l.faults.Raw
+	l.mutex.Unlock()
+	if text == "" {
+		return false
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, text)
+	return true
+}
+
 func (l *Ledger) handleFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
 	if !answer.Read(w, r, &faults) {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -21,6 +21,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/http1"
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
@@ -39,6 +40,8 @@
 	CodeInterrupted = "backend_cut"
 	// CodeUnreachable means that no connection to the server was obtained, or that it ended before the request was sent.
 	CodeUnreachable = "backend_unreachable"
+	// CodeMalformed means that the server sent what is no valid answer.
+	CodeMalformed   = "malformed_answer"
 	codeReadTimeout = "backend_silent"
 )
 
@@ -216,10 +219,13 @@
 		return refusal.NotRun(http.StatusServiceUnavailable, CodeUnreachable, "%s can't be reached", s.Name).WithRetryAfter(retryAfter)
 	}
 	var timeout *ReadTimeoutError
+	var malformed *http1.MalformedAnswerError
 	switch {
 	case errors.As(err, &timeout):
 		s.client.Store(nil)
 		return refusal.Unknown(http.StatusGatewayTimeout, codeReadTimeout, "%s: %v", s.Name, timeout)
+	case errors.As(err, &malformed):
+		return refusal.Unknown(http.StatusBadGateway, CodeMalformed, "%s sent a malformed answer: %s", s.Name, malformed.Problem)
 	case errors.Is(err, context.DeadlineExceeded):
 		return refusal.Unknown(http.StatusGatewayTimeout, "timeout", "%s had not answered when the request's time ended", s.Name)
 	case errors.Is(err, context.Canceled):
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/http1"
 )
 
 // maxRecentRequests is how many requests a connection remembers. Only the latest one can be answered a second time where
@@ -103,8 +105,12 @@
 // gotConn records a connection of the request. net/http calls it before it writes to the connection; a connection that
 // is closed here sends nothing.
 func (t *connectionTrace) gotConn(info httptrace.GotConnInfo) {
-	mark := sentMark{conn: info.Conn}
-	traced, isTraced := info.Conn.(*tracedConn)
+	conn := info.Conn
+	if checked, isChecked := conn.(*http1.Conn); isChecked {
+		conn = checked.NetConn()
+	}
+	mark := sentMark{conn: conn}
+	traced, isTraced := conn.(*tracedConn)
 	if isTraced {
 		mark.before = traced.sent.Load()
 	}
--- a/internal/backend/direct.go
+++ b/internal/backend/direct.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/http1"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 )
 
@@ -197,9 +198,11 @@
 
 // Interrupted returns the refusal for an answer that ended early.
 func (a *Answer) Interrupted() error {
+	cause := context.Cause(a.watchdog.ctx)
 	var timeout *ReadTimeoutError
-	if errors.As(context.Cause(a.watchdog.ctx), &timeout) {
-		return a.direct.refuse(timeout, true)
+	var malformed *http1.MalformedAnswerError
+	if errors.As(cause, &timeout) || errors.As(cause, &malformed) {
+		return a.direct.refuse(cause, true)
 	}
 	return a.direct.refuse(io.ErrUnexpectedEOF, true)
 }
--- a/internal/backend/watchdog.go
+++ b/internal/backend/watchdog.go
@@ -84,6 +84,8 @@
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		err = b.watchdog.cause(err)
+		// Answer.Interrupted finds the cause here.
+		b.watchdog.cancel(err)
 	}
 	return n, err
 }
--- /dev/null
+++ b/internal/http1/error.go
@@ -0,0 +1,26 @@
+package http1
+
+import "fmt"
+
+// maxQuotedBytes limits how much of an answer an error quotes.
+const maxQuotedBytes = 64
+
+// MalformedAnswerError reports that what a server sent is no valid HTTP/1 answer. The server may have run the request.
+type MalformedAnswerError struct {
+	// Problem says what is wrong.
+	Problem string
+	// Line is the beginning of the line with the fault; "" if there is none.
+	Line string
+}
+
+func newFault(problem, line string) *MalformedAnswerError {
+	return &MalformedAnswerError{Problem: problem, Line: line[:min(len(line), maxQuotedBytes)]}
+}
+
+// Error names the problem and quotes the line.
+func (e *MalformedAnswerError) Error() string {
+	if e.Line == "" {
+		return "malformed answer: " + e.Problem
+	}
+	return fmt.Sprintf("malformed answer: %s: %q", e.Problem, e.Line)
+}
--- /dev/null
+++ b/internal/http1/transport.go
@@ -0,0 +1,63 @@
+package http1
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport sends requests over connections that are all a *Conn. Exported fields are set before the first request.
+type Transport struct {
+	*http.Transport
+}
+
+// RoundTrip implements http.RoundTripper. The error is a *MalformedAnswerError if the server sent a malformed answer,
+// and so is that of a read from the body if the end of the answer is malformed.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var conn *Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		// net/http may use another connection if it can send nothing on the first one.
+		conn, _ = info.Conn.(*Conn)
+		if conn != nil {
+			conn.expect(request.Method == http.MethodHead)
+		}
+	}}
+	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if conn == nil {
+		return response, err
+	}
+	if err == nil && !conn.isHeadComplete() {
+		conn.fail(newFault("it began before its request was sent", ""))
+	}
+	fault := conn.malformed()
+	switch {
+	case fault == nil && err == nil:
+		response.Body = &body{ReadCloser: response.Body, conn: conn}
+		return response, nil
+	case fault == nil:
+		return nil, err
+	case err == nil:
+		_ = conn.Close()
+		_ = response.Body.Close()
+	}
+	return nil, fault
+}
+
+// body is a body whose read errors name the fault of its answer. net/http replaces errors that occur in trailers.
+type body struct {
+	io.ReadCloser
+
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (b *body) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if err != nil && !errors.Is(err, io.EOF) {
+		if fault := b.conn.malformed(); fault != nil {
+			err = fault
+		}
+	}
+	return n, err
+}
--- a/internal/listen/listener.go
+++ b/internal/listen/listener.go
@@ -139,7 +139,7 @@
 			Help: "Connections that were closed since there were too many: evicted ones waited for their client, refused ones were new.",
 		}, []string{"reason"}),
 	}
-	registerer.MustRegister(m.rejected, m.closed)
+	registerer.MustRegister(m.rejected, m.closed, malformedAnswers)
 	return m
 }
 
