client: malformed responses aren't taken for answers

A response with a status below 200 had no error, and one with a blank in the name of a field was decoded. pkg/client uses its caller's HTTP client, which listen.ClientWithOptions doesn't reach, so it checks what net/http lets through. TestMalformedResponses fails without the check in all parts that it lists.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -16,11 +16,14 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxAnswerBytes bounds a response, which is read into memory as a whole.
 const maxAnswerBytes = 64 << 20
 
+const maxStatus = 599
+
 // Outcome reports whether a refused request ran.
 type Outcome string
 
@@ -116,6 +119,9 @@
 	if err != nil {
 		return eris.Wrapf(err, "read response to %s %s", method, path)
 	}
+	if err := checkResponse(response); err != nil {
+		return eris.Wrapf(err, "check response to %s %s", method, path)
+	}
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return newRefusedError(response, text)
 	}
@@ -125,6 +131,36 @@
 	return eris.Wrapf(json.Unmarshal(text, reply), "parse response to %s %s", method, path)
 }
 
+// MalformedResponseError reports a response that is not valid HTTP. The request may have run.
+type MalformedResponseError struct {
+	Status int
+	// Field is the name of an invalid field; "" if the status is invalid.
+	Field string
+}
+
+// Error names what is invalid.
+func (e *MalformedResponseError) Error() string {
+	if e.Field != "" {
+		return fmt.Sprintf("malformed response: field name %.64q", e.Field)
+	}
+	return fmt.Sprintf("malformed response: status %03d", e.Status)
+}
+
+// checkResponse checks what net/http accepts although it is invalid: statuses that are not final, and names with blanks.
+func checkResponse(response *http.Response) error {
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+		return &MalformedResponseError{Status: response.StatusCode}
+	}
+	for _, fields := range []http.Header{response.Header, response.Trailer} {
+		for name := range fields {
+			if !httpguts.ValidHeaderFieldName(name) {
+				return &MalformedResponseError{Status: response.StatusCode, Field: name}
+			}
+		}
+	}
+	return nil
+}
+
 func (c *Client) request(ctx context.Context, method, path, idempotencyKey string, body any) (*http.Request, error) {
 	var reader io.Reader = http.NoBody
 	if body != nil {
