http1: heads of answers take memory from their request's budget

Seen with real processes: 600 requests at once whose servers sent 60 KB of a head with many short fields, and then nothing, made a gateway on a host of 144 MB hold 217 MB (613 MB where the garbage collector's limit allows more). A host that has no more ends the process, and the requests of all clients with it.

Cause: a head is bounded by 64 KB, but net/http makes a map entry of each field and copies a line while it grows, and the sum over all requests had no bound. Bodies that are buffered take memory from the budget of clients' requests; heads did not.

Now a head that needs more than 16 KB of memory takes the rest from the reservation of the client's request, before net/http parses it. Without memory the connection ends with the outcome unknown (502 no_answer_memory, or another server if the request may be repeated), which doesn't count against the server. An ordinary head takes nothing.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -41,8 +41,10 @@
 	// CodeUnreachable means that no connection to the server was obtained, or that it ended before the request was sent.
 	CodeUnreachable = "backend_unreachable"
 	// CodeMalformed means that the server sent what is no valid answer.
-	CodeMalformed   = "malformed_answer"
-	codeReadTimeout = "backend_silent"
+	CodeMalformed = "malformed_answer"
+	// CodeNoAnswerMemory means that this process had no memory for the answer.
+	CodeNoAnswerMemory = "no_answer_memory"
+	codeReadTimeout    = "backend_silent"
 )
 
 // ReadTimeoutError reports that the backend server sent nothing for the whole read timeout, or
@@ -220,12 +222,15 @@
 	}
 	var timeout *ReadTimeoutError
 	var malformed *http1.MalformedAnswerError
+	var noMemory *http1.MemoryError
 	switch {
 	case errors.As(err, &timeout):
 		s.client.Store(nil)
 		return refusal.Unknown(http.StatusGatewayTimeout, codeReadTimeout, "%s: %v", s.Name, timeout)
 	case errors.As(err, &malformed):
 		return refusal.Unknown(http.StatusBadGateway, CodeMalformed, "%s sent a malformed answer: %s", s.Name, malformed.Problem)
+	case errors.As(err, &noMemory):
+		return refusal.Unknown(http.StatusBadGateway, CodeNoAnswerMemory, "other requests hold the memory for the answer of %s", s.Name)
 	case errors.Is(err, context.DeadlineExceeded):
 		return refusal.Unknown(http.StatusGatewayTimeout, "timeout", "%s had not answered when the request's time ended", s.Name)
 	case errors.Is(err, context.Canceled):
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -300,7 +300,7 @@
 		servers.RecordReplaced(server)
 	case refused.Code == backend.CodeFull:
 		servers.RecordFull(server)
-	case refused.Code == backend.CodeFailed, refused.Code == backend.CodeWrongRequest:
+	case refused.Code == backend.CodeFailed, refused.Code == backend.CodeWrongRequest, refused.Code == backend.CodeNoAnswerMemory:
 	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
 	default:
 		servers.RecordFailure(server, refused.Code)
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -6,6 +6,7 @@
 package http1
 
 import (
+	"errors"
 	"net"
 	"sync"
 )
@@ -20,15 +21,16 @@
 
 	mutex   sync.Mutex
 	scanner scanner
-	fault   *MalformedAnswerError
+	fault   error
 }
 
 // NetConn returns the connection that Conn checks.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// Read implements net.Conn. The error is a *MalformedAnswerError from the first malformed line on.
+// Read implements net.Conn. The error is a *MalformedAnswerError from the first malformed line on, and a *MemoryError
+// after a head for which there is no memory.
 func (c *Conn) Read(buffer []byte) (int, error) {
-	if fault := c.malformed(); fault != nil {
+	if fault := c.failure(); fault != nil {
 		return 0, fault
 	}
 	n, err := c.Conn.Read(buffer)
@@ -46,10 +48,17 @@
 }
 
 // expect starts the check of the answer to a request that is about to be sent.
-func (c *Conn) expect(isHead bool) {
+func (c *Conn) expect(isHead bool, reserve func(bytes int64) bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.scanner.expect(isHead)
+	c.scanner.expect(isHead, reserve)
+}
+
+// stopReserving ends the time in which memory is taken for the request.
+func (c *Conn) stopReserving() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.scanner.reserve = nil
 }
 
 // isHeadComplete reports whether a whole head has arrived since expect.
@@ -60,20 +69,21 @@
 }
 
 // fail makes all further reads fail.
-func (c *Conn) fail(fault *MalformedAnswerError) {
+func (c *Conn) fail(fault error) {
 	c.mutex.Lock()
 	isFirst := c.fault == nil
 	if isFirst {
 		c.fault = fault
 	}
 	c.mutex.Unlock()
-	if isFirst && c.OnMalformed != nil {
-		c.OnMalformed(fault)
+	var malformed *MalformedAnswerError
+	if isFirst && c.OnMalformed != nil && errors.As(fault, &malformed) {
+		c.OnMalformed(malformed)
 	}
 }
 
-// malformed returns the fault of the answer; nil if none was found.
-func (c *Conn) malformed() *MalformedAnswerError {
+// failure returns the error of all further reads; nil if there is none.
+func (c *Conn) failure() error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.fault
--- a/internal/http1/error.go
+++ b/internal/http1/error.go
@@ -13,7 +13,7 @@
 	Line string
 }
 
-func newFault(problem, line string) *MalformedAnswerError {
+func newFault(problem, line string) error {
 	return &MalformedAnswerError{Problem: problem, Line: line[:min(len(line), maxQuotedBytes)]}
 }
 
@@ -24,3 +24,9 @@
 	}
 	return fmt.Sprintf("malformed answer: %s: %q", e.Problem, e.Line)
 }
+
+// MemoryError reports that there was no memory for the head of an answer. The server may have run the request.
+type MemoryError struct{}
+
+// Error names the problem.
+func (*MemoryError) Error() string { return "no memory for the head of an answer" }
--- a/internal/http1/scanner.go
+++ b/internal/http1/scanner.go
@@ -36,8 +36,27 @@
 	size int
 	// left is the number of bytes left of a chunk, with its line end.
 	left int64
+
+	// reserve takes memory for the heads; nil takes none.
+	reserve func(bytes int64) bool
+	// fields is the number of lines of the heads.
+	fields int64
+	// reserved is the memory that the heads may take: freeHeadBytes, and what was taken.
+	reserved int64
 }
 
+// Memory of heads while net/http parses them.
+const (
+	// byteCost is the memory for each byte: a line is copied while it grows.
+	byteCost = 4
+	// fieldCost is the memory for each field, which becomes an entry of a map.
+	fieldCost = 256
+	// freeHeadBytes is the memory of heads for which none is taken. Hardly any head needs more.
+	freeHeadBytes = 16 << 10
+	// reserveStep is how much memory is taken at a time.
+	reserveStep = 16 << 10
+)
+
 // head is what a head states about the answer's framing.
 type head struct {
 	status    int
@@ -51,18 +70,18 @@
 // hasBody reports whether an answer with the head has a body, which it has not if the request's method was HEAD.
 func (h *head) hasBody() bool { return h.status != statusNoContent && h.status != statusNotModified }
 
-// expect starts the check of the next answer.
-func (s *scanner) expect(isHead bool) {
-	*s = scanner{phase: phaseStatus, isHead: isHead, line: s.line[:0]}
+// expect starts the check of the next answer. reserve takes memory for its heads; nil takes none.
+func (s *scanner) expect(isHead bool, reserve func(bytes int64) bool) {
+	*s = scanner{phase: phaseStatus, isHead: isHead, line: s.line[:0], reserve: reserve, reserved: freeHeadBytes}
 }
 
 // isHeadComplete reports whether the final head of the expected answer has arrived.
 func (s *scanner) isHeadComplete() bool { return s.phase != phaseStatus && s.phase != phaseFields }
 
-// scan checks the next bytes. If they are malformed, it returns how many of them may be passed on: those before the
-// line with the fault, and at least one byte of an answer. net/http sends a request again if its connection fails before
-// the first byte.
-func (s *scanner) scan(data []byte) (valid int, fault *MalformedAnswerError) {
+// scan checks the next bytes. The error is a *MalformedAnswerError or a *MemoryError. With an error it returns how many
+// bytes may be passed on: those before the line with the fault, and at least one byte of an answer. net/http sends a
+// request again if its connection fails before the first byte.
+func (s *scanner) scan(data []byte) (valid int, fault error) {
 	isFirst := s.phase == phaseStatus && s.size == 0
 	for at := 0; at < len(data); {
 		switch s.phase {
@@ -96,7 +115,7 @@
 }
 
 // scanLine checks the rest of a line, or keeps it until its end arrives. It returns the number of its bytes.
-func (s *scanner) scanLine(data []byte) (length int, fault *MalformedAnswerError) {
+func (s *scanner) scanLine(data []byte) (length int, fault error) {
 	end := bytes.IndexByte(data, '\n')
 	length = end + 1
 	if end < 0 {
@@ -106,6 +125,12 @@
 	if s.size > MaxHeadBytes {
 		return 0, s.endless(data[:length])
 	}
+	if end >= 0 {
+		s.fields++
+	}
+	if !s.hasMemory() {
+		return 0, &MemoryError{}
+	}
 	if end < 0 {
 		s.line = append(s.line, data...)
 		return length, nil
@@ -118,8 +143,22 @@
 	return length, s.checkLine(string(bytes.TrimSuffix(line, []byte("\r"))))
 }
 
+// hasMemory takes memory for a head that has grown. It returns false if there is none.
+func (s *scanner) hasMemory() bool {
+	if s.reserve == nil || s.isHeadComplete() {
+		return true
+	}
+	for byteCost*int64(s.size)+fieldCost*s.fields > s.reserved {
+		if !s.reserve(reserveStep) {
+			return false
+		}
+		s.reserved += reserveStep
+	}
+	return true
+}
+
 // endless returns the fault of a head or trailers that are too large. net/http limits the line of a chunk's size.
-func (s *scanner) endless(data []byte) *MalformedAnswerError {
+func (s *scanner) endless(data []byte) error {
 	if s.phase == phaseChunkSize {
 		s.phase = phaseUnchecked
 		return nil
@@ -131,7 +170,7 @@
 	return newFault("a head of more than "+strconv.Itoa(MaxHeadBytes)+" bytes", string(line[:min(len(line), maxQuotedBytes)]))
 }
 
-func (s *scanner) checkLine(line string) *MalformedAnswerError {
+func (s *scanner) checkLine(line string) error {
 	switch {
 	case s.phase == phaseStatus:
 		s.phase = phaseFields
@@ -150,7 +189,7 @@
 }
 
 // endHead determines what follows a head.
-func (s *scanner) endHead() *MalformedAnswerError {
+func (s *scanner) endHead() error {
 	if fault := s.head.checkFraming(); fault != nil {
 		return fault
 	}
@@ -197,7 +236,7 @@
 )
 
 // parseStatusLine parses a line such as "HTTP/1.1 200 OK".
-func (h *head) parseStatusLine(line string) *MalformedAnswerError {
+func (h *head) parseStatusLine(line string) error {
 	version, rest, _ := strings.Cut(line, " ")
 	minor, isVersion1 := strings.CutPrefix(version, "HTTP/1.")
 	if !isVersion1 || !isDigits(minor, 1) {
@@ -223,7 +262,7 @@
 // checkField checks the line of a field in a head or a trailer. net/http accepts a blank in a name, joins a line that
 // begins with a blank to the one before, and skips a field without a name: a Content-Length that is spelt so is ignored,
 // and the body ends elsewhere.
-func (s *scanner) checkField(line string) *MalformedAnswerError {
+func (s *scanner) checkField(line string) error {
 	name, value, hasColon := strings.Cut(line, ":")
 	if !hasColon || !httpguts.ValidHeaderFieldName(name) {
 		return newFault("a field without a valid name", line)
@@ -242,7 +281,7 @@
 }
 
 // checkFraming checks that the fields state one way to find the end of the body.
-func (h *head) checkFraming() *MalformedAnswerError {
+func (h *head) checkFraming() error {
 	for _, length := range h.lengths {
 		if length != h.lengths[0] || strings.Trim(length, "0123456789") != "" || length == "" {
 			return newFault("an invalid Content-Length", strings.Join(h.lengths, ", "))
--- a/internal/http1/scanner_test.go
+++ b/internal/http1/scanner_test.go
@@ -14,9 +14,9 @@
 )
 
 // scanInParts scans data in parts of the given size. It returns the bytes that may be passed on.
-func scanInParts(data []byte, size int) (valid []byte, fault *MalformedAnswerError) {
+func scanInParts(data []byte, size int) (valid []byte, fault error) {
 	s := &scanner{}
-	s.expect(false)
+	s.expect(false, nil)
 	for at := 0; at < len(data); at += size {
 		part := data[at:min(at+size, len(data))]
 		n, fault := s.scan(part)
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -10,27 +11,37 @@
 // Transport sends requests over connections that are all a *Conn. Exported fields are set before the first request.
 type Transport struct {
 	*http.Transport
+
+	// HeadMemory returns what takes memory for the heads of an answer, if there is any, until RoundTrip returns. With a
+	// nil function, or one that returns nil, heads have no bound but MaxHeadBytes.
+	HeadMemory func(ctx context.Context) func(bytes int64) bool
 }
 
 // RoundTrip implements http.RoundTripper. The error is a *MalformedAnswerError if the server sent a malformed answer,
-// and so is that of a read from the body if the end of the answer is malformed.
+// and so is that of a read from the body if the end of the answer is malformed. It is a *MemoryError if there is no memory
+// for the head of the answer.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var reserve func(bytes int64) bool
+	if t.HeadMemory != nil {
+		reserve = t.HeadMemory(request.Context())
+	}
 	var conn *Conn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		// net/http may use another connection if it can send nothing on the first one.
 		conn, _ = info.Conn.(*Conn)
 		if conn != nil {
-			conn.expect(request.Method == http.MethodHead)
+			conn.expect(request.Method == http.MethodHead, reserve)
 		}
 	}}
 	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if conn == nil {
 		return response, err
 	}
+	conn.stopReserving()
 	if err == nil && !conn.isHeadComplete() {
 		conn.fail(newFault("it began before its request was sent", ""))
 	}
-	fault := conn.malformed()
+	fault := conn.failure()
 	switch {
 	case fault == nil && err == nil:
 		response.Body = &body{ReadCloser: response.Body, conn: conn}
@@ -55,7 +66,7 @@
 func (b *body) Read(buffer []byte) (int, error) {
 	n, err := b.ReadCloser.Read(buffer)
 	if err != nil && !errors.Is(err, io.EOF) {
-		if fault := b.conn.malformed(); fault != nil {
+		if fault := b.conn.failure(); fault != nil {
 			err = fault
 		}
 	}
--- a/internal/http1/transport_test.go
+++ b/internal/http1/transport_test.go
@@ -191,3 +191,43 @@
 		})
 	}
 }
+
+// Guards against heads of many answers at once that take more memory than there is.
+func TestHeadMemory(t *testing.T) {
+	const fieldLength = 8
+	manyFields := func(count int) string { return strings.Repeat("X-F: 1\r\n", count) }
+	for name, test := range map[string]struct {
+		fields   string
+		limit    int64
+		isServed bool
+	}{
+		"an ordinary head":               {manyFields(30), 0, true},
+		"many fields, with memory":       {manyFields(2000), 4 << 20, true},
+		"many fields, without memory":    {manyFields(2000), 0, false},
+		"many fields, too little memory": {manyFields(2000), 2000 * fieldLength, false},
+		"a long field, with memory":      {"X-F: " + strings.Repeat("1", 50<<10) + "\r\n", 1 << 20, true},
+		"a long field, without memory":   {"X-F: " + strings.Repeat("1", 50<<10) + "\r\n", 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := listentest.StartRaw(t, func(*http.Request) string {
+				return "HTTP/1.1 200 OK\r\n" + test.fields + "Content-Length: 10\r\n\r\n" + answerText
+			})
+			c := newClient(t, false)
+			var taken atomic.Int64
+			c.Transport.(*http1.Transport).HeadMemory = func(context.Context) func(int64) bool {
+				return func(bytes int64) bool { return taken.Add(bytes) <= test.limit }
+			}
+			_, body, err := c.get(t, http.MethodGet, server.Address)
+			if test.isServed {
+				must.NoError(t, err)
+				must.Eq(t, answerText, body)
+				return
+			}
+			var memory *http1.MemoryError
+			must.True(t, errors.As(err, &memory), must.Sprint(err))
+			must.Eq(t, 0, c.faults.Load())
+			_, _, _ = c.get(t, http.MethodGet, server.Address)
+			must.Eq(t, 0, server.Reused())
+		})
+	}
+}
--- a/internal/listen/client.go
+++ b/internal/listen/client.go
@@ -75,12 +75,20 @@
 			DisableKeepAlives:   options.OneRequestPerConn,
 			// Without this limit, net/http buffers 10 MB of a head for each request. http1 rejects a head just below it.
 			MaxResponseHeaderBytes: http1.MaxHeadBytes + 1,
-		}},
+		}, HeadMemory: headMemory},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return httpc.NewServiceWithClient(name, client)
 }
 
+// headMemory takes memory for the head of an answer from that of the client's request that is passed on.
+func headMemory(ctx context.Context) func(bytes int64) bool {
+	if reservation := ReservationOf(ctx); reservation != nil {
+		return reservation.TryGrow
+	}
+	return nil
+}
+
 // clientDialer opens the connections of a client.
 type clientDialer struct {
 	net.Dialer
--- a/test/crowd/fixture_test.go
+++ b/test/crowd/fixture_test.go
@@ -160,6 +160,7 @@
 
 	keeper       *process
 	app          *wiretest.Sampler
+	model        *wiretest.Sampler
 	frontAddress string
 	readyAddress string
 	meterAddress string
@@ -176,7 +177,7 @@
 	t.Helper()
 	platform.PutTable(t, 2, []string{"acme", "other"}, wiretest.Routes()...)
 	g := &gateway{app: platform.NewSampler(t, "a1", "app", "")}
-	platform.NewSampler(t, "m1", "lm", "m")
+	g.model = platform.NewSampler(t, "m1", "lm", "m")
 	g.frontAddress, g.readyAddress, g.meterAddress = listentest.FreeAddress(t), listentest.FreeAddress(t), listentest.FreeAddress(t)
 	store := fmt.Sprintf("[store]\naddress = %s\n", platform.NewEndpoint(t).Address)
 	g.keeper = startWith(t, "keeper", "k1", h, fmt.Sprintf("data = %s\n", t.TempDir())+store)
