backend: events of streams take memory from their request's budget

600 streams at once whose samplers sent 250 KB of an event, and then nothing, made a gateway on a host of 144 MB hold 225 MB. An event is bounded by 256 KB, but the sum over all streams had no bound. What an event needs beyond 16 KB is now taken from the reservation of its client's request and given back when the event is whole.

--- a/internal/backend/directstream.go
+++ b/internal/backend/directstream.go
@@ -48,6 +48,9 @@
 		if errors.Is(err, errLongEvent) {
 			return Event{}, refusal.Unknown(502, "bad_event", "%s sent an event of more than %d bytes", e.answer.direct.Name, maxEventBytes)
 		}
+		if errors.Is(err, errNoEventMemory) {
+			return Event{}, refusal.Unknown(502, CodeNoAnswerMemory, "other requests hold the memory for an event of %s", e.answer.direct.Name)
+		}
 		if err != nil {
 			if errors.Is(err, io.EOF) && !started && line == "" {
 				return Event{}, io.EOF
--- a/test/crowd/answers_test.go
+++ b/test/crowd/answers_test.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// almostHead is a number of bytes below the limit on the head of an answer.
-	almostHead = 60 << 10
+	// almostHead is a number of bytes below the limit on the head of an answer, and almostEvent below that on an event.
+	almostHead  = 60 << 10
+	almostEvent = 250 << 10
 	// endlessAnswer is more than a process may keep of an answer.
 	endlessAnswer = 1 << 20
 )
@@ -103,3 +104,14 @@
 func TestAnswerTrailers(t *testing.T) {
 	mustWithstandAnswers(t, "/post/x", endless(answerStart+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "a:\r\n", endlessAnswer))
 }
+
+// Guards against events without end, or just below their limit, of many samplers at once.
+func TestAnswerEvent(t *testing.T) {
+	mustWithstandAnswers(t, "/stream/x", endless(answerStart+"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", "x", endlessAnswer))
+}
+func TestAnswerEventCut(t *testing.T) {
+	mustWithstandAnswers(t, "/stream/x", endless(answerStart+"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", "x", almostEvent))
+}
+func TestAnswerEventLinesCut(t *testing.T) {
+	mustWithstandAnswers(t, "/stream/x", endless(answerStart+"Content-Type: text/event-stream\r\n\r\nid: 1\n", "data: x\n", almostEvent))
+}
