bramleyhatch: a planned stop answers all requests within its grace period

What callers saw, on with a grace of 2 s: a request that arrived 1.2 s after the stop signal, on a new or kept connection or as the rest of a head or body, was passed on to servers that needed longer. The process lived for up to 3.5 s, so that a supervisor would have killed it before, and the request would have been cut without an answer. So would a stream of a caller who could have gone elsewhere.

Cause: the drains were bounded by the grace period, and after them the servers' shutdown by the grace period again. Nothing looked at what was left of it before a request was passed on.

Now the period begins with the signal and covers all: drains, servers and the end. A gateway refuses at once, as not run and before anything is sent (503 stopping, Retry-After 50 ms), what can't end in time: a request that may run once needs all the time that its caller allows, as its outcome would stay unknown; another one twice its target latency. An answer that has begun goes on until the process ends. A body that is still awaited then is refused as late (408). All answers of a stopping gateway ask their callers to close the connection, also those of requests that it had before.

TestGraceCoversDrainsAndServers fails if the servers aren't bounded by what is left.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -211,7 +211,7 @@
 	}
 }
 
-// refuse converts the error of an exchange into a refusal.
+// refuse converts the error of an exchange, or the cause of its context's end, into a refusal.
 //
 // After a read timeout it drops the client with its idle connections. A device on the
 // network path that lost track of the connection may also have lost the idle connections,
@@ -223,7 +223,11 @@
 	var timeout *ReadTimeoutError
 	var malformed *http1.MalformedAnswerError
 	var noMemory *http1.MemoryError
+	var cause *refusal.Error
 	switch {
+	case errors.As(err, &cause):
+		// The request's context ended with a refusal.
+		return cause
 	case errors.As(err, &timeout):
 		s.client.Store(nil)
 		return refusal.Unknown(http.StatusGatewayTimeout, codeReadTimeout, "%s: %v", s.Name, timeout)
--- a/internal/bramleyhatch/entrycallers.go
+++ b/internal/bramleyhatch/entrycallers.go
@@ -28,6 +28,7 @@
 		MaxBodyBytes: settings.GetMaxBodyBytes(),
 		BodyTimeout:  settings.GetBody().AsDuration(),
 		Timeout:      settings.GetTimeout().AsDuration(),
+		Stopping:     e.shutdown.Context(),
 	}
 	handler.RegisterMetrics()
 	e.AddRoutes(handler.Routes()...)
--- a/internal/bramleyhatch/entryduties.go
+++ b/internal/bramleyhatch/entryduties.go
@@ -148,7 +148,7 @@
 		Lease:      settings.GetLease().AsDuration(),
 		Margin:     settings.GetMargin().AsDuration(),
 		Rank:       func() int { return e.rank(name) },
-		IsStopping: e.isStopping.Load,
+		IsStopping: e.shutdown.isStopping.Load,
 		Decisions:  e.Decisions,
 	}
 }
--- a/internal/bramleyhatch/gateway.go
+++ b/internal/bramleyhatch/gateway.go
@@ -330,8 +330,9 @@
 		NoConfigRetry: g.Settings.GetFront().GetUnknown().AsDuration(),
 		CountStart:    g.countRequest,
 		Metrics:       g.Metrics,
+		Shutdown:      &g.shutdown,
 	}
-	g.notFound = g.closeIfDraining(handler)
+	g.notFound = handler
 	g.refuse = refusal.WriteFractional
 	g.limits.MaxHeaderBytes = func() int64 { return g.clientLimits().MaxHeaderBytes }
 	g.limits.HeaderTimeout = func() time.Duration { return g.clientLimits().HeaderTimeout }
@@ -409,17 +410,6 @@
 	return 0
 }
 
-// closeIfDraining asks callers to send no more requests on their connection once the
-// process is asked to stop.
-func (g *Gateway) closeIfDraining(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if g.isStopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // addReadiness adds the load balancer's readiness check and the metrics, each on its
 // own address.
 func (g *Gateway) addReadiness() {
@@ -447,7 +437,7 @@
 // unreadyReason returns why the load balancer should send no callers here; "" if it should.
 func (g *Gateway) unreadyReason() string {
 	switch {
-	case g.isStopping.Load():
+	case g.shutdown.isStopping.Load():
 		return "draining"
 	case g.view.Current() == nil:
 		return "no configuration yet"
--- a/internal/bramleyhatch/gatewayduties.go
+++ b/internal/bramleyhatch/gatewayduties.go
@@ -70,7 +70,7 @@
 		Lease:        settings.GetLease().AsDuration(),
 		Margin:       settings.GetMargin().AsDuration(),
 		Rank:         func() int { return duty.Position(g.Process.Settings.GetName(), g.hosts.Candidates(dutyName)) },
-		IsStopping:   g.isStopping.Load,
+		IsStopping:   g.shutdown.isStopping.Load,
 		Decisions:    g.Decisions,
 	}
 	g.AddTask("control", func(ctx context.Context) error { return elector.Run(ctx, g.runControlDuty) })
--- a/internal/bramleyhatch/process.go
+++ b/internal/bramleyhatch/process.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -51,8 +50,7 @@
 	services []func(grpc.ServiceRegistrar)
 	tasks    []Task
 	drains   []func(ctx context.Context)
-	// isStopping is true once the process is asked to stop.
-	isStopping atomic.Bool
+	shutdown shutdown
 
 	// notFound and notAllowed answer paths and methods without a route.
 	notFound   http.Handler
@@ -90,6 +88,7 @@
 		Metrics:     prometheus.NewRegistry(),
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
+	p.shutdown.init(p.Grace())
 	p.addLimits()
 	return p
 }
@@ -165,8 +164,8 @@
 
 // runDrains calls all drains concurrently and waits for them up to the grace period.
 func (p *Process) runDrains() {
-	p.isStopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), p.Grace())
+	p.shutdown.begin()
+	ctx, cancel := context.WithDeadline(context.Background(), *p.shutdown.end.Load())
 	defer cancel()
 	var group sync.WaitGroup
 	for _, drain := range p.drains {
@@ -197,7 +196,8 @@
 }
 
 // run starts the servers, then the tasks, until the context ends or a server or task
-// fails. It then runs the drains, stops the servers and, last, the tasks.
+// fails. It then runs the drains, stops the servers and, last, the tasks. Once the context has ended, all of it takes no
+// longer than the grace period.
 func (p *Process) run(ctx context.Context, caller *settingspb.Caller) error {
 	serverCtx, stopServers := context.WithCancel(context.Background())
 	defer stopServers()
@@ -225,9 +225,7 @@
 		p.runDrains()
 	}
 	stopServers()
-	for range servers {
-		err = errors.Join(err, <-stopped)
-	}
+	err = errors.Join(append(p.shutdown.await(servers, stopped), err)...)
 	stopTasks()
 	err = errors.Join(err, <-finished)
 	klog.InfoS("process: stopped", "name", p.addresses.Name, "err", err)
--- a/internal/bramleyhatch/process_test.go
+++ b/internal/bramleyhatch/process_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/zeromicro/go-zero/rest"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
@@ -70,3 +74,51 @@
 	must.NoError(t, process.run(ctx, nil))
 	must.Error(t, ctx.Err())
 }
+
+// Guards against a process that is killed with its requests unanswered, because its drains take the grace period and its
+// servers then wait for requests for as long again.
+func TestGraceCoversDrainsAndServers(t *testing.T) {
+	const grace, slack = time.Second, 700 * time.Millisecond
+	process := newProcess(settingspb.Process_builder{Name: "p", Peer: "127.0.0.1:0", Grace: durationpb.New(grace)}.Build(), &settingspb.Secure{})
+	process.AddDrain(func(ctx context.Context) { <-ctx.Done() })
+	requested, answered := make(chan struct{}), make(chan time.Duration, 1)
+	var stoppedAt time.Time
+	process.AddRoutes(rest.Route{Method: http.MethodGet, Path: "/slow", Handler: func(_ http.ResponseWriter, r *http.Request) {
+		close(requested)
+		<-process.shutdown.Context().Done()
+		left, isStopping := process.shutdown.TimeLeft()
+		must.True(t, isStopping)
+		must.Eq(t, 0, left)
+		must.ErrorIs(t, context.Cause(process.shutdown.Context()), errStopping)
+		answered <- time.Since(stoppedAt)
+		<-r.Context().Done()
+	}})
+	address := listentest.FreeAddress(t)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- process.run(ctx, settingspb.Caller_builder{Listen: address}.Build()) }()
+	conn, err := dialUntil(address)
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+	<-requested
+	_, isStopping := process.shutdown.TimeLeft()
+	must.False(t, isStopping)
+	stoppedAt = time.Now()
+	stop()
+	must.Less(t, grace, <-answered)
+	must.NoError(t, <-ended)
+	must.Less(t, grace+slack, time.Since(stoppedAt))
+}
+
+// dialUntil connects to an address on which a process will listen.
+func dialUntil(address string) (conn net.Conn, err error) {
+	for range 100 {
+		if conn, err = net.Dial("tcp", address); err == nil {
+			return conn, nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil, err
+}
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -82,6 +82,9 @@
 	hash := lists.HashKey(key)
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	defer c.cancel(nil)
+	if last := c.handler.Stopping; last != nil {
+		defer context.AfterFunc(last, func() { c.cancel(context.Cause(last)) })()
+	}
 	stop := c.handler.Grants.OnWithdrawal(hash, c.withdraw)
 	defer stop()
 	grant, ok := c.handler.Grants.Grant(hash)
@@ -156,6 +159,8 @@
 	switch {
 	case errors.As(err, &refused):
 		return err
+	case errors.As(context.Cause(c.ctx), &refused):
+		return refused
 	case c.request.Context().Err() != nil:
 		return refusal.Unknown(statusClientClosedRequest, "caller_left", "the caller closed the connection")
 	case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -57,6 +57,9 @@
 	MaxBodyBytes int64
 	// BodyTimeout is the time in which a body has to arrive; 0 means Timeout.
 	BodyTimeout time.Duration
+	// Stopping ends when the process stops and requests that still run must be answered; its cause is a *refusal.Error. nil
+	// means that it never does.
+	Stopping context.Context
 	// Timeout limits the duration of a request.
 	Timeout time.Duration
 
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -77,6 +77,8 @@
 	address string
 	// isolated is the result of Handler.IsIsolated.
 	isolated atomic.Bool
+	// stop ends the requests that still run, with a *refusal.Error.
+	stop context.CancelCauseFunc
 }
 
 func (s *testServer) setConfig(t *testing.T, config *listpb.Config, revision uint64) {
@@ -107,6 +109,7 @@
 		MaxBodyBytes: 4096,
 		Timeout:      10 * time.Second,
 	}
+	handler.Stopping, s.stop = context.WithCancelCause(context.Background())
 	handler.RegisterMetrics()
 	listening := make(chan string, 1)
 	server := &listen.HTTP{
@@ -285,6 +288,43 @@
 	must.StrNotContains(t, body, "[DONE]")
 }
 
+// Guards against a call that is cut without an answer when its entry's grace period ends.
+func TestStopAnswersCalls(t *testing.T) {
+	stopping := refusal.Unknown(http.StatusBadGateway, "stopping", "the process stops")
+	t.Run("before the answer began", func(t *testing.T) {
+		var server *testServer
+		server = serve(t, func(ctx context.Context, _ *peerpb.RunRequest, _ sidecar.Sink) (*peerpb.End, error) {
+			server.stop(stopping)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		response := server.send(t, "POST", "/services/ledger/postings", goodKey, `{"hours":1}`)
+		mustRefuse(t, response, http.StatusBadGateway, "stopping", "unknown")
+	})
+	t.Run("after it began", func(t *testing.T) {
+		var server *testServer
+		server = serve(t, func(ctx context.Context, _ *peerpb.RunRequest, sink sidecar.Sink) (*peerpb.End, error) {
+			_ = sink(chunk("Hel"))
+			server.stop(stopping)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		body := text(t, server.send(t, "POST", "/v1/completions", goodKey, `{"model":"assist","prompt":"p","stream":true}`))
+		must.StrContains(t, body, `"code":"stopping","outcome":"unknown"`)
+		must.StrNotContains(t, body, "[DONE]")
+	})
+	t.Run("a refusal that says not run stays", func(t *testing.T) {
+		var server *testServer
+		server = serve(t, func(ctx context.Context, _ *peerpb.RunRequest, _ sidecar.Sink) (*peerpb.End, error) {
+			server.stop(stopping)
+			<-ctx.Done()
+			return nil, refusal.NotRun(http.StatusServiceUnavailable, "engine_full", "full")
+		})
+		response := server.send(t, "POST", "/services/ledger/postings", goodKey, `{"hours":1}`)
+		mustRefuse(t, response, http.StatusServiceUnavailable, "engine_full", "not-run")
+	})
+}
+
 func TestModels(t *testing.T) {
 	server := serve(t, nil)
 	must.StrContains(t, text(t, server.send(t, "GET", "/v1/models", goodKey, "")), `"id":"assist"`)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -43,6 +43,17 @@
 	return r.Route.Kind == table.Idempotent || r.Route.Kind == table.Stream && r.Route.Resumable
 }
 
+// MayEndWithin reports whether the request is worth sending if this process answers no longer than for the given time. A
+// request that may run once needs all the time that its caller allows: its outcome would stay unknown. Another one is
+// expected to take a multiple of its target latency; the rest of a stream can be resumed elsewhere.
+func (r *Request) MayEndWithin(available time.Duration) bool {
+	needed := r.left()
+	if target := r.Route.LatencyTarget; target > 0 && r.isRepeatable() {
+		needed = min(needed, minTargetMultiple*target)
+	}
+	return available > 0 && needed <= available
+}
+
 // left returns the time until the deadline.
 func (r *Request) left() time.Duration { return r.Deadline.Sub(clock.Now()) }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -32,6 +32,8 @@
 	defaultTimeout = 60 * time.Second
 	// maxWait bounds how long a call waits for new results or store changes.
 	maxWait = time.Second
+	// stoppingRetryAfter is the Retry-After of requests that a stopping process refuses: other processes serve them.
+	stoppingRetryAfter = 50 * time.Millisecond
 )
 
 // bodyCodes are the codes of requests whose bodies can't be read.
@@ -83,6 +85,14 @@
 	EncodeOutcomes func(total, after uint64, outcomes []*statepb.Outcome) ([]byte, error)
 }
 
+// Shutdown is the planned end of the process.
+type Shutdown interface {
+	// TimeLeft returns how much longer requests may run; ok is false unless the process stops.
+	TimeLeft() (left time.Duration, ok bool)
+	// Context ends when requests that still run must be answered. Its cause is a *refusal.Error.
+	Context() context.Context
+}
+
 // Handler serves callers and trainers. Exported fields are set before the first request.
 type Handler struct {
 	Wire      Wire
@@ -98,6 +108,8 @@
 	Metrics prometheus.Registerer
 	// CountStart is called when a backend server starts a request; it may be nil.
 	CountStart func(account, pool string)
+	// Shutdown bounds requests while the process stops; nil means that it never does.
+	Shutdown Shutdown
 
 	once    sync.Once
 	metrics *metrics
@@ -117,7 +129,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.once.Do(func() { h.metrics = newMetrics(h.Metrics) })
 	call := h.Wire.ParseCall(r)
-	recorder := &statusRecorder{ResponseWriter: w}
+	recorder := &statusRecorder{ResponseWriter: w, isStopping: h.isStopping}
 	began := clock.Now()
 	defer func() { h.metrics.observe(call.Kind, recorder.status, began) }()
 	h.serve(recorder, r, call)
@@ -189,6 +201,9 @@
 		maxBytes = current.Limits.MaxBodyBytes
 	}
 	left := admitted.began.Add(h.requestTimeout(r, admitted.route)).Sub(clock.Now())
+	if untilStop, isStopping := h.stopsIn(); isStopping {
+		left = min(left, untilStop)
+	}
 	body, err := listen.ReadBody(r, maxBytes, time.Now().Add(left))
 	return body, listen.RefuseBody(err, bodyCodes)
 }
@@ -246,7 +261,15 @@
 	if h.CountStart != nil && admitted.account.Name != "" {
 		request.OnReceived = func() { h.CountStart(admitted.account.Name, admitted.route.Name) }
 	}
-	answer, err := h.Forwarder.Run(r.Context(), request)
+	if untilStop, isStopping := h.stopsIn(); isStopping && !request.MayEndWithin(untilStop) {
+		return refuseStopping()
+	}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	endWait := h.onStop(cancel)
+	answer, err := h.Forwarder.Run(ctx, request)
+	// An answer that has begun is passed on for as long as the process lives.
+	endWait()
 	if err != nil {
 		return err
 	}
@@ -255,6 +278,33 @@
 	return h.relay(w, answer)
 }
 
+// stopsIn returns how much longer requests may run; isStopping is false unless the process stops.
+func (h *Handler) stopsIn() (left time.Duration, isStopping bool) {
+	if h.Shutdown == nil {
+		return 0, false
+	}
+	return h.Shutdown.TimeLeft()
+}
+
+func (h *Handler) isStopping() bool {
+	_, isStopping := h.stopsIn()
+	return isStopping
+}
+
+// onStop calls cancel when the process has to answer its last requests, until the returned function is called.
+func (h *Handler) onStop(cancel context.CancelCauseFunc) (endWait func()) {
+	if h.Shutdown == nil {
+		return func() {}
+	}
+	ctx := h.Shutdown.Context()
+	stop := context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
+	return func() { stop() }
+}
+
+func refuseStopping() error {
+	return refusal.NotRun(http.StatusServiceUnavailable, "stopping", "this process stops before the request can end").WithRetryAfter(stoppingRetryAfter)
+}
+
 // requestTimeout returns the shorter of the caller's and the route's timeout.
 func (h *Handler) requestTimeout(r *http.Request, route *table.Route) time.Duration {
 	timeout := routeTimeout(route)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,7 +42,9 @@
 type statusRecorder struct {
 	http.ResponseWriter
 
-	status int
+	// isStopping reports whether the process stops. Callers are then asked to send no more requests on their connection.
+	isStopping func() bool
+	status     int
 }
 
 // Flush implements http.Flusher.
@@ -55,6 +57,9 @@
 // WriteHeader records the status.
 func (s *statusRecorder) WriteHeader(status int) {
 	s.status = status
+	if s.isStopping() {
+		s.Header().Set("Connection", "close")
+	}
 	s.ResponseWriter.WriteHeader(status)
 }
 
--- a/test/gateway/fixture_test.go
+++ b/test/gateway/fixture_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/base64"
 	"encoding/json"
@@ -24,7 +25,11 @@
 	"github.com/bramleyhatch/bramleyhatch/platform/wiretest"
 )
 
-const awaitTimeout = 15 * time.Second
+const (
+	awaitTimeout = 15 * time.Second
+	// processGrace is the time after which a process that stops would be killed.
+	processGrace = 2 * time.Second
+)
 
 // deployment is a fake platform on which gateways and keepers run.
 type deployment struct {
@@ -32,6 +37,8 @@
 
 	// admit enables admission in the gateways that start.
 	admit bool
+	// linger is how long the gateways that start serve new requests while they stop; 0 means 50 ms.
+	linger time.Duration
 }
 
 // gateway is a running gateway with its addresses.
@@ -65,7 +72,7 @@
 
 func processSettings(name, peer, data string) *settingspb.Process {
 	return settingspb.Process_builder{
-		Name: name, Region: "r", Zone: "z1", Peer: peer, Data: data, Grace: durationpb.New(2 * time.Second),
+		Name: name, Region: "r", Zone: "z1", Peer: peer, Data: data, Grace: durationpb.New(processGrace),
 	}.Build()
 }
 
@@ -84,7 +91,7 @@
 	settings := settingspb.Gateway_builder{
 		Process:   processSettings(name, listentest.FreeAddress(t), ""),
 		Store:     storeSettings(endpoint.Address, d.NewEndpoint(t).Address),
-		Front:     settingspb.Front_builder{Listen: g.front, Ready: g.ready, Metrics: g.metrics, Unknown: durationpb.New(time.Second), Linger: durationpb.New(50 * time.Millisecond), Admit: d.admit}.Build(),
+		Front:     settingspb.Front_builder{Listen: g.front, Ready: g.ready, Metrics: g.metrics, Unknown: durationpb.New(time.Second), Linger: durationpb.New(cmp.Or(d.linger, 50*time.Millisecond)), Admit: d.admit}.Build(),
 		Directory: settingspb.Directory_builder{Back: durationpb.New(2 * time.Second)}.Build(),
 		Batches:   settingspb.Batches_builder{Keep: durationpb.New(time.Minute), Group: durationpb.New(50 * time.Millisecond)}.Build(),
 		Duty: settingspb.Duty_builder{
