backend: requests that a stop ends share no refusal

errStopping ends all requests that still run, and a caller's handler sets its Retry-After: calls of one entry wrote to the same value. Each gets a copy now. A body that was being read ended as backend_cut; it names the reason now. Found by reading; TestRefusalEndsRequest fails without each of the two changes in backend.

http1: a connection keeps at most 4 KB for the beginnings of lines; it kept the longest that it had seen.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -226,8 +226,9 @@
 	var cause *refusal.Error
 	switch {
 	case errors.As(err, &cause):
-		// The request's context ended with a refusal.
-		return cause
+		// The request's context ended with a refusal, which other requests share.
+		refused := *cause
+		return &refused
 	case errors.As(err, &timeout):
 		s.client.Store(nil)
 		return refusal.Unknown(http.StatusGatewayTimeout, codeReadTimeout, "%s: %v", s.Name, timeout)
--- a/internal/backend/direct.go
+++ b/internal/backend/direct.go
@@ -201,7 +201,8 @@
 	cause := context.Cause(a.watchdog.ctx)
 	var timeout *ReadTimeoutError
 	var malformed *http1.MalformedAnswerError
-	if errors.As(cause, &timeout) || errors.As(cause, &malformed) {
+	var refused *refusal.Error
+	if errors.As(cause, &timeout) || errors.As(cause, &malformed) || errors.As(cause, &refused) {
 		return a.direct.refuse(cause, true)
 	}
 	return a.direct.refuse(io.ErrUnexpectedEOF, true)
--- a/internal/backend/malformed_test.go
+++ b/internal/backend/malformed_test.go
@@ -13,6 +13,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/listen/listentest"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
+	"github.com/bramleyhatch/bramleyhatch/platform"
 )
 
 // forEachMalformed calls check with a server that sends a malformed answer to each request.
@@ -82,3 +83,24 @@
 		}
 	})
 }
+
+// Guards against a request that ends with another reason than the refusal by which its process ended it, and against a
+// refusal that requests share and change.
+func TestRefusalEndsRequest(t *testing.T) {
+	stopping := refusal.Unknown(http.StatusBadGateway, "stopping", "the process stops")
+	for name, text := range map[string]string{"before the answer": "", "within the body": "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: 10\r\n\r\n01234"} {
+		t.Run(name, func(t *testing.T) {
+			server := listentest.StartRaw(t, func(*http.Request) string { return text })
+			direct := &backend.Direct{Server: backend.Server{Address: "http://" + server.Address, Name: "s1"}, Wire: platform.Wire{}}
+			ctx, cancel := context.WithCancelCause(t.Context())
+			timer := time.AfterFunc(100*time.Millisecond, func() { cancel(stopping) })
+			defer timer.Stop()
+			answer, err := direct.Do(ctx, backend.Request{ID: "r1", Method: http.MethodPost, Target: "/", ReadTimeout: time.Minute})
+			if err == nil {
+				_, _, err = answer.ReadAll(1000, nil)
+			}
+			mustBeRefused(t, unknown, "stopping", nil, err)
+			must.NotEqOp(t, stopping, refusal.Of(err))
+		})
+	}
+}
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -160,7 +160,9 @@
 	case errors.As(err, &refused):
 		return err
 	case errors.As(context.Cause(c.ctx), &refused):
-		return refused
+		// Other calls share the cause.
+		ended := *refused
+		return &ended
 	case c.request.Context().Err() != nil:
 		return refusal.Unknown(statusClientClosedRequest, "caller_left", "the caller closed the connection")
 	case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
--- a/internal/http1/scanner.go
+++ b/internal/http1/scanner.go
@@ -55,6 +55,8 @@
 	freeHeadBytes = 16 << 10
 	// reserveStep is how much memory is taken at a time.
 	reserveStep = 16 << 10
+	// maxKeptLineBytes is how much memory a connection keeps for the beginnings of lines.
+	maxKeptLineBytes = 4 << 10
 )
 
 // head is what a head states about the answer's framing.
@@ -72,7 +74,11 @@
 
 // expect starts the check of the next answer. reserve takes memory for its heads; nil takes none.
 func (s *scanner) expect(isHead bool, reserve func(bytes int64) bool) {
-	*s = scanner{phase: phaseStatus, isHead: isHead, line: s.line[:0], reserve: reserve, reserved: freeHeadBytes}
+	line := s.line[:0]
+	if cap(line) > maxKeptLineBytes {
+		line = nil
+	}
+	*s = scanner{phase: phaseStatus, isHead: isHead, line: line, reserve: reserve, reserved: freeHeadBytes}
 }
 
 // isHeadComplete reports whether the final head of the expected answer has arrived.
@@ -81,7 +87,7 @@
 // scan checks the next bytes. The error is a *MalformedAnswerError or a *MemoryError. With an error it returns how many
 // bytes may be passed on: those before the line with the fault, and at least one byte of an answer. net/http sends a
 // request again if its connection fails before the first byte.
-func (s *scanner) scan(data []byte) (valid int, fault error) {
+func (s *scanner) scan(data []byte) (valid int, err error) {
 	isFirst := s.phase == phaseStatus && s.size == 0
 	for at := 0; at < len(data); {
 		switch s.phase {
@@ -92,12 +98,12 @@
 			continue
 		default:
 		}
-		length, fault := s.scanLine(data[at:])
-		if fault != nil {
-			if isFirst {
-				at = max(at, 1)
-			}
-			return at, fault
+		length, err := s.scanLine(data[at:])
+		if err != nil && isFirst {
+			return max(at, 1), err
+		}
+		if err != nil {
+			return at, err
 		}
 		at += length
 	}
@@ -115,7 +121,7 @@
 }
 
 // scanLine checks the rest of a line, or keeps it until its end arrives. It returns the number of its bytes.
-func (s *scanner) scanLine(data []byte) (length int, fault error) {
+func (s *scanner) scanLine(data []byte) (length int, err error) {
 	end := bytes.IndexByte(data, '\n')
 	length = end + 1
 	if end < 0 {
@@ -138,6 +144,7 @@
 	line := data[:end]
 	if len(s.line) > 0 {
 		line = append(s.line, line...)
+		// The memory is used again for the beginning of a later line.
 		s.line = line[:0]
 	}
 	return length, s.checkLine(string(bytes.TrimSuffix(line, []byte("\r"))))
@@ -190,8 +197,8 @@
 
 // endHead determines what follows a head.
 func (s *scanner) endHead() error {
-	if fault := s.head.checkFraming(); fault != nil {
-		return fault
+	if err := s.head.checkFraming(); err != nil {
+		return err
 	}
 	ended := s.head
 	s.head = head{}
