http1: the check of an answer belongs to its request

Sound refusals of full servers ended as malformed ("it began before its request was sent"), so callers got 502 for 503.

Cause, in: net/http puts a connection back before it delivers an answer without a body. The next request took it and started its check, and the first one asked the connection whether its head was complete. A fault of the second answer would have ended the first request too.

Each request now has a check of its own, which the connection feeds while it is the latest.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -16,10 +16,20 @@
 type Conn struct {
 	net.Conn
 
-	// OnMalformed, if not nil, is called at most once, with the fault.
+	// OnMalformed, if not nil, is called with each fault.
 	OnMalformed func(*MalformedAnswerError)
 
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// answer is the one that is due, or the latest one; nil before the first request.
+	answer *answer
+	// fault is the error of all further reads.
+	fault error
+}
+
+// answer is the check of the answer to one request. net/http hands a connection out for the next request before it delivers
+// an answer without a body, so each request has its own. The connection's mutex protects the fields.
+type answer struct {
+	conn    *Conn
 	scanner scanner
 	fault   error
 }
@@ -34,57 +44,71 @@
 		return 0, fault
 	}
 	n, err := c.Conn.Read(buffer)
-	if n == 0 {
-		return n, err
+	valid, fault := c.scan(buffer[:n])
+	if fault != nil {
+		return valid, fault
 	}
-	c.mutex.Lock()
-	valid, fault := c.scanner.scan(buffer[:n])
-	c.mutex.Unlock()
-	if fault == nil {
-		return n, err
-	}
-	c.fail(fault)
-	return valid, fault
+	return n, err
 }
 
-// expect starts the check of the answer to a request that is about to be sent.
-func (c *Conn) expect(isHead bool, reserve func(bytes int64) bool) {
+// failure returns the error of all further reads; nil if there is none.
+func (c *Conn) failure() error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.scanner.expect(isHead, reserve)
+	return c.fault
 }
 
-// stopReserving ends the time in which memory is taken for the request.
-func (c *Conn) stopReserving() {
+// scan checks bytes of the answer that is due.
+func (c *Conn) scan(data []byte) (valid int, fault error) {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.scanner.reserve = nil
+	if c.answer == nil {
+		c.mutex.Unlock()
+		return len(data), nil
+	}
+	valid, fault = c.answer.scanner.scan(data)
+	c.answer.fault, c.fault = fault, fault
+	c.mutex.Unlock()
+	c.report(fault)
+	return valid, fault
 }
 
-// isHeadComplete reports whether a whole head has arrived since expect.
-func (c *Conn) isHeadComplete() bool {
+func (c *Conn) report(fault error) {
+	var malformed *MalformedAnswerError
+	if errors.As(fault, &malformed) && c.OnMalformed != nil {
+		c.OnMalformed(malformed)
+	}
+}
+
+// expect starts the check of the answer to a request that is about to be sent. reserve takes memory for its heads; nil
+// takes none.
+func (c *Conn) expect(isHead bool, reserve func(bytes int64) bool) *answer {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.scanner.isHeadComplete()
+	c.answer = &answer{conn: c, scanner: newScanner(isHead, reserve)}
+	return c.answer
 }
 
-// fail makes all further reads fail.
-func (c *Conn) fail(fault error) {
-	c.mutex.Lock()
-	isFirst := c.fault == nil
-	if isFirst {
-		c.fault = fault
+// endHead ends the time in which memory is taken for the heads, and returns the fault of an answer that net/http has
+// parsed: its head may have begun to arrive before its request was sent.
+func (a *answer) endHead(isParsed bool) error {
+	a.conn.mutex.Lock()
+	a.scanner.reserve = nil
+	isEarly := isParsed && a.fault == nil && !a.scanner.isHeadComplete()
+	if isEarly {
+		a.fault = newFault("it began before its request was sent", "")
+		a.conn.fault = a.fault
 	}
-	c.mutex.Unlock()
-	var malformed *MalformedAnswerError
-	if isFirst && c.OnMalformed != nil && errors.As(fault, &malformed) {
-		c.OnMalformed(malformed)
+	fault := a.fault
+	a.conn.mutex.Unlock()
+	if isEarly {
+		a.conn.report(fault)
 	}
+	return fault
 }
 
-// failure returns the error of all further reads; nil if there is none.
-func (c *Conn) failure() error {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.fault
+// failure returns the fault of the answer; nil if none was found.
+func (a *answer) failure() error {
+	a.conn.mutex.Lock()
+	defer a.conn.mutex.Unlock()
+	return a.fault
 }
--- a/internal/http1/scanner.go
+++ b/internal/http1/scanner.go
@@ -15,7 +15,7 @@
 type phase int
 
 const (
-	// phaseUnchecked is a body, or what arrives while no request waits.
+	// phaseUnchecked is a body that ends by its length or with its connection, or what arrives after the answer.
 	phaseUnchecked phase = iota
 	phaseStatus
 	phaseFields
@@ -24,7 +24,7 @@
 	phaseTrailer
 )
 
-// scanner checks the bytes of an answer as they arrive. The zero value checks nothing until expect is called.
+// scanner checks the bytes of one answer as they arrive.
 type scanner struct {
 	phase phase
 	// isHead is true if the request's method is HEAD, whose answers have no body.
@@ -55,8 +55,6 @@
 	freeHeadBytes = 16 << 10
 	// reserveStep is how much memory is taken at a time.
 	reserveStep = 16 << 10
-	// maxKeptLineBytes is how much memory a connection keeps for the beginnings of lines.
-	maxKeptLineBytes = 4 << 10
 )
 
 // head is what a head states about the answer's framing.
@@ -72,16 +70,12 @@
 // hasBody reports whether an answer with the head has a body, which it has not if the request's method was HEAD.
 func (h *head) hasBody() bool { return h.status != statusNoContent && h.status != statusNotModified }
 
-// expect starts the check of the next answer. reserve takes memory for its heads; nil takes none.
-func (s *scanner) expect(isHead bool, reserve func(bytes int64) bool) {
-	line := s.line[:0]
-	if cap(line) > maxKeptLineBytes {
-		line = nil
-	}
-	*s = scanner{phase: phaseStatus, isHead: isHead, line: line, reserve: reserve, reserved: freeHeadBytes}
+// newScanner returns a scanner of an answer. reserve takes memory for its heads; nil takes none.
+func newScanner(isHead bool, reserve func(bytes int64) bool) scanner {
+	return scanner{phase: phaseStatus, isHead: isHead, reserve: reserve, reserved: freeHeadBytes}
 }
 
-// isHeadComplete reports whether the final head of the expected answer has arrived.
+// isHeadComplete reports whether the final head has arrived.
 func (s *scanner) isHeadComplete() bool { return s.phase != phaseStatus && s.phase != phaseFields }
 
 // scan checks the next bytes. The error is a *MalformedAnswerError or a *MemoryError. With an error it returns how many
--- a/internal/http1/scanner_test.go
+++ b/internal/http1/scanner_test.go
@@ -15,8 +15,7 @@
 
 // scanInParts scans data in parts of the given size. It returns the bytes that may be passed on.
 func scanInParts(data []byte, size int) (valid []byte, fault error) {
-	s := &scanner{}
-	s.expect(false, nil)
+	s := newScanner(false, nil)
 	for at := 0; at < len(data); at += size {
 		part := data[at:min(at+size, len(data))]
 		n, fault := s.scan(part)
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -25,31 +25,26 @@
 	if t.HeadMemory != nil {
 		reserve = t.HeadMemory(request.Context())
 	}
-	var conn *Conn
+	var due *answer
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		// net/http may use another connection if it can send nothing on the first one.
-		conn, _ = info.Conn.(*Conn)
-		if conn != nil {
-			conn.expect(request.Method == http.MethodHead, reserve)
+		if conn, ok := info.Conn.(*Conn); ok {
+			due = conn.expect(request.Method == http.MethodHead, reserve)
 		}
 	}}
 	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
-	if conn == nil {
+	if due == nil {
 		return response, err
 	}
-	conn.stopReserving()
-	if err == nil && !conn.isHeadComplete() {
-		conn.fail(newFault("it began before its request was sent", ""))
-	}
-	fault := conn.failure()
+	fault := due.endHead(err == nil)
 	switch {
 	case fault == nil && err == nil:
-		response.Body = &body{ReadCloser: response.Body, conn: conn}
+		response.Body = &body{ReadCloser: response.Body, answer: due}
 		return response, nil
 	case fault == nil:
 		return nil, err
 	case err == nil:
-		_ = conn.Close()
+		_ = due.conn.Close()
 		_ = response.Body.Close()
 	}
 	return nil, fault
@@ -59,14 +54,14 @@
 type body struct {
 	io.ReadCloser
 
-	conn *Conn
+	answer *answer
 }
 
 // Read implements io.Reader.
 func (b *body) Read(buffer []byte) (int, error) {
 	n, err := b.ReadCloser.Read(buffer)
 	if err != nil && !errors.Is(err, io.EOF) {
-		if fault := b.conn.failure(); fault != nil {
+		if fault := b.answer.failure(); fault != nil {
 			err = fault
 		}
 	}
--- a/internal/http1/transport_test.go
+++ b/internal/http1/transport_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -231,3 +232,57 @@
 		})
 	}
 }
+
+// Guards against a sound answer that counts as malformed, since another request takes its connection before RoundTrip
+// returns: net/http hands a connection out again before it delivers an answer without a body.
+func TestConnectionTakenBeforeAnswerIsDelivered(t *testing.T) {
+	const clients, requests = 16, 200
+	server := listentest.StartRaw(t, func(*http.Request) string { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" })
+	c := newClient(t, false)
+	var running sync.WaitGroup
+	var failures atomic.Int64
+	for range clients {
+		running.Go(func() {
+			for range requests {
+				if _, _, err := c.get(t, http.MethodGet, server.Address); err != nil {
+					failures.Add(1)
+				}
+			}
+		})
+	}
+	running.Wait()
+	must.Eq(t, 0, failures.Load())
+	must.Eq(t, 0, c.faults.Load())
+	must.Positive(t, server.Reused())
+}
+
+// Guards against the fault of one answer that ends another request on the same connection.
+func TestFaultEndsItsRequestOnly(t *testing.T) {
+	const clients, requests = 16, 100
+	server := listentest.StartRaw(t, func(request *http.Request) string {
+		if request.URL.Path == "/malformed" {
+			return "HTTP/1.1 000 \r\n\r\n"
+		}
+		return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	})
+	c := newClient(t, false)
+	var running sync.WaitGroup
+	var wrong atomic.Int64
+	for client := range clients {
+		running.Go(func() {
+			for request := range requests {
+				path := "/sound"
+				if (client+request)%4 == 0 {
+					path = "/malformed"
+				}
+				_, _, err := c.get(t, http.MethodGet, server.Address+path)
+				if (err == nil) != (path == "/sound") {
+					wrong.Add(1)
+				}
+			}
+		})
+	}
+	running.Wait()
+	must.Eq(t, 0, wrong.Load())
+	must.Eq(t, clients*requests/4, int(c.faults.Load()))
+}
