--- a/test/gateway/malformed_test.go
+++ b/test/gateway/malformed_test.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// startMalformed starts a gateway before two servers of a pool, of which the first run of each request is answered badly.
+func startMalformed(t *testing.T, pool, model string, answer func(id string) (string, bool)) (g *gateway, first, second *wiretest.Sampler) {
+	t.Helper()
+	d := newDeployment(t)
+	raw := firstRun(answer)
+	first, second = d.NewSampler(t, "s1", pool, model), d.NewSampler(t, "s2", pool, model)
+	first.SetRawAnswer(raw)
+	second.SetRawAnswer(raw)
+	return d.start(t, "g1"), first, second
+}
+
 // mustBeClean checks that a reply has no fields that only a malformed answer has.
 func mustBeClean(t *testing.T, got reply) {
 	t.Helper()
@@ -51,12 +62,7 @@
 	plainBody := func(string, string) string { return "answer to x" }
 	t.Run("a request that may be repeated", func(t *testing.T) {
 		t.Parallel()
-		d := newDeployment(t)
-		raw := firstRun(malformedAt(plainBody))
-		first, second := d.NewSampler(t, "a1", "app", ""), d.NewSampler(t, "a2", "app", "")
-		first.SetRawAnswer(raw)
-		second.SetRawAnswer(raw)
-		g := d.start(t, "g1")
+		g, first, second := startMalformed(t, "app", "", malformedAt(plainBody))
 		for index, name := range malformedNames {
 			id := fmt.Sprintf("r-%d", index)
 			got := g.send(t, http.MethodPost, "/look/x", "key-acme", id, []byte("x"))
@@ -70,12 +76,7 @@
 	})
 	t.Run("a posting", func(t *testing.T) {
 		t.Parallel()
-		d := newDeployment(t)
-		raw := firstRun(malformedAt(plainBody))
-		first, second := d.NewSampler(t, "a1", "app", ""), d.NewSampler(t, "a2", "app", "")
-		first.SetRawAnswer(raw)
-		second.SetRawAnswer(raw)
-		g := d.start(t, "g1")
+		g, first, second := startMalformed(t, "app", "", malformedAt(plainBody))
 		for index, name := range malformedNames {
 			id := fmt.Sprintf("p-%d", index)
 			got := g.send(t, http.MethodPost, "/post/x", "key-acme", id, []byte("x"))
@@ -112,12 +113,7 @@
 	})
 	t.Run("a stream", func(t *testing.T) {
 		t.Parallel()
-		d := newDeployment(t)
-		raw := firstRun(malformedAt(streamBody))
-		first, second := d.NewSampler(t, "s1", "lm", "m"), d.NewSampler(t, "s2", "lm", "m")
-		first.SetRawAnswer(raw)
-		second.SetRawAnswer(raw)
-		g := d.start(t, "g1")
+		g, first, second := startMalformed(t, "lm", "m", malformedAt(streamBody))
 		for index, name := range malformedNames {
 			id := fmt.Sprintf("s-%d", index)
 			got := g.send(t, http.MethodPost, "/stream/x", "key-acme", id, []byte("x"))
@@ -127,6 +123,7 @@
 			must.Eq(t, 5, strings.Count(got.body, "id: "), must.Sprintf("%s: %s", name, got.body))
 			mustBeClean(t, got)
 		}
+		must.Eq(t, 0, first.ReusedBytes()+second.ReusedBytes())
 	})
 	t.Run("items and their scores", func(t *testing.T) {
 		t.Parallel()
--- a/test/gateway/stop_test.go
+++ b/test/gateway/stop_test.go
@@ -122,11 +122,27 @@
 	must.LessEq(t, processGrace+stopSlack, time.Since(s.stoppedAt))
 }
 
+// mustNotRun checks that no server has run request "r1".
+func (s *stopTest) mustNotRun(t *testing.T) {
+	t.Helper()
+	must.Eq(t, 0, s.app.Runs("r1")+s.sampler.Runs("r1"))
+}
+
+// mustRefuse sends the rest of request "r1" and checks that the gateway refuses it, and ends in time.
+func (s *stopTest) mustRefuse(t *testing.T, c *caller, rest string) {
+	t.Helper()
+	c.write(t, rest)
+	c.mustBeRefused(t)
+	s.mustNotRun(t)
+	s.mustEndInTime(t)
+}
+
 // Guards against a request that arrives late in a planned stop, is passed on, and is cut when the process is killed at the
 // end of its grace.
 func TestLateRequestInStop(t *testing.T) {
 	t.Parallel()
 	for name, path := range map[string]string{"posting": "/post/x", "request that may be repeated": "/look/x", "stream": "/stream/x"} {
+		head := post(path, "r1", 0)
 		t.Run(name+" on a kept connection", func(t *testing.T) {
 			t.Parallel()
 			s := newStopTest(t)
@@ -134,54 +150,39 @@
 			c.write(t, post("/look/x", "r0", 0))
 			c.mustBeAnswered(t)
 			s.stop(lateInStop)
-			c.write(t, post(path, "r1", 0))
-			c.mustBeRefused(t)
-			must.Eq(t, 0, s.app.Runs("r1")+s.sampler.Runs("r1"))
-			s.mustEndInTime(t)
+			s.mustRefuse(t, c, head)
 		})
 		t.Run(name+" on a new connection", func(t *testing.T) {
 			t.Parallel()
 			s := newStopTest(t)
 			s.stop(lateInStop)
-			c := s.gateway.dial(t)
-			c.write(t, post(path, "r1", 0))
-			c.mustBeRefused(t)
-			must.Eq(t, 0, s.app.Runs("r1")+s.sampler.Runs("r1"))
-			s.mustEndInTime(t)
+			s.mustRefuse(t, s.gateway.dial(t), head)
 		})
 		t.Run(name+" with the rest of its head", func(t *testing.T) {
 			t.Parallel()
 			s := newStopTest(t)
 			c := s.gateway.dial(t)
-			head := post(path, "r1", 0)
 			c.write(t, head[:len(head)/2])
 			s.stop(lateInStop)
-			c.write(t, head[len(head)/2:])
-			c.mustBeRefused(t)
-			must.Eq(t, 0, s.app.Runs("r1")+s.sampler.Runs("r1"))
-			s.mustEndInTime(t)
+			s.mustRefuse(t, c, head[len(head)/2:])
+		})
+		t.Run(name+" with the rest of its body", func(t *testing.T) {
+			t.Parallel()
+			s := newStopTest(t)
+			c := s.gateway.dial(t)
+			c.write(t, post(path, "r1", 10)+"01234")
+			s.stop(lateInStop)
+			s.mustRefuse(t, c, "56789")
 		})
 		t.Run(name+" with the rest of its head after the listener", func(t *testing.T) {
 			t.Parallel()
 			s := newStopTest(t)
 			c := s.gateway.dial(t)
-			head := post(path, "r1", 0)
 			c.write(t, head[:len(head)/2])
 			s.stop(afterLinger)
 			_, _ = io.WriteString(c, head[len(head)/2:])
 			c.mustNotBeRead(t)
-			must.Eq(t, 0, s.app.Runs("r1")+s.sampler.Runs("r1"))
-			s.mustEndInTime(t)
-		})
-		t.Run(name+" with the rest of its body", func(t *testing.T) {
-			t.Parallel()
-			s := newStopTest(t)
-			c := s.gateway.dial(t)
-			c.write(t, post(path, "r1", 10)+"01234")
-			s.stop(lateInStop)
-			c.write(t, "56789")
-			c.mustBeRefused(t)
-			must.Eq(t, 0, s.app.Runs("r1")+s.sampler.Runs("r1"))
+			s.mustNotRun(t)
 			s.mustEndInTime(t)
 		})
 	}
