forward: each attempt looks at what is left of a planned stop

A posting that full servers refused at first was passed on 0.3 s after the stop signal, to a server that needed longer than the grace period: its caller would have got 502, outcome unknown, for a request that another gateway could have served. The period was compared with the request's needs once, before the first attempt.

Found by reading. TestRetryInStop failed before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -37,6 +37,8 @@
 	// streamReadTimeout is the read timeout of a stream that can resume on another server:
 	// callers disconnect after two seconds at the earliest.
 	streamReadTimeout = 1500 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After of requests that a stopping process refuses: other processes serve them.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// retryDelay is the delay before servers without free capacity are asked again.
 	retryDelay = 15 * time.Millisecond
 )
@@ -111,6 +113,9 @@
 	}
 	var last error
 	for {
+		if err := r.request.checkStop(); err != nil {
+			return nil, r.refuse(ctx, err)
+		}
 		server, reason := r.forwarder.Roster.Choose(r.pool, r.tried)
 		if server == nil {
 			if retry, err := r.resetTried(ctx, last); !retry {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -3,6 +3,7 @@
 package forward
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/admission"
@@ -10,6 +11,7 @@
 	"github.com/bramleyhatch/bramleyhatch/internal/budget"
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
 	"github.com/bramleyhatch/bramleyhatch/internal/poison"
+	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 	"github.com/bramleyhatch/bramleyhatch/internal/table"
 )
 
@@ -26,6 +28,9 @@
 	Class admission.Class
 	// Deadline is the deadline of the caller or the route.
 	Deadline clock.Boot
+	// StopsIn returns how much longer this process answers requests; isStopping is false unless it stops. nil means that it
+	// never does.
+	StopsIn func() (left time.Duration, isStopping bool)
 	// OnFailed, if not nil, is called for each answer in which a backend server reports that
 	// the request failed there.
 	OnFailed func()
@@ -43,10 +48,22 @@
 	return r.Route.Kind == table.Idempotent || r.Route.Kind == table.Stream && r.Route.Resumable
 }
 
-// MayEndWithin reports whether the request is worth sending if this process answers no longer than for the given time. A
+// checkStop returns the refusal of a request that this process must not send any more, since it stops before the request can
+// end.
+func (r *Request) checkStop() error {
+	if r.StopsIn == nil {
+		return nil
+	}
+	if left, isStopping := r.StopsIn(); !isStopping || r.mayEndWithin(left) {
+		return nil
+	}
+	return refusal.NotRun(http.StatusServiceUnavailable, "stopping", "this process stops before the request can end").WithRetryAfter(stoppingRetryAfter)
+}
+
+// mayEndWithin reports whether the request is worth sending if this process answers no longer than for the given time. A
 // request that may run once needs all the time that its caller allows: its outcome would stay unknown. Another one is
 // expected to take a multiple of its target latency; the rest of a stream can be resumed elsewhere.
-func (r *Request) MayEndWithin(available time.Duration) bool {
+func (r *Request) mayEndWithin(available time.Duration) bool {
 	needed := r.left()
 	if target := r.Route.LatencyTarget; target > 0 && r.isRepeatable() {
 		needed = min(needed, minTargetMultiple*target)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -71,11 +71,11 @@
 }
 
 // resume continues the stream on another server. It returns false if no server is
-// available, or if the request has no attempt or time left.
+// available, or if the request has no attempt or time left, or this process stops too soon.
 func (s *stream) resume(cause error) bool {
 	s.close()
 	s.run.recordFailure(s.ctx, s.server, cause)
-	for s.ctx.Err() == nil && s.run.policy.recordFailure(cause, s.run.request.left()) {
+	for s.ctx.Err() == nil && s.run.policy.recordFailure(cause, s.run.request.left()) && s.run.request.checkStop() == nil {
 		server, reason := s.run.forwarder.Roster.Choose(s.run.pool, s.run.tried)
 		if server == nil {
 			return false
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -32,8 +32,6 @@
 	defaultTimeout = 60 * time.Second
 	// maxWait bounds how long a call waits for new results or store changes.
 	maxWait = time.Second
-	// stoppingRetryAfter is the Retry-After of requests that a stopping process refuses: other processes serve them.
-	stoppingRetryAfter = 50 * time.Millisecond
 )
 
 // bodyCodes are the codes of requests whose bodies can't be read.
@@ -257,13 +255,11 @@
 		Memory:   listen.ReservationOf(r.Context()),
 		Route:    admitted.route,
 		Deadline: admitted.began.Add(h.requestTimeout(r, admitted.route)),
+		StopsIn:  h.stopsIn,
 	}
 	if h.CountStart != nil && admitted.account.Name != "" {
 		request.OnReceived = func() { h.CountStart(admitted.account.Name, admitted.route.Name) }
 	}
-	if untilStop, isStopping := h.stopsIn(); isStopping && !request.MayEndWithin(untilStop) {
-		return refuseStopping()
-	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	endWait := h.onStop(cancel)
@@ -301,10 +297,6 @@
 	return func() { stop() }
 }
 
-func refuseStopping() error {
-	return refusal.NotRun(http.StatusServiceUnavailable, "stopping", "this process stops before the request can end").WithRetryAfter(stoppingRetryAfter)
-}
-
 // requestTimeout returns the shorter of the caller's and the route's timeout.
 func (h *Handler) requestTimeout(r *http.Request, route *table.Route) time.Duration {
 	timeout := routeTimeout(route)
--- a/test/gateway/stop_test.go
+++ b/test/gateway/stop_test.go
@@ -241,6 +241,21 @@
 	s.mustEndInTime(t)
 }
 
+// Guards against a request that a full server refuses at first, and that is passed on late in a stop.
+func TestRetryInStop(t *testing.T) {
+	t.Parallel()
+	s := newStopTest(t)
+	s.app.SetFault(always(wiretest.FaultRefuse))
+	c := s.gateway.dial(t)
+	c.write(t, post("/post/x", "r1", 0))
+	await(t, "the server has the request", func() bool { return s.app.Header("r1") != nil })
+	s.stop(300 * time.Millisecond)
+	s.app.SetFault(always(wiretest.NoFault))
+	c.mustBeRefused(t)
+	s.mustNotRun(t)
+	s.mustEndInTime(t)
+}
+
 // Guards against refusals of requests that the rest of the grace can serve.
 func TestEarlyRequestInStop(t *testing.T) {
 	for name, path := range map[string]string{"posting": "/post/x", "request that may be repeated": "/look/x"} {
