bramleyhatch: tasks end within the grace period too

A task that doesn't end kept a stopping process alive beyond its grace period, until a supervisor killed it; drains that took the whole period left nothing for servers and tasks. Drains now end shortly before its end, and the process waits for tasks until then, as for servers.

Found by reading. TestGraceCoversTasks failed before.

--- a/internal/bramleyhatch/process.go
+++ b/internal/bramleyhatch/process.go
@@ -162,10 +162,10 @@
 	return eris.Wrapf(err, "run task %s", task.Name)
 }
 
-// runDrains calls all drains concurrently and waits for them up to the grace period.
+// runDrains starts the grace period, calls all drains concurrently and waits for them until shortly before its end.
 func (p *Process) runDrains() {
 	p.shutdown.begin()
-	ctx, cancel := context.WithDeadline(context.Background(), *p.shutdown.end.Load())
+	ctx, cancel := context.WithDeadline(context.Background(), p.shutdown.drainDeadline())
 	defer cancel()
 	var group sync.WaitGroup
 	for _, drain := range p.drains {
@@ -225,9 +225,9 @@
 		p.runDrains()
 	}
 	stopServers()
-	err = errors.Join(append(p.shutdown.await(servers, stopped), err)...)
+	err = errors.Join(err, p.shutdown.await(servers, "servers", stopped))
 	stopTasks()
-	err = errors.Join(err, <-finished)
+	err = errors.Join(err, p.shutdown.await(1, "tasks", finished))
 	klog.InfoS("process: stopped", "name", p.addresses.Name, "err", err)
 	return err
 }
--- a/internal/bramleyhatch/process_test.go
+++ b/internal/bramleyhatch/process_test.go
@@ -112,6 +112,25 @@
 	must.Less(t, grace+slack, time.Since(stoppedAt))
 }
 
+// Guards against a process that outlives its grace period because a task doesn't end.
+func TestGraceCoversTasks(t *testing.T) {
+	const grace, slack = time.Second, 700 * time.Millisecond
+	process := newProcess(settingspb.Process_builder{Name: "p", Peer: "127.0.0.1:0", Grace: durationpb.New(grace)}.Build(), &settingspb.Secure{})
+	release := make(chan struct{})
+	defer close(release)
+	process.AddTask("stuck", func(context.Context) error { <-release; return nil })
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- process.run(ctx, nil) }()
+	stop()
+	select {
+	case err := <-ended:
+		must.NoError(t, err)
+	case <-time.After(grace + slack):
+		t.Fatal("the process is still running")
+	}
+}
+
 // dialUntil connects to an address on which a process will listen.
 func dialUntil(address string) (conn net.Conn, err error) {
 	for range 100 {
--- a/internal/bramleyhatch/shutdown.go
+++ b/internal/bramleyhatch/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -62,19 +63,22 @@
 	return max(0, time.Until(*end)-s.answerTime()), true
 }
 
-// await waits for a number of servers to end, until the grace period is over if the process stops.
-func (s *shutdown) await(servers int, stopped <-chan error) []error {
+// drainDeadline is when drains have to end, so that servers and tasks end within the grace period.
+func (s *shutdown) drainDeadline() time.Time { return s.end.Load().Add(-s.answerTime()) }
+
+// await waits for a number of results, until the grace period is over if the process stops. It returns their errors.
+func (s *shutdown) await(count int, what string, results <-chan error) error {
 	var timeout <-chan time.Time
 	if end := s.end.Load(); end != nil {
 		timeout = time.After(time.Until(*end))
 	}
-	var failures []error
-	for range servers {
+	var failures error
+	for range count {
 		select {
-		case err := <-stopped:
-			failures = append(failures, err)
+		case err := <-results:
+			failures = errors.Join(failures, err)
 		case <-timeout:
-			klog.InfoS("process: the grace period is over while servers still have requests", "grace", s.grace)
+			klog.InfoS("process: the grace period is over", "grace", s.grace, "running", what)
 			return failures
 		}
 	}
