http1: a connection that broke isn't taken for the end of an answer

Callers got a part of an answer as the whole one: a server answered a long upload at once with a 200 that had no length, sent part of the body and reset the connection while the upload was still being written. Postings, look-ups, streams, items and scorers of gateways were hit, and each client of package listen, with TLS too.

Cause: the kernel reports a reset, or a timeout, once. If the write of the upload gets the error, the read after it returns EOF, which is how a body without a length ends. net/http closes the connection after the failed write, but the read is earlier. Answers with a length or in chunks miss their end and were cut before, too.

Fix: http1.Socket, below TLS and net/http, records the errors of writes. At EOF it stops the write in progress, waits for it, since its call may have returned without having been recorded, and returns a CutError if any call has failed. EPIPE is no cut: the kernel reports it for a reset after the server's FIN, and for each write after one that got the error. The deadline, or a close if there are no deadlines, ends the write at once, so the read doesn't wait for the server. All readers behave as for a reset that a read reports: outcome unknown, a failure of the server, repeated only if it may be.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -109,6 +109,9 @@
 	if checked, isChecked := conn.(*http1.Conn); isChecked {
 		conn = checked.NetConn()
 	}
+	if socket, isSocket := conn.(*http1.Socket); isSocket {
+		conn = socket.NetConn()
+	}
 	mark := sentMark{conn: conn}
 	traced, isTraced := conn.(*tracedConn)
 	if isTraced {
--- a/internal/http1/error.go
+++ b/internal/http1/error.go
@@ -30,3 +30,18 @@
 
 // Error names the problem.
 func (*MemoryError) Error() string { return "no memory for the head of an answer" }
+
+// CutError reports that a connection broke before the server had ended it, so that an answer which ends with its connection
+// is not whole. The server may have run the request.
+type CutError struct {
+	// Cause is the error that the kernel reported.
+	Cause error
+}
+
+// Error names the cause.
+func (e *CutError) Error() string {
+	return "the connection broke before the end of the answer: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *CutError) Unwrap() error { return e.Cause }
--- a/internal/listen/client.go
+++ b/internal/listen/client.go
@@ -53,7 +53,8 @@
 }
 
 // ClientWithOptions returns a Client with options. Its calls fail with a *http1.MalformedAnswerError if the server sends a
-// malformed answer.
+// malformed answer. A read from the body of an answer without a length fails with a *http1.CutError if the connection broke
+// before the server had ended it.
 func ClientWithOptions(name string, options ClientOptions) httpc.Service {
 	logx.SetWriter(klogWriter{})
 	breaker.NoBreakerFor(name)
@@ -130,10 +131,13 @@
 
 func (d *clientDialer) dialPlain(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := d.DialContext(ctx, network, address)
-	if err != nil || d.wrapConn == nil {
-		return conn, err
+	if err != nil {
+		return nil, err
+	}
+	if d.wrapConn != nil {
+		conn = d.wrapConn(conn)
 	}
-	return d.wrapConn(conn), nil
+	return &http1.Socket{Conn: conn}, nil
 }
 
 // checkAnswers returns a connection that fails on malformed answers.
--- /dev/null
+++ b/internal/listen/upload_test.go
@@ -0,0 +1,107 @@
+package listen_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/listen/listentest"
+)
+
+const (
+	// earlyAnswers is the number of answers of each case: which call sees a reset is a race. framedAnswers is that of
+	// answers that can't be cut by one.
+	earlyAnswers, framedAnswers = 40, 5
+	earlyBody                   = "part of a body"
+)
+
+// answerEarly sends an answer before it reads the request's body, and ends the connection.
+func answerEarly(framing string, ending listentest.Ending) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+framing+"\r\n"+earlyBody)
+		ending.End(conn)
+	}
+}
+
+// upload sends a large request; chunked leaves out its length.
+func upload(t *testing.T, server *httptest.Server, chunked bool) (status int, body string, err error) {
+	t.Helper()
+	var content io.Reader = bytes.NewReader(make([]byte, listentest.UploadBytes))
+	if chunked {
+		content = io.MultiReader(content)
+	}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, content)
+	must.NoError(t, err)
+	request.GetBody = nil
+	status, text, err := listen.Exchange(listen.ClientTLS("test", trust(server)), request, 1<<10)
+	return status, string(text), err
+}
+
+// forEachTransport runs a test with both kinds of connections and of uploads.
+func forEachTransport(t *testing.T, handler http.Handler, test func(t *testing.T, server *httptest.Server, chunked bool)) {
+	t.Helper()
+	for transport, start := range map[string]func(*httptest.Server){"plain": (*httptest.Server).Start, "TLS": (*httptest.Server).StartTLS} {
+		for upload, chunked := range map[string]bool{"with a length": false, "in chunks": true} {
+			t.Run(transport+", upload "+upload, func(t *testing.T) {
+				server := httptest.NewUnstartedServer(handler)
+				must.NoError(t, listentest.LimitBuffers(server.Listener))
+				start(server)
+				defer server.Close()
+				test(t, server, chunked)
+			})
+		}
+	}
+}
+
+// Guards against a part of an answer that passes as whole, since the write of the upload gets the error of the reset and
+// the read after it gets the end.
+func TestResetDuringUploadCutsAnswer(t *testing.T) {
+	for framing, test := range map[string]struct {
+		field   string
+		answers int
+	}{
+		"without a length": {"", earlyAnswers},
+		"with a length":    {"Content-Length: 1000\r\n", framedAnswers},
+		"in chunks":        {"Transfer-Encoding: chunked\r\n", framedAnswers},
+	} {
+		for name, ending := range listentest.CutEndings() {
+			t.Run(framing+", "+name, func(t *testing.T) {
+				forEachTransport(t, answerEarly(test.field, ending), func(t *testing.T, server *httptest.Server, chunked bool) {
+					whole := 0
+					for range test.answers {
+						if _, _, err := upload(t, server, chunked); err == nil {
+							whole++
+						}
+					}
+					must.Eq(t, 0, whole)
+				})
+			})
+		}
+	}
+}
+
+// Guards against an answer without a length that is taken for a cut one, since it ends before the upload.
+func TestAnswerThatEndsBeforeUploadIsWhole(t *testing.T) {
+	for name, ending := range listentest.SoundEndings() {
+		t.Run(name, func(t *testing.T) {
+			forEachTransport(t, answerEarly("", ending), func(t *testing.T, server *httptest.Server, chunked bool) {
+				whole := 0
+				for range earlyAnswers {
+					if status, body, err := upload(t, server, chunked); err == nil && status == http.StatusOK && body == earlyBody {
+						whole++
+					}
+				}
+				must.Eq(t, earlyAnswers, whole)
+			})
+		})
+	}
+}
