http1: over TLS only the server's alert ends a body without a length

A client with TLS got a part of an answer as the whole one if the connection ended without close_notify: package tls returns io.EOF for such an end as for a protected one, since many servers leave the alert out. A body with a length or in chunks shows its end itself; a body without them is only complete with the alert (RFC 9112, section 9.8).

Conn now returns a CutError where TLS has ended without an alert in such a body. Idle connections and framed answers end as before, so net/http repeats what it repeated.

Found by reading, while the orders of events of a reset were worked out; no caller reported it. TestEndWithoutAlertCutsAnswer failed before (without a length: no error, 1 of 1) and passes now; its part with a length passes with and without the fix.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -6,11 +6,16 @@
 package http1
 
 import (
+	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"sync"
 )
 
+// errNoAlert means that a connection with TLS ended without an alert.
+var errNoAlert = errors.New("TLS ended without an alert of the server")
+
 // Conn is a client's connection that fails once the server sends a malformed answer. Exported fields are set before the
 // first use.
 type Conn struct {
@@ -37,8 +42,9 @@
 // NetConn returns the connection that Conn checks.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// Read implements net.Conn. The error is a *MalformedAnswerError from the first malformed line on, and a *MemoryError
-// after a head for which there is no memory.
+// Read implements net.Conn. The error is a *MalformedAnswerError from the first malformed line on, a *MemoryError after a
+// head for which there is no memory, and a *CutError where TLS ends without an alert in a body that ends with its
+// connection.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	if fault := c.failure(); fault != nil {
 		return 0, fault
@@ -48,9 +54,26 @@
 	if fault != nil {
 		return valid, fault
 	}
+	if errors.Is(err, io.EOF) && c.isTruncated() {
+		return n, &CutError{Cause: errNoAlert}
+	}
 	return n, err
 }
 
+// isTruncated reports whether the answer that is due would end with its connection, but TLS has ended without the server's
+// alert (close_notify). Package tls returns io.EOF for both, as many servers leave the alert out; only the end of such an
+// answer depends on it.
+func (c *Conn) isTruncated() bool {
+	secured, isTLS := c.Conn.(*tls.Conn)
+	if !isTLS {
+		return false
+	}
+	socket, isSocket := secured.NetConn().(*Socket)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return isSocket && socket.isEnded() && c.answer != nil && c.answer.scanner.endsWithConn
+}
+
 // failure returns the error of all further reads; nil if there is none.
 func (c *Conn) failure() error {
 	c.mutex.Lock()
--- a/internal/http1/scanner.go
+++ b/internal/http1/scanner.go
@@ -36,6 +36,8 @@
 	size int
 	// left is the number of bytes left of a chunk, with its line end.
 	left int64
+	// endsWithConn is true once the final head has arrived, if the body ends with the connection.
+	endsWithConn bool
 
 	// reserve takes memory for the heads; nil takes none.
 	reserve func(bytes int64) bool
@@ -199,11 +201,14 @@
 	switch {
 	case ended.isInformational():
 		s.phase = phaseStatus
-	case len(ended.encodings) > 0 && !s.isHead && ended.hasBody():
+	case s.isHead || !ended.hasBody():
+		s.phase = phaseUnchecked
+	case len(ended.encodings) > 0:
 		s.phase = phaseChunkSize
 		s.size = 0
 	default:
 		s.phase = phaseUnchecked
+		s.endsWithConn = len(ended.lengths) == 0
 	}
 	return nil
 }
--- a/internal/listen/listentest/ending.go
+++ b/internal/listen/listentest/ending.go
@@ -46,6 +46,8 @@
 	EndSide
 	// EndSideAndReset ends the server's side, reads on for a while, and resets the connection: the answer is whole.
 	EndSideAndReset
+	// EndWithoutAlert is like EndSide, but with TLS without the alert that protects the end.
+	EndWithoutAlert
 )
 
 // CutEndings are the endings that cut an answer without a length, by their names.
@@ -87,8 +89,8 @@
 	case Reset:
 		time.Sleep(resetDelay)
 		reset(tcp)
-	case EndSide, EndSideAndReset:
-		if secured, isTLS := conn.(*tls.Conn); isTLS {
+	case EndSide, EndSideAndReset, EndWithoutAlert:
+		if secured, isTLS := conn.(*tls.Conn); isTLS && e != EndWithoutAlert {
 			_ = secured.CloseWrite()
 		}
 		_ = tcp.CloseWrite()
--- a/internal/listen/upload_test.go
+++ b/internal/listen/upload_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/bramleyhatch/bramleyhatch/internal/http1"
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
 	"github.com/bramleyhatch/bramleyhatch/internal/listen/listentest"
 )
@@ -105,3 +108,28 @@
 		})
 	}
 }
+
+// Guards against a part of an answer that passes as whole over TLS: anyone on the way can end a connection, but only the
+// server can send the alert that says so.
+func TestEndWithoutAlertCutsAnswer(t *testing.T) {
+	for framing, test := range map[string]struct {
+		field   string
+		isWhole bool
+	}{
+		"without a length": {"", false},
+		"with a length":    {"Connection: close\r\nContent-Length: " + strconv.Itoa(len(earlyBody)) + "\r\n", true},
+	} {
+		t.Run(framing, func(t *testing.T) {
+			server := httptest.NewTLSServer(answerEarly(test.field, listentest.EndWithoutAlert))
+			defer server.Close()
+			for range framedAnswers {
+				request, err := listen.NewJSONRequest(t.Context(), http.MethodGet, server.URL, nil)
+				must.NoError(t, err)
+				status, _, err := listen.Exchange(listen.ClientTLS("test", trust(server)), request, 1<<10)
+				must.Eq(t, http.StatusOK, status)
+				var cut *http1.CutError
+				must.Eq(t, !test.isWhole, errors.As(err, &cut), must.Sprint(err))
+			}
+		})
+	}
+}
