listen: an answer at its limit counts as whole only if it ends there

An answer longer than its reader's limit was taken for whole at the limit, with its end unread: a report, an order of a number of servers, a renewal of a lease, whose status alone counts, was believed although the rest was cut.

Exchange stopped reading at the limit, where a cut after it, or at it, can't be seen. It reads one byte more now, to the end of an answer within the limit, and returns an AnswerSizeError for a longer one, which its callers handle as a cut: outcome unknown. The operators' client reads its answers in the same way.

Found by reading. No caller reported it: the limits are 64 KB and more, the answers some hundred bytes.

--- a/internal/listen/exchange.go
+++ b/internal/listen/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -27,15 +28,29 @@
 	return request, nil
 }
 
-// Exchange sends a request and reads up to limit bytes of the answer. The status is 0 if no
-// answer arrived. An error with a status means that the answer is incomplete; the part
-// received is returned too.
+// AnswerSizeError reports an answer that is longer than what is read of it, so that its end is unknown.
+type AnswerSizeError struct {
+	// Limit is the number of bytes that are read.
+	Limit int64
+}
+
+// Error names the limit.
+func (e *AnswerSizeError) Error() string {
+	return fmt.Sprintf("the answer is longer than %d bytes", e.Limit)
+}
+
+// Exchange sends a request and reads the answer, which may have up to limit bytes. The status is 0 if no answer arrived.
+// An error with a status means that the answer is incomplete, or longer (*AnswerSizeError); the part received is returned
+// too.
 func Exchange(client httpc.Service, request *http.Request, limit int64) (status int, answer []byte, err error) {
 	response, err := client.DoRequest(request)
 	if err != nil {
 		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer, err = io.ReadAll(io.LimitReader(response.Body, limit))
+	answer, err = io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(answer)) > limit {
+		answer, err = answer[:limit], &AnswerSizeError{Limit: limit}
+	}
 	return response.StatusCode, answer, err
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -119,17 +119,12 @@
 	if err != nil {
 		return err
 	}
-	response, err := c.service.DoRequest(request)
+	status, text, err := listen.Exchange(c.service, request, maxResponseBytes)
 	if err != nil {
 		return &UnreachableError{Address: c.address, Cause: err}
 	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
-	if err != nil {
-		return &UnreachableError{Address: c.address, Cause: err}
-	}
-	if response.StatusCode != http.StatusOK {
-		return readProblem(response.StatusCode, text)
+	if status != http.StatusOK {
+		return readProblem(status, text)
 	}
 	return eris.Wrap(protojson.Unmarshal(text, reply), "decode response")
 }
