client: a response whose end is unknown isn't taken for whole

A program that uses pkg/client would take a part of a response for the whole one, such as 12 for 1200, if the response had neither a length nor chunks and its connection broke; or if it was longer than what is read of it. The package uses its caller's HTTP client, so it can't see how a connection ended.

A successful response must have a length or chunks, be compressed, or arrive over HTTP/2, and is read to its end; else the call fails with an IncompleteResponseError, which promises nothing. Entries send all their responses so; only a proxy of HTTP/1.0 between could take the framing away.

Found by reading.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -115,13 +115,16 @@
 		return eris.Wrapf(err, "%s %s", method, path)
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return eris.Wrapf(err, "read response to %s %s", method, path)
 	}
 	if err := checkResponse(response); err != nil {
 		return eris.Wrapf(err, "check response to %s %s", method, path)
 	}
+	if err := checkEnd(response, len(text)); err != nil {
+		return eris.Wrapf(err, "check response to %s %s", method, path)
+	}
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return newRefusedError(response, text)
 	}
@@ -161,6 +164,32 @@
 	return nil
 }
 
+// IncompleteResponseError reports a response of which a part may be missing. The request may have run.
+type IncompleteResponseError struct {
+	Status int
+	// Problem says why its end is unknown.
+	Problem string
+}
+
+// Error names the problem.
+func (e *IncompleteResponseError) Error() string {
+	return fmt.Sprintf("response with status %d may be incomplete: %s", e.Status, e.Problem)
+}
+
+// checkEnd checks that the end of a response shows that it is whole. One without a length or chunks ends with its
+// connection, which ends as well where it breaks. A refusal needs no check: a part of one has no outcome.
+func checkEnd(response *http.Response, read int) error {
+	if read > maxAnswerBytes {
+		return &IncompleteResponseError{Status: response.StatusCode, Problem: fmt.Sprintf("it is longer than %d bytes", maxAnswerBytes)}
+	}
+	// Compressed data show their end.
+	isDelimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.ProtoMajor > 1 || response.Uncompressed
+	if response.StatusCode < http.StatusMultipleChoices && !isDelimited {
+		return &IncompleteResponseError{Status: response.StatusCode, Problem: "it has neither a length nor chunks"}
+	}
+	return nil
+}
+
 func (c *Client) request(ctx context.Context, method, path, idempotencyKey string, body any) (*http.Request, error) {
 	var reader io.Reader = http.NoBody
 	if body != nil {
