backend: test of answers that are reset during the upload at sidecars

A part of an answer of a plain service or an engine isn't whole and isn't called "not run": a plain service's answer needs a length or chunks, an engine's ends with [DONE], and a refusal is believed if its JSON is whole.

--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -4,13 +4,16 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/backend"
+	"github.com/bramleyhatch/bramleyhatch/internal/listen/listentest"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/refusal"
 	"github.com/bramleyhatch/bramleyhatch/platform"
@@ -185,3 +188,56 @@
 		})
 	}
 }
+
+// Guards against an answer of a sidecar's server that looks whole, or like "not run", although its connection was reset
+// during the upload.
+func TestResetDuringUploadAtSidecar(t *testing.T) {
+	const answers = 20
+	upload := strings.Repeat("x", listentest.UploadBytes)
+	post := posting()
+	post.SetBody([]byte(upload))
+	generate := generation()
+	generate.SetBody([]byte(`{"model":"m","prompt":"` + upload + `","max_tokens":2}`))
+	for name, test := range map[string]struct {
+		part string
+		run  func(address string) error
+	}{
+		"plain service": {`{"a":1`, func(address string) error {
+			_, _, _, err := run(newPlain(address), post)
+			return err
+		}},
+		"generation": {oneToken + finish, func(address string) error {
+			_, _, _, err := run(newEngine(address), generate)
+			return err
+		}},
+		"refusal of an engine": {`{"error":"full"`, func(address string) error {
+			_, _, _, err := run(newEngine(address), generate)
+			return err
+		}},
+	} {
+		for how, ending := range listentest.CutEndings() {
+			t.Run(name+", "+how, func(t *testing.T) {
+				status := "200 OK"
+				if strings.HasPrefix(name, "refusal") {
+					status = "503 Service Unavailable"
+				}
+				server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 "+status+"\r\nContent-Type: application/json\r\n\r\n"+test.part)
+					ending.End(conn)
+				}))
+				must.NoError(t, listentest.LimitBuffers(server.Listener))
+				server.Start()
+				defer server.Close()
+				for range answers {
+					err := test.run(server.URL)
+					must.Error(t, err)
+					must.Eq(t, unknown, refusal.Of(err).Outcome)
+				}
+			})
+		}
+	}
+}
