listen: a cut answer to a caller of HTTP/1.0 is reset

A caller of HTTP/1.0 got a part of an answer as the whole one: a server's answer in chunks, or a stream, was cut, and the gateway ended the connection to the caller with a plain close. HTTP/1.0 knows no chunks, so an answer without a length ends with its connection, and the close was its end. The same holds for entries, for an answer that the caller reads too late, and for a process that is killed.

While a request of HTTP/1.0 runs, each close of its connection resets it now (SO_LINGER with 0 s), also that of the kernel when the process dies. It ends as before once the handler has returned and net/http has written the rest. A handler that panics, as handlers do to cut an answer, a write that fails and an eviction close the connection beneath TLS, since close_notify would protect the wrong end. Answers to later versions of HTTP miss their last chunk and are closed as before.

--- a/internal/listen/body.go
+++ b/internal/listen/body.go
@@ -97,7 +97,7 @@
 		return
 	}
 	c.beginBody()
-	c.reservation.Receive(func() { _ = c.Close() })
+	c.reservation.Receive(c.cut)
 	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
 }
 
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -51,6 +51,9 @@
 	// written is the size of the answer so far, and blocked the time for which its writes have waited.
 	written int64
 	blocked time.Duration
+	// isVersion10 is true during a request of HTTP/1.0, and hasAnswered once its handler has returned.
+	isVersion10 bool
+	hasAnswered bool
 }
 
 type connKey struct{}
@@ -99,7 +102,7 @@
 
 // Write writes to the client. It fails if a part, or all writes of an answer together, wait for the client for too long.
 func (c *conn) Write(data []byte) (int, error) {
-	defer c.reservation.Send(func() { _ = c.Close() })()
+	defer c.reservation.Send(c.cut)()
 	written := 0
 	for {
 		part := data[written:min(len(data), written+writeBytes)]
@@ -118,8 +121,12 @@
 	}
 	n, err := c.Conn.Write(part)
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
 	c.blocked += time.Since(began)
+	isCut := err != nil && c.isVersion10
+	c.mutex.Unlock()
+	if isCut {
+		c.cut()
+	}
 	return n, err
 }
 
@@ -219,6 +226,49 @@
 	defer c.mutex.Unlock()
 	c.isBusy, c.isReceiving, c.isReceived, c.headBytes, c.since = false, false, false, 0, time.Now()
 	c.written, c.blocked = 0, 0
+	if c.isVersion10 {
+		c.isVersion10 = false
+		c.setLinger(systemLinger)
+	}
+}
+
+const (
+	// resetLinger makes a close reset the connection, also that of the kernel when the process ends.
+	resetLinger = 0
+	// systemLinger makes a close end the connection once all data was sent.
+	systemLinger = -1
+)
+
+// beginVersion10 makes each close of the connection reset it until the answer to a request of HTTP/1.0 was written. An
+// answer without a length ends with the connection there, so a close would make a part of it look whole.
+func (c *conn) beginVersion10() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.isVersion10, c.hasAnswered = true, false
+	c.setLinger(resetLinger)
+}
+
+// endVersion10 marks that the handler of a request has returned. net/http writes the rest of the answer.
+func (c *conn) endVersion10() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.hasAnswered = true
+}
+
+// cut closes the connection within an answer, and resets it if the request is one of HTTP/1.0. It does so beneath TLS, which
+// would send the alert that protects the end of an answer.
+func (c *conn) cut() {
+	c.mutex.Lock()
+	c.hasAnswered = false
+	c.mutex.Unlock()
+	_ = c.Close()
+}
+
+// setLinger sets what a close does. The mutex must be held.
+func (c *conn) setLinger(seconds int) {
+	if tcp, isTCP := c.Conn.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(seconds)
+	}
 }
 
 // beginBody marks that the body of a request is being received.
@@ -273,8 +323,13 @@
 	return true
 }
 
-// Close closes the connection.
+// Close closes the connection. Within the answer to a request of HTTP/1.0 it resets the connection.
 func (c *conn) Close() error {
 	c.once.Do(func() { c.listener.remove(c) })
+	c.mutex.Lock()
+	if c.isVersion10 && c.hasAnswered {
+		c.setLinger(systemLinger)
+	}
+	c.mutex.Unlock()
 	return c.Conn.Close()
 }
--- a/internal/listen/http.go
+++ b/internal/listen/http.go
@@ -132,7 +132,7 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	return &http.Server{
-		Handler:           h.withLimits(next),
+		Handler:           withReset(h.withLimits(next)),
 		TLSConfig:         h.TLS,
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
@@ -172,6 +172,29 @@
 	})
 }
 
+// withReset resets the connection of an answer to a request of HTTP/1.0 whose handler panics, as handlers do to cut an
+// answer.
+func withReset(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoAtLeast(1, 1) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		c := connOf(r.Context())
+		c.beginVersion10()
+		hasReturned := false
+		defer func() {
+			if hasReturned {
+				c.endVersion10()
+				return
+			}
+			c.cut()
+		}()
+		next.ServeHTTP(w, r)
+		hasReturned = true
+	})
+}
+
 // newErrorLog returns a log for what net/http reports of its connections.
 func newErrorLog() *log.Logger { return log.New(errorLogWriter{}, "", 0) }
 
