forward: a server that cuts an answer which is passed on gets less work

A server that cut long answers, or streams that can't be resumed, kept getting as much work as one that answers: the cut was told to the tracker of crashes, but not to the roster, as it is for answers that are read before they are passed on.

observeBody tells the roster too, unless the request has ended by itself. Read timeouts don't count there: a caller that reads slowly causes them as well.

Found by reading, while the readers of cut answers were listed. TestFailuresWithinBodiesThatArePassedOn: its two parts of cut answers failed before, and pass now in 10 runs with the race detector; whole answers, callers that leave and callers that read slowly count as no failure before and after.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -286,10 +286,21 @@
 			r.recordAnswer(answer)
 			return
 		}
-		r.tracker.RecordFailure(ctx, server.Instance(), answer.Interrupted())
+		failure := answer.Interrupted()
+		r.tracker.RecordFailure(ctx, server.Instance(), failure)
+		if ctx.Err() == nil && isCut(failure) {
+			RecordFailure(ctx, r.forwarder.Roster, server, failure)
+		}
 	}}
 }
 
+// isCut reports whether the server ended an answer early. A read timeout of a body that is passed on may be due to a caller
+// that reads slowly.
+func isCut(failure error) bool {
+	code := refusal.Of(failure).Code
+	return code == backend.CodeInterrupted || code == backend.CodeMalformed
+}
+
 func (r *run) recordFailure(ctx context.Context, server *roster.Server, err error) {
 	RecordFailure(ctx, r.forwarder.Roster, server, err)
 	r.tracker.RecordFailure(ctx, server.Instance(), err)
