http1, listen, forward: tests of guards that no test saw

Guards were taken out one by one. Four were seen by no test: that the first error of a connection counts, that only a body without a length needs TLS's alert, that the end of a request's time is no failure of its server, and that a connection of HTTP/1.0 is as before once its request has ended. Each has a part of a test now that fails without it.

--- a/internal/forward/failure_test.go
+++ b/internal/forward/failure_test.go
@@ -75,6 +75,16 @@
 			})
 		}
 	}
+	t.Run("the request's time ends", func(t *testing.T) {
+		s := newService(t, sendPart(largeBody, hold), finish)
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		answer, err := s.run(ctx, idempotent)
+		must.NoError(t, err)
+		must.Error(t, readAll(answer))
+		answer.Finish()
+		must.True(t, isChosen(s.forwarder.Roster, s.reachedServers()[0]))
+	})
 	t.Run("read slowly by the caller", func(t *testing.T) {
 		s := newService(t, sendPart(largeBody, hold), finish)
 		answer, err := s.run(t.Context(), idempotent)
--- a/internal/http1/socket_test.go
+++ b/internal/http1/socket_test.go
@@ -19,6 +19,7 @@
 	errReset     = &net.OpError{Op: "write", Err: os.NewSyscallError("write", syscall.ECONNRESET)}
 	errTimedOut  = &net.OpError{Op: "write", Err: os.NewSyscallError("write", syscall.ETIMEDOUT)}
 	errPipe      = &net.OpError{Op: "write", Err: os.NewSyscallError("write", syscall.EPIPE)}
+	errLater     = &net.OpError{Op: "write", Err: os.NewSyscallError("write", syscall.EHOSTUNREACH)}
 	errReadReset = &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ECONNRESET)}
 )
 
@@ -122,7 +123,7 @@
 		t.Run(name+" in an earlier write", func(t *testing.T) {
 			conn := newFakeConn()
 			socket := &http1.Socket{Conn: conn}
-			for _, err := range []error{nil, failure, errPipe} {
+			for _, err := range []error{nil, failure, errPipe, errLater} {
 				conn.writes <- err
 				must.EqOp(t, err, <-startWrite(conn, socket))
 			}
--- a/internal/listen/upload_test.go
+++ b/internal/listen/upload_test.go
@@ -113,11 +113,12 @@
 // server can send the alert that says so.
 func TestEndWithoutAlertCutsAnswer(t *testing.T) {
 	for framing, test := range map[string]struct {
-		field   string
-		isWhole bool
+		field          string
+		isWhole, isCut bool
 	}{
-		"without a length": {"", false},
-		"with a length":    {"Connection: close\r\nContent-Length: " + strconv.Itoa(len(earlyBody)) + "\r\n", true},
+		"without a length":        {field: "", isCut: true},
+		"with a length":           {field: "Connection: close\r\nContent-Length: " + strconv.Itoa(len(earlyBody)) + "\r\n", isWhole: true},
+		"a part, with its length": {field: "Content-Length: 1000\r\n"},
 	} {
 		t.Run(framing, func(t *testing.T) {
 			server := httptest.NewTLSServer(answerEarly(test.field, listentest.EndWithoutAlert))
@@ -128,7 +129,8 @@
 				status, _, err := listen.Exchange(listen.ClientTLS("test", trust(server)), request, 1<<10)
 				must.Eq(t, http.StatusOK, status)
 				var cut *http1.CutError
-				must.Eq(t, !test.isWhole, errors.As(err, &cut), must.Sprint(err))
+				must.Eq(t, test.isWhole, err == nil, must.Sprint(err))
+				must.Eq(t, test.isCut, errors.As(err, &cut), must.Sprint(err))
 			}
 		})
 	}
--- a/internal/listen/version10_test.go
+++ b/internal/listen/version10_test.go
@@ -170,9 +170,9 @@
 // serverEnv makes a child process of the test binary run TestVersion10Server.
 const serverEnv = "LISTEN_VERSION10_SERVER"
 
-// Guards against a part of an answer that looks whole to a client of HTTP/1.0, since the kernel closes the connections of a
-// process that is killed.
-func TestKilledProcessResetsVersion10(t *testing.T) {
+// startServerProcess starts a process that serves until it is killed, and connects to it.
+func startServerProcess(t *testing.T) (process *os.Process, conn net.Conn) {
+	t.Helper()
 	server := exec.CommandContext(t.Context(), os.Args[0], "-test.run=^TestVersion10Server$", "-test.v") //nolint:gosec // runs the test binary itself
 	server.Env = append(os.Environ(), serverEnv+"=1")
 	output, err := server.StdoutPipe()
@@ -185,16 +185,40 @@
 	for address == "" && lines.Scan() {
 		_, address, _ = strings.Cut(lines.Text(), "listening on ")
 	}
-	conn, err := net.Dial("tcp", address)
+	conn, err = net.Dial("tcp", address)
 	must.NoError(t, err)
-	defer func() { _ = conn.Close() }()
+	t.Cleanup(func() { _ = conn.Close() })
 	must.NoError(t, conn.SetDeadline(time.Now().Add(answerTimeout)))
-	request10(t, conn, "/wait")
-	_, err = io.CopyN(io.Discard, conn, partBytes)
-	must.NoError(t, err)
-	must.NoError(t, server.Process.Kill())
-	_, err = io.Copy(io.Discard, conn)
-	must.Error(t, err)
+	return server.Process, conn
+}
+
+// Guards against a part of an answer that looks whole to a client of HTTP/1.0, since the kernel closes the connections of a
+// process that is killed, and against a reset of a connection that only waits for the next request.
+func TestKilledProcessResetsVersion10(t *testing.T) {
+	t.Run("within an answer", func(t *testing.T) {
+		process, conn := startServerProcess(t)
+		request10(t, conn, "/wait")
+		_, err := io.CopyN(io.Discard, conn, partBytes)
+		must.NoError(t, err)
+		must.NoError(t, process.Kill())
+		_, err = io.Copy(io.Discard, conn)
+		must.Error(t, err)
+	})
+	t.Run("after an answer and one to a later version", func(t *testing.T) {
+		process, conn := startServerProcess(t)
+		reader := bufio.NewReader(conn)
+		for _, version := range []string{"1.0", "1.1"} {
+			_, err := io.WriteString(conn, "GET /length HTTP/"+version+"\r\nHost: h.example\r\nConnection: keep-alive\r\n\r\n")
+			must.NoError(t, err)
+			response, err := http.ReadResponse(reader, nil)
+			must.NoError(t, err)
+			_, err = io.Copy(io.Discard, response.Body)
+			must.NoError(t, err)
+		}
+		must.NoError(t, process.Kill())
+		_, err := reader.ReadByte()
+		must.EqOp(t, io.EOF, err)
+	})
 }
 
 // TestVersion10Server serves until it is killed.
