http1: a failed write doesn't end an answer that has arrived

A server answered a long upload before it had read it, ended its side and reset the rest of the upload at once. Its answer was whole and had arrived, but the caller of a posting got 502, outcome unknown, and other requests were sent again. The same happened to answers with a length or in chunks whose server reset the connection after them.

Cause: net/http closes the connection when a write fails, and what the kernel holds of the answer is lost with it.

http1.Conn returns the error of a write once its reads have ended, or it was closed. A connection that broke ends its reads at once, so nothing waits longer; after a framed answer net/http gives a write 50 ms, as before, and closes the connection.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -2,7 +2,8 @@
 //
 // net/http is liberal in what it accepts. A status below 100, a blank in a field's name or a second statement of the
 // body's length would be passed on, or change where the body ends. This package rejects such answers before net/http
-// parses them, so that their connection carries no further request.
+// parses them, so that their connection carries no further request. It also tells a connection that broke from one that
+// the server has ended, which ends a body without a length.
 package http1
 
 import (
@@ -29,6 +30,9 @@
 	answer *answer
 	// fault is the error of all further reads.
 	fault error
+	// ended is closed once a read has failed, or the connection was closed; nil until it is needed.
+	ended chan struct{}
+	once  sync.Once
 }
 
 // answer is the check of the answer to one request. net/http hands a connection out for the next request before it delivers
@@ -46,6 +50,46 @@
 // head for which there is no memory, and a *CutError where TLS ends without an alert in a body that ends with its
 // connection.
 func (c *Conn) Read(buffer []byte) (int, error) {
+	n, err := c.read(buffer)
+	if err != nil {
+		c.end()
+	}
+	return n, err
+}
+
+// Write implements net.Conn. Its error waits for the end of the reads: net/http closes the connection after a failed write,
+// but the kernel may hold an answer that the server sent before it reset the upload.
+func (c *Conn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	if err != nil {
+		<-c.hasEnded()
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
+
+// end marks that no more is read.
+func (c *Conn) end() {
+	ended := c.hasEnded()
+	c.once.Do(func() { close(ended) })
+}
+
+// hasEnded returns a channel that is closed once no more is read.
+func (c *Conn) hasEnded() chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.ended == nil {
+		c.ended = make(chan struct{})
+	}
+	return c.ended
+}
+
+func (c *Conn) read(buffer []byte) (int, error) {
 	if fault := c.failure(); fault != nil {
 		return 0, fault
 	}
--- a/internal/http1/error.go
+++ b/internal/http1/error.go
@@ -34,7 +34,7 @@
 // CutError reports that a connection broke before the server had ended it, so that an answer which ends with its connection
 // is not whole. The server may have run the request.
 type CutError struct {
-	// Cause is the error that the kernel reported.
+	// Cause says how it broke, mostly as the kernel reported it.
 	Cause error
 }
 
--- a/internal/http1/socket_test.go
+++ b/internal/http1/socket_test.go
@@ -213,3 +213,55 @@
 		must.Zero(t, len(conn.started))
 	})
 }
+
+// Guards against an answer that is lost since net/http closes the connection after a failed write, and against a write that
+// never ends.
+func TestWriteErrorWaitsForReads(t *testing.T) {
+	start := func(t *testing.T) (fake *fakeConn, conn *http1.Conn, written <-chan error) {
+		t.Helper()
+		fake = newFakeConn()
+		conn = &http1.Conn{Conn: &http1.Socket{Conn: fake}}
+		ended := make(chan error, 1)
+		fake.writes <- errPipe
+		go func() {
+			_, err := conn.Write([]byte("upload"))
+			ended <- err
+		}()
+		fake.reads <- nil
+		_, err := conn.Read(make([]byte, 1))
+		must.NoError(t, err)
+		select {
+		case <-ended:
+			t.Fatal("the write ended before the reads")
+		case <-time.After(20 * time.Millisecond):
+		}
+		return fake, conn, ended
+	}
+	t.Run("end", func(t *testing.T) {
+		fake, conn, written := start(t)
+		fake.reads <- io.EOF
+		_, err := conn.Read(make([]byte, 1))
+		must.EqOp(t, io.EOF, err)
+		must.ErrorIs(t, <-written, errPipe)
+	})
+	t.Run("failed read", func(t *testing.T) {
+		fake, conn, written := start(t)
+		fake.reads <- errReadReset
+		_, err := conn.Read(make([]byte, 1))
+		must.ErrorIs(t, err, errReadReset)
+		must.ErrorIs(t, <-written, errPipe)
+	})
+	t.Run("close", func(t *testing.T) {
+		_, conn, written := start(t)
+		must.NoError(t, conn.Close())
+		must.ErrorIs(t, <-written, errPipe)
+		must.NoError(t, conn.Close())
+	})
+	t.Run("sound writes don't wait", func(t *testing.T) {
+		fake := newFakeConn()
+		conn := &http1.Conn{Conn: &http1.Socket{Conn: fake}}
+		fake.writes <- nil
+		_, err := conn.Write([]byte("upload"))
+		must.NoError(t, err)
+	})
+}
--- a/internal/listen/listentest/ending.go
+++ b/internal/listen/listentest/ending.go
@@ -44,7 +44,7 @@
 	CloseUnread
 	// EndSide ends the server's side and reads the rest of the request: the answer is whole.
 	EndSide
-	// EndSideAndReset ends the server's side, reads on for a while, and resets the connection: the answer is whole.
+	// EndSideAndReset ends the server's side, and resets the connection at once: the answer is whole.
 	EndSideAndReset
 	// EndWithoutAlert is like EndSide, but with TLS without the alert that protects the end.
 	EndWithoutAlert
@@ -63,8 +63,6 @@
 const (
 	// endTimeout bounds the wait for a client.
 	endTimeout = 10 * time.Second
-	// readOnTime is how long EndSideAndReset reads on.
-	readOnTime = 10 * time.Millisecond
 	// resetDelay is long enough for a client to read what was sent, and to fill the connection's buffers: a reset then
 	// wakes both its read and its write.
 	resetDelay = 5 * time.Millisecond
@@ -94,15 +92,12 @@
 			_ = secured.CloseWrite()
 		}
 		_ = tcp.CloseWrite()
-		readTime := endTimeout
-		if e == EndSideAndReset {
-			readTime = readOnTime
-		}
-		_ = tcp.SetReadDeadline(time.Now().Add(readTime))
-		_, _ = io.Copy(io.Discard, tcp)
 		if e == EndSideAndReset {
 			reset(tcp)
+			return
 		}
+		_ = tcp.SetReadDeadline(time.Now().Add(endTimeout))
+		_, _ = io.Copy(io.Discard, tcp)
 	}
 }
 
--- a/internal/listen/upload_test.go
+++ b/internal/listen/upload_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -23,14 +24,19 @@
 	earlyBody                   = "part of a body"
 )
 
-// answerEarly sends an answer before it reads the request's body, and ends the connection.
+// answerEarly sends a part of an answer before it reads the request's body, and ends the connection.
 func answerEarly(framing string, ending listentest.Ending) http.HandlerFunc {
+	return sendEarly(framing+"\r\n"+earlyBody, ending)
+}
+
+// sendEarly sends what follows a status line before it reads the request's body, and ends the connection.
+func sendEarly(text string, ending listentest.Ending) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
 		}
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+framing+"\r\n"+earlyBody)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+text)
 		ending.End(conn)
 	}
 }
@@ -109,6 +115,31 @@
 	}
 }
 
+// Guards against a whole answer that is lost although it has arrived, since the write of the upload fails.
+func TestWholeAnswerOutlivesResetOfUpload(t *testing.T) {
+	const size = "e"
+	for framing, test := range map[string]struct{ text, body string }{
+		"with a length": {"Content-Length: " + strconv.Itoa(len(earlyBody)) + "\r\n\r\n" + earlyBody, earlyBody},
+		"in chunks":     {"Transfer-Encoding: chunked\r\n\r\n" + size + "\r\n" + earlyBody + "\r\n0\r\n\r\n", earlyBody},
+		"without body":  {"Content-Length: 0\r\n\r\n", ""},
+	} {
+		endings := listentest.CutEndings()
+		maps.Copy(endings, listentest.SoundEndings())
+		for name, ending := range endings {
+			t.Run(framing+", "+name, func(t *testing.T) {
+				forEachTransport(t, sendEarly(test.text, ending), func(t *testing.T, server *httptest.Server, chunked bool) {
+					for range framedAnswers {
+						status, body, err := upload(t, server, chunked)
+						must.NoError(t, err)
+						must.Eq(t, http.StatusOK, status)
+						must.Eq(t, test.body, body)
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against a part of an answer that passes as whole over TLS: anyone on the way can end a connection, but only the
 // server can send the alert that says so.
 func TestEndWithoutAlertCutsAnswer(t *testing.T) {
