--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -221,14 +221,8 @@
 				if strings.HasPrefix(name, "refusal") {
 					status = "503 Service Unavailable"
 				}
-				server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-					conn, _, err := http.NewResponseController(w).Hijack()
-					if err != nil {
-						return
-					}
-					_, _ = io.WriteString(conn, "HTTP/1.1 "+status+"\r\nContent-Type: application/json\r\n\r\n"+test.part)
-					ending.End(conn)
-				}))
+				text := "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\n\r\n" + test.part
+				server := httptest.NewUnstartedServer(listentest.AnswerEarly(text, ending))
 				must.NoError(t, listentest.LimitBuffers(server.Listener))
 				server.Start()
 				defer server.Close()
--- a/internal/listen/exchange_test.go
+++ b/internal/listen/exchange_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/listen/listentest"
 )
 
 // Guards against an answer that counts as whole at the limit, before its end or its cut is read.
@@ -35,14 +35,7 @@
 			if strings.Contains(test.framing, "chunked") {
 				body = "3e8\r\n" + body
 			}
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+test.framing+"\r\n"+body)
-				_ = conn.Close()
-			}))
+			server := httptest.NewServer(listentest.AnswerEarly("HTTP/1.1 200 OK\r\n"+test.framing+"\r\n"+body, listentest.EndSide))
 			defer server.Close()
 			request, err := listen.NewJSONRequest(t.Context(), http.MethodGet, server.URL, nil)
 			must.NoError(t, err)
--- a/internal/listen/listentest/ending.go
+++ b/internal/listen/listentest/ending.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 )
@@ -101,6 +102,19 @@
 	}
 }
 
+// AnswerEarly returns a handler that sends a text in place of an answer, before the request's body is read, and ends the
+// connection.
+func AnswerEarly(text string, ending Ending) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, text)
+		ending.End(conn)
+	}
+}
+
 func reset(conn *net.TCPConn) {
 	_ = conn.SetLinger(0)
 	_ = conn.Close()
--- a/internal/listen/upload_test.go
+++ b/internal/listen/upload_test.go
@@ -31,14 +31,7 @@
 
 // sendEarly sends what follows a status line before it reads the request's body, and ends the connection.
 func sendEarly(text string, ending listentest.Ending) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+text)
-		ending.End(conn)
-	}
+	return listentest.AnswerEarly("HTTP/1.1 200 OK\r\n"+text, ending)
 }
 
 // upload sends a large request; chunked leaves out its length.
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -41,16 +41,7 @@
 		t.Cleanup(server.Close)
 		return hours, (&client.Client{Address: server.URL, HTTP: server.Client()}).Get(t.Context(), "ledger", "/records/1", &hours)
 	}
-	raw := func(text string) http.HandlerFunc {
-		return func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(conn, text)
-			_ = conn.Close()
-		}
-	}
+	raw := func(text string) http.HandlerFunc { return listentest.AnswerEarly(text, listentest.EndSide) }
 	startHTTP2 := func(handler http.Handler) *httptest.Server {
 		server := httptest.NewUnstartedServer(handler)
 		server.EnableHTTP2 = true
--- a/test/gateway/upload_test.go
+++ b/test/gateway/upload_test.go
@@ -98,54 +98,55 @@
 	return servers[0].Runs(id) + servers[1].Runs(id)
 }
 
+// sendUploads sends uploads whose IDs begin with a prefix, and checks each reply.
+func (g *gateway) sendUploads(t *testing.T, path, prefix string, check func(id string, got reply)) {
+	t.Helper()
+	for i := range earlyAnswers {
+		id := fmt.Sprint(prefix, i)
+		check(id, g.send(t, http.MethodPost, path, "key-acme", id, upload(id)))
+	}
+}
+
 // Guards against a part of an answer without a length that passes as whole, since its server reset the connection during
 // the upload.
 func TestResetDuringUpload(t *testing.T) {
 	for name, ending := range listentest.CutEndings() {
 		t.Run(name+", a posting", func(t *testing.T) {
 			g, app, _ := startEarly(t, "p-", earlyPart, ending)
-			for i := range earlyAnswers {
-				id := fmt.Sprintf("p-%d", i)
-				got := g.send(t, http.MethodPost, "/post/x", "key-acme", id, upload(id))
+			g.sendUploads(t, "/post/x", "p-", func(id string, got reply) {
 				must.NoError(t, got.err)
 				must.Eq(t, http.StatusBadGateway, got.status)
 				must.Eq(t, "unknown", got.header.Get("X-Bramleyhatch-Outcome"))
 				must.Eq(t, "", got.header.Get("Sampler-Signature"))
 				must.StrContains(t, got.body, "backend_cut")
 				must.Eq(t, 1, runs(app, id))
-			}
+			})
 		})
 		t.Run(name+", a request that may be repeated", func(t *testing.T) {
 			g, app, _ := startEarly(t, "r-", earlyPart, ending)
-			for i := range earlyAnswers {
-				id := fmt.Sprintf("r-%d", i)
-				got := g.send(t, http.MethodPost, "/look/x", "key-acme", id, upload(id))
+			g.sendUploads(t, "/look/x", "r-", func(id string, got reply) {
 				must.NoError(t, got.err)
 				must.Eq(t, http.StatusOK, got.status)
 				must.Eq(t, len("answer to ")+len(upload(id)), len(got.body))
 				must.Eq(t, 2, runs(app, id))
-			}
+			})
 		})
 		t.Run(name+", a stream", func(t *testing.T) {
 			g, _, lm := startEarly(t, "s-", earlyEvents, ending)
-			for i := range earlyAnswers {
-				id := fmt.Sprintf("s-%d", i)
-				got := g.send(t, http.MethodPost, "/talk/x", "key-acme", id, upload(id))
+			g.sendUploads(t, "/talk/x", "s-", func(id string, got reply) {
 				must.True(t, got.err != nil || got.status == http.StatusBadGateway, must.Sprintf("%d %q", got.status, got.body))
 				must.Eq(t, 1, runs(lm, id))
-			}
+			})
 		})
 		t.Run(name+", a stream that may be resumed", func(t *testing.T) {
 			g, _, lm := startEarly(t, "s-", earlyEvents, ending)
-			for i := range earlyAnswers {
-				id := fmt.Sprintf("s-%d", i)
-				got := g.send(t, http.MethodPost, "/stream/x", "key-acme", id, upload(id))
+			g.sendUploads(t, "/stream/x", "s-", func(id string, got reply) {
 				must.NoError(t, got.err)
 				must.Eq(t, http.StatusOK, got.status)
 				must.Eq(t, 5, strings.Count(got.body, "id: "))
 				must.StrContains(t, got.body, "id: 5\ndata: "+wiretest.EventText(id, 5))
 				must.Eq(t, 2, runs(lm, id))
-			}
+			})
 		})
 		t.Run(name+", items", func(t *testing.T) {
 			g, _, lm := startEarly(t, "b", earlyEvents, ending)
@@ -181,27 +182,23 @@
 	for name, ending := range listentest.SoundEndings() {
 		t.Run(name+", a posting", func(t *testing.T) {
 			g, app, _ := startEarly(t, "p-", earlyPart, ending)
-			for i := range earlyAnswers {
-				id := fmt.Sprintf("p-%d", i)
-				got := g.send(t, http.MethodPost, "/post/x", "key-acme", id, upload(id))
+			g.sendUploads(t, "/post/x", "p-", func(id string, got reply) {
 				must.NoError(t, got.err)
 				must.Eq(t, http.StatusOK, got.status, must.Sprint(got.body))
 				must.Eq(t, "answer", got.body)
 				must.Eq(t, "proof."+id, got.header.Get("Sampler-Signature"))
 				must.Eq(t, 1, runs(app, id))
-			}
+			})
 		})
 		t.Run(name+", a stream", func(t *testing.T) {
 			g, _, lm := startEarly(t, "s-", earlyEvents, ending)
-			for i := range earlyAnswers {
-				for _, path := range []string{"/talk/x", "/stream/x"} {
-					id := fmt.Sprintf("s-%d%s", i, strings.ReplaceAll(path, "/", "-"))
-					got := g.send(t, http.MethodPost, path, "key-acme", id, upload(id))
+			for path, prefix := range map[string]string{"/talk/x": "s-talk", "/stream/x": "s-stream"} {
+				g.sendUploads(t, path, prefix, func(id string, got reply) {
 					must.NoError(t, got.err)
 					must.Eq(t, http.StatusOK, got.status)
 					must.Eq(t, 2, strings.Count(got.body, "id: "))
 					must.Eq(t, 1, runs(lm, id))
-				}
+				})
 			}
 		})
 	}
