http1: only errors of the kernel wait for the end of the reads

A write that fails for another reason, such as one within TLS, leaves the connection open, so its error would wait until the request is given up. By reading: no such error was seen. The new part of TestWriteErrorWaitsForReads hangs without the check.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // errNoAlert means that a connection with TLS ended without an alert.
@@ -57,12 +58,14 @@
 	return n, err
 }
 
-// Write implements net.Conn. Its error waits for the end of the reads: net/http closes the connection after a failed write,
-// but the kernel may hold an answer that the server sent before it reset the upload.
+// Write implements net.Conn. An error of the kernel waits for the end of the reads: net/http closes the connection after a
+// failed write, but the kernel may hold an answer that the server sent before it reset the upload. Other errors don't end
+// the reads.
 func (c *Conn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
-	if err != nil {
-		<-c.hasEnded()
+	var reported syscall.Errno
+	if errors.As(err, &reported) {
+		<-c.readsEnded()
 	}
 	return n, err
 }
@@ -75,12 +78,12 @@
 
 // end marks that no more is read.
 func (c *Conn) end() {
-	ended := c.hasEnded()
+	ended := c.readsEnded()
 	c.once.Do(func() { close(ended) })
 }
 
-// hasEnded returns a channel that is closed once no more is read.
-func (c *Conn) hasEnded() chan struct{} {
+// readsEnded returns a channel that is closed once no more is read.
+func (c *Conn) readsEnded() chan struct{} {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.ended == nil {
--- a/internal/http1/socket_test.go
+++ b/internal/http1/socket_test.go
@@ -257,11 +257,13 @@
 		must.ErrorIs(t, <-written, errPipe)
 		must.NoError(t, conn.Close())
 	})
-	t.Run("sound writes don't wait", func(t *testing.T) {
-		fake := newFakeConn()
-		conn := &http1.Conn{Conn: &http1.Socket{Conn: fake}}
-		fake.writes <- nil
-		_, err := conn.Write([]byte("upload"))
-		must.NoError(t, err)
-	})
+	for name, failure := range map[string]error{"sound writes don't wait": nil, "errors that don't end the reads don't wait": io.ErrShortWrite} {
+		t.Run(name, func(t *testing.T) {
+			fake := newFakeConn()
+			conn := &http1.Conn{Conn: &http1.Socket{Conn: fake}}
+			fake.writes <- failure
+			_, err := conn.Write([]byte("upload"))
+			must.EqOp(t, failure, err)
+		})
+	}
 }
