gateway: a process that gives up blames no gateway that notices it first

Cause: gRPC passes the process's deadline on. The other gateway noticed its end a moment before the process did, so the error arrived while the context was open, and the gateway counted as silent: for a second it was asked last.

DeadlineExceeded is blamed on nobody now if the context ends before the relay's own deadline.

--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"k8s.io/klog/v2"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/clock"
@@ -43,7 +45,8 @@
 		if client == nil {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, call.Timeout+detourMargin)
+		deadline := time.Now().Add(call.Timeout + detourMargin)
+		callCtx, cancel := context.WithDeadline(ctx, deadline)
 		reply, err := client.Detour(callCtx, request)
 		cancel()
 		status := int(reply.GetStatus())
@@ -51,7 +54,7 @@
 		case err != nil:
 			klog.InfoS("hosts: relaying a store request through a peer failed", "host", name, "err", err.Error())
 			result = detour.OutcomeUnknown
-			if ctx.Err() == nil {
+			if !hasGivenUp(ctx, deadline, err) {
 				h.recordDetourFailed(name)
 			}
 		case platform.IsRejected(status):
@@ -67,6 +70,13 @@
 	return answer, result
 }
 
+// hasGivenUp reports whether a relay failed because its context ended before the relay's own deadline. The other gateway
+// has the earlier deadline too, and may report its end before this process notices it.
+func hasGivenUp(ctx context.Context, deadline time.Time, err error) bool {
+	end, isBounded := ctx.Deadline()
+	return ctx.Err() != nil || isBounded && end.Before(deadline) && status.Code(err) == codes.DeadlineExceeded
+}
+
 // recordDetourAnswered notes that a gateway relayed a store request for this process.
 func (h *Hosts) recordDetourAnswered(name string) {
 	h.mutex.Lock()
--- a/internal/gateway/detour_test.go
+++ b/internal/gateway/detour_test.go
@@ -10,10 +10,12 @@
 
 	"github.com/shoenig/test/must"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bramleyhatch/bramleyhatch/internal/detour"
 	"github.com/bramleyhatch/bramleyhatch/internal/listen"
+	"github.com/bramleyhatch/bramleyhatch/internal/pause"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/peerpb"
 	"github.com/bramleyhatch/bramleyhatch/internal/pb/statepb"
 	"github.com/bramleyhatch/bramleyhatch/internal/platform"
@@ -26,11 +28,18 @@
 
 	isSilent atomic.Bool
 	calls    atomic.Int32
+	// early is how long before a request's deadline a silent gateway reports that it has passed.
+	early time.Duration
 }
 
 // Detour answers with the status of the store.
 func (g *relayingGateway) Detour(ctx context.Context, _ *peerpb.DetourRequest) (*peerpb.DetourReply, error) {
 	g.calls.Add(1)
+	if g.isSilent.Load() && g.early > 0 {
+		deadline, _ := ctx.Deadline()
+		pause.For(ctx, time.Until(deadline)-g.early)
+		return nil, status.FromContextError(context.DeadlineExceeded).Err()
+	}
 	if g.isSilent.Load() {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -116,4 +125,21 @@
 		must.Eq(t, detour.Answered, relay(t, hosts))
 		must.Eq(t, 2, order[0].calls.Load())
 	})
+	t.Run("a process whose gateways notice first that it gives up blames none", func(t *testing.T) {
+		hosts, order := startRelays(t, maxDetourAttempts+1)
+		for _, gateway := range order {
+			gateway.early = relayTimeout / 20
+			gateway.isSilent.Store(true)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), relayTimeout/4)
+		defer cancel()
+		_, result := hosts.Detour(ctx, detour.Call{Method: http.MethodGet, Target: "/", Timeout: relayTimeout})
+		must.NotEq(t, detour.Answered, result)
+		for _, gateway := range order {
+			gateway.isSilent.Store(false)
+		}
+		calls := order[0].calls.Load()
+		must.Eq(t, detour.Answered, relay(t, hosts))
+		must.Eq(t, calls+1, order[0].calls.Load())
+	})
 }
