listen: test of answers that end during a slow upload

The order in which the upload waits for its sender, and no write is in progress when the connection ends, had no test with real sockets.

--- a/internal/listen/upload_test.go
+++ b/internal/listen/upload_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -34,6 +35,39 @@
 	return listentest.AnswerEarly("HTTP/1.1 200 OK\r\n"+text, ending)
 }
 
+// slowReader returns a little at a time, and waits before.
+type slowReader struct{ io.Reader }
+
+func (r slowReader) Read(buffer []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	return r.Reader.Read(buffer[:min(len(buffer), 1<<10)])
+}
+
+// Guards against a part of an answer that passes as whole, and against a whole one that is called cut, where the end comes
+// between two writes of a slow upload.
+func TestEndDuringSlowUpload(t *testing.T) {
+	for name, test := range map[string]struct {
+		ending  listentest.Ending
+		isWhole bool
+	}{
+		"reset":                    {listentest.Reset, false},
+		"close with unread bytes":  {listentest.CloseUnread, false},
+		"the server ends its side": {listentest.EndSide, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(answerEarly("", test.ending))
+			defer server.Close()
+			for range earlyAnswers {
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, slowReader{bytes.NewReader(make([]byte, listentest.UploadBytes))})
+				must.NoError(t, err)
+				_, body, err := listen.Exchange(listen.Client("test"), request, 1<<10)
+				must.Eq(t, test.isWhole, err == nil, must.Sprint(err))
+				must.True(t, !test.isWhole || string(body) == earlyBody)
+			}
+		})
+	}
+}
+
 // upload sends a large request; chunked leaves out its length.
 func upload(t *testing.T, server *httptest.Server, chunked bool) (status int, body string, err error) {
 	t.Helper()
